The thin whole path: routers, stand-ins, demo, as separate processes

Ruled out: a CAS on the budget per request (one KV write per request, past the KV's few hundred writes/s at fleet size) and local counters reconciled later (overspend up to the number of routers in a partition). Chosen: grants (escrow) taken by CAS and spent locally, settled once per grant; see docs/design/budget.md.

--- /dev/null
+++ b/mustardfall/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: fleets on loopback, workloads, reports."""
--- /dev/null
+++ b/mustardfall/bench/demo.py
@@ -0,0 +1,231 @@
+"""`mustardfall demo`: a small fleet, a mixed workload, a one-line summary.
+
+Starts the KV, the host list, three engines (one per Retourhuis data
+centre), a booking service and three routers as processes; applies the
+sample catalogue; drives requests through the routers with the official
+`openai` client (streaming and whole, urgent and deferrable) and
+bookings with retried Idempotency-Keys; stops everything with SIGTERM;
+and reports what the callers saw against what the ledger billed.
+"""
+
+import collections
+import random
+import statistics
+import time
+import uuid
+
+import anyio
+import httpx
+import openai
+
+from mustardfall.bench import fleet as fleet_lib
+from mustardfall.bench import sample
+from mustardfall.budget import ledger
+from mustardfall.catalogue import store
+from mustardfall.kv import client as kv_client
+
+_CONCURRENCY = 24
+
+
+class Tally:
+  """What the callers saw, per budget and overall."""
+
+  def __init__(self) -> None:
+    self.counts: collections.Counter[str] = collections.Counter()
+    self.used: collections.Counter[str] = collections.Counter()
+    self.ttft_s: list[float] = []
+
+
+async def _chat(
+    client: openai.AsyncOpenAI, entry, tally: Tally, rng: random.Random
+) -> None:
+  nonce = f"n{uuid.uuid4().hex[:10]}"
+  words = rng.randint(4, 60)
+  stream = rng.random() < 0.6
+  messages = [
+      {"role": "user", "content": f"{nonce} appraise lot words={words}"}
+  ]
+  started = time.monotonic()
+  try:
+    if stream:
+      parts, usage, first = [], None, None
+      response = await client.chat.completions.create(
+          model=entry.model,
+          messages=messages,
+          max_tokens=64,
+          stream=True,
+          stream_options={"include_usage": True},
+      )
+      async for chunk in response:
+        if chunk.usage:
+          usage = chunk.usage
+        if chunk.choices and chunk.choices[0].delta.content:
+          first = first or time.monotonic()
+          parts.append(chunk.choices[0].delta.content)
+      text = "".join(parts)
+      tally.ttft_s.append((first or time.monotonic()) - started)
+    else:
+      response = await client.chat.completions.create(
+          model=entry.model,
+          messages=messages,
+          max_tokens=64,
+      )
+      text, usage = response.choices[0].message.content, response.usage
+  except openai.APIStatusError as exc:
+    verdict = (
+        (exc.body or {}).get("verdict") if isinstance(exc.body, dict) else None
+    )
+    tally.counts["refused" if exc.status_code in (429, 503) else "failed"] += 1
+    tally.counts[f"verdict:{verdict}"] += 1
+    return
+  except openai.APIError:
+    tally.counts["may_have_run"] += 1
+    return
+  got = text.split()
+  if (
+      not got
+      or got[0] != nonce
+      or usage is None
+      or len(got) != usage.completion_tokens
+  ):
+    tally.counts["crossed"] += 1
+  tally.counts["completed"] += 1
+  tally.used[entry.name] += usage.total_tokens if usage else 0
+
+
+async def _book(
+    http: httpx.AsyncClient, router: str, entry, tally: Tally
+) -> None:
+  key = uuid.uuid4().hex
+  for attempt in range(2):  # the second is a caller's retry of the same call
+    reply = await http.post(
+        router + "/v1/bookings",
+        json={"item": "pallet"},
+        headers={
+            "authorization": f"Bearer {entry.api_key}",
+            "idempotency-key": key,
+        },
+    )
+    if reply.status_code == 200 and not reply.headers.get(
+        "x-mustardfall-replayed"
+    ):
+      tally.used[entry.name] += 1
+      tally.counts["completed"] += 1
+      tally.counts["booked"] += 1
+    elif reply.status_code == 200:
+      tally.counts["replayed"] += 1
+    else:
+      tally.counts["refused"] += 1
+    if attempt == 0:
+      tally.counts["requests"] += 1
+
+
+async def drive(routers: list[str], count: int, seed: int) -> Tally:
+  """Sends `count` requests round-robin over `routers`; returns the tally."""
+  rng = random.Random(seed)
+  entries = sample.catalogue().entries
+  tally = Tally()
+  limiter = anyio.Semaphore(_CONCURRENCY)
+  clients = {
+      (r, e.api_key): openai.AsyncOpenAI(
+          base_url=r + "/v1", api_key=e.api_key, max_retries=0, timeout=30
+      )
+      for r in routers
+      for e in entries
+  }
+  async with httpx.AsyncClient(timeout=30) as http:
+
+    async def _one(i: int) -> None:
+      async with limiter:
+        router = routers[i % len(routers)]
+        # The small budgets get a share of the load, to meet refusals.
+        entry = (
+            entries[rng.choice([9, 19])]
+            if rng.random() < 0.15
+            else rng.choice(entries)
+        )
+        if rng.random() < 0.1:
+          await _book(http, router, entry, tally)
+        else:
+          tally.counts["requests"] += 1
+          await _chat(clients[(router, entry.api_key)], entry, tally, rng)
+
+    async with anyio.create_task_group() as tg:
+      for i in range(count):
+        tg.start_soon(_one, i)
+  return tally
+
+
+async def _ledgers(kv_url: str) -> dict[str, ledger.Ledger]:
+  kv = kv_client.Client(kv_url, "demo")
+  try:
+    out = {}
+    for e in sample.catalogue().entries:
+      out[e.name] = await ledger.read(kv, e.name)
+    return out
+  finally:
+    await kv.close()
+
+
+async def _apply(kv_url: str) -> int:
+  kv = kv_client.Client(kv_url, "operator")
+  try:
+    return await store.apply(kv, sample.catalogue())
+  finally:
+    await kv.close()
+
+
+def summarise(
+    tally: Tally, ledgers: dict[str, ledger.Ledger], kv_stats: dict, stops: dict
+) -> dict:
+  """Returns the demo's summary from callers' view and the ledger's."""
+  overspend = sum(
+      max(0, tally.used[name] - ld["limit"]) for name, ld in ledgers.items()
+  )
+  double = sum(
+      max(0, ld["spent"] - tally.used[name]) for name, ld in ledgers.items()
+  )
+  ttft = sorted(tally.ttft_s)
+  p95 = ttft[int(0.95 * (len(ttft) - 1))] * 1000 if ttft else None
+  requests = tally.counts["requests"]
+  return {
+      "requests": requests,
+      "completed": tally.counts["completed"],
+      "refused": tally.counts["refused"],
+      "may_have_run": tally.counts["may_have_run"],
+      "replayed_bookings": tally.counts["replayed"],
+      "overspend_tokens": overspend,
+      "double_billed": double,
+      "crossed_answers": tally.counts["crossed"],
+      "stranded_grants": sum(len(ld["grants"]) for ld in ledgers.values()),
+      "p95_ttft_ms": round(p95, 1) if p95 is not None else None,
+      "median_ttft_ms": round(statistics.median(ttft) * 1000, 1)
+      if ttft
+      else None,
+      "kv_writes": kv_stats.get("writes"),
+      "kv_calls": kv_stats.get("calls"),
+      "kv_writes_per_request": round(
+          kv_stats.get("writes", 0) / max(requests, 1), 3
+      ),
+      "unclean_exits": sum(1 for c in stops.values() if c != 0),
+  }
+
+
+async def run(count: int = 240, seed: int = 7) -> dict:
+  """Runs the whole demo; returns the summary."""
+  with fleet_lib.Fleet() as fleet:
+    urls = await anyio.to_thread.run_sync(fleet_lib.start_platform, fleet)
+    await _apply(urls["kv"])
+    routers = fleet_lib.start_routers(fleet, urls, fleet_lib.RETOURHUIS_DCS)
+    await anyio.to_thread.run_sync(fleet.wait_ready)
+    await anyio.sleep(0.6)  # routers see the host list's first answer
+    tally = await drive(routers, count, seed)
+    for name in [n for n in fleet.procs if n.startswith("router")]:
+      fleet.signal(name, 15)
+    for name in [n for n in fleet.procs if n.startswith("router")]:
+      await anyio.to_thread.run_sync(fleet.procs[name].popen.wait)
+    async with httpx.AsyncClient() as http:
+      kv_stats = (await http.get(urls["kv"] + "/standin/stats")).json()
+    ledgers = await _ledgers(urls["kv"])
+    stops = await anyio.to_thread.run_sync(fleet.stop)
+  return summarise(tally, ledgers, kv_stats, stops)
--- /dev/null
+++ b/mustardfall/bench/fleet.py
@@ -0,0 +1,203 @@
+"""Starts stand-ins and routers as separate processes on loopback ports.
+
+Each process gets its own YAML settings file and is started with the
+`mustardfall` command line, as an operator would; `Fleet.stop` sends
+SIGTERM to each and waits, so that nothing is left behind.
+"""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpx
+
+from mustardfall import settings
+
+RETOURHUIS_DCS = ("lier-a", "lier-b", "mechelen")
+MAHAKAMA_DCS = ("upperhill", "westlands", "industrial-area")
+
+
+def free_port() -> int:
+  """Returns a TCP port on 127.0.0.1 that was free a moment ago."""
+  with contextlib.closing(socket.socket()) as s:
+    s.bind(("127.0.0.1", 0))
+    return s.getsockname()[1]
+
+
+@dataclasses.dataclass
+class Process:
+  """One started process and where it listens."""
+
+  name: str
+  url: str
+  popen: subprocess.Popen
+
+
+class Fleet:
+  """A set of processes started from settings; a context manager.
+
+  Args:
+    workdir: where settings files and logs go; a temporary one if None.
+  """
+
+  def __init__(self, workdir: str | None = None) -> None:
+    self._tmp = None if workdir else tempfile.TemporaryDirectory()
+    self.dir = pathlib.Path(workdir or self._tmp.name)
+    self.procs: dict[str, Process] = {}
+
+  def start(self, role: list[str], name: str, config) -> Process:
+    """Writes `config` as YAML and starts `mustardfall ROLE --config`."""
+    path = self.dir / f"{name}.yaml"
+    path.write_text(settings.dump(config), encoding="utf-8")
+    log = open(self.dir / f"{name}.log", "wb")  # noqa: SIM115
+    popen = subprocess.Popen(  # noqa: S603
+        [sys.executable, "-m", "mustardfall", *role, "--config", str(path)],
+        stdout=log,
+        stderr=subprocess.STDOUT,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    url = f"http://{config.listen.host}:{config.listen.port}"
+    proc = Process(name, url, popen)
+    self.procs[name] = proc
+    return proc
+
+  def wait_ready(self, timeout_s: float = 20.0, path: str = "/healthz") -> None:
+    """Waits until every process answers `path` with 200."""
+    deadline = time.monotonic() + timeout_s
+    pending = dict(self.procs)
+    while pending:
+      for name, proc in list(pending.items()):
+        if proc.popen.poll() is not None:
+          raise RuntimeError(f"{name} exited: {self.log(name)[-2000:]}")
+        try:
+          if httpx.get(proc.url + path, timeout=0.5).status_code == 200:
+            del pending[name]
+        except httpx.HTTPError:
+          pass
+      if time.monotonic() > deadline:
+        raise TimeoutError(f"not ready: {sorted(pending)}")
+      time.sleep(0.05)
+
+  def log(self, name: str) -> str:
+    """Returns what process `name` has written so far."""
+    return (self.dir / f"{name}.log").read_text(errors="replace")
+
+  def signal(self, name: str, signum: int) -> None:
+    """Sends `signum` to process `name` (by its pid)."""
+    self.procs[name].popen.send_signal(signum)
+
+  def stop(self, timeout_s: float = 30.0) -> dict[str, int]:
+    """SIGTERMs every process and waits; returns exit codes by name."""
+    for proc in self.procs.values():
+      if proc.popen.poll() is None:
+        proc.popen.send_signal(signal.SIGTERM)
+    codes = {}
+    for name, proc in self.procs.items():
+      try:
+        codes[name] = proc.popen.wait(timeout=timeout_s)
+      except subprocess.TimeoutExpired:
+        proc.popen.kill()
+        codes[name] = proc.popen.wait()
+    return codes
+
+  def __enter__(self) -> "Fleet":
+    return self
+
+  def __exit__(self, *_) -> None:
+    self.stop()
+    if self._tmp:
+      self._tmp.cleanup()
+
+
+def _listen() -> settings.Listen:
+  return settings.Listen(host="127.0.0.1", port=free_port())
+
+
+def start_platform(
+    fleet: Fleet,
+    datacentres: tuple[str, ...] = RETOURHUIS_DCS,
+    engine_tokens_per_s: float = 400.0,
+    hosts_lag_s: float = 0.5,
+) -> dict[str, str]:
+  """Starts the KV, one engine per data centre, a service and the host list.
+
+  Returns:
+    URLs by name: `kv`, `hosts`, `engine-<dc>`, `service`.
+  """
+  urls = {
+      "kv": fleet.start(
+          ["standin", "kv"], "kv", settings.KvStandin(listen=_listen())
+      ).url
+  }
+  hosts = []
+  for dc in datacentres:
+    cfg = settings.EngineStandin(
+        name=f"engine-{dc}",
+        datacentre=dc,
+        listen=_listen(),
+        tokens_per_s=engine_tokens_per_s,
+    )
+    proc = fleet.start(["standin", "engine"], cfg.name, cfg)
+    urls[cfg.name] = proc.url
+    hosts.append(
+        settings.HostEntry(
+            name=cfg.name,
+            url=proc.url,
+            datacentre=dc,
+            kind="engine",
+            models=list(cfg.models),
+        )
+    )
+  svc = settings.ServiceStandin(
+      name="service", datacentre=datacentres[0], listen=_listen()
+  )
+  urls["service"] = fleet.start(["standin", "service"], "service", svc).url
+  hosts.append(
+      settings.HostEntry(
+          name="service",
+          url=urls["service"],
+          datacentre=datacentres[0],
+          kind="service",
+      )
+  )
+  hosts_cfg = settings.HostsStandin(
+      listen=_listen(), lag_s=hosts_lag_s, hosts=hosts
+  )
+  urls["hosts"] = fleet.start(["standin", "hosts"], "hosts", hosts_cfg).url
+  fleet.wait_ready()
+  return urls
+
+
+def router_settings(
+    name: str, datacentre: str, urls: dict[str, str], **overrides
+) -> settings.Router:
+  """Returns settings for a router on a free port of the given platform."""
+  return settings.Router(
+      name=name,
+      datacentre=datacentre,
+      listen=_listen(),
+      kv_url=urls["kv"],
+      hosts_url=urls["hosts"],
+      **overrides,
+  )
+
+
+def start_routers(
+    fleet: Fleet,
+    urls: dict[str, str],
+    datacentres: tuple[str, ...],
+    **overrides,
+) -> list[str]:
+  """Starts one router per data centre; returns their URLs (not yet ready)."""
+  out = []
+  for i, dc in enumerate(datacentres, 1):
+    cfg = router_settings(f"router-{i}", dc, urls, **overrides)
+    out.append(fleet.start(["router"], cfg.name, cfg).url)
+  return out
--- /dev/null
+++ b/mustardfall/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid token budgets: the KV ledger and a router's allotments."""
--- /dev/null
+++ b/mustardfall/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' catalogue: entries with owner, class and budget."""
--- /dev/null
+++ b/mustardfall/cli.py
@@ -0,0 +1,178 @@
+"""The `mustardfall` command: daemons, stand-ins and operator commands."""
+
+import json
+import os
+import sys
+import uuid
+
+import anyio
+import click
+import yaml
+
+from mustardfall import errors
+from mustardfall import settings
+from mustardfall.budget import ledger
+from mustardfall.catalogue import model
+from mustardfall.catalogue import store
+from mustardfall.kv import client as kv_client
+from mustardfall.util import logging as log_setup
+
+_KV_DEFAULT = os.environ.get("MUSTARDFALL_KV", "http://127.0.0.1:2379")
+_kv_option = click.option(
+    "--kv",
+    "kv_url",
+    default=_KV_DEFAULT,
+    show_default=True,
+    help="URL of the KV service (or set MUSTARDFALL_KV).",
+)
+
+
+def _load(path: str, kind: type):
+  try:
+    return settings.load(path, kind)
+  except errors.SettingsError as exc:
+    raise click.ClickException(str(exc)) from exc
+
+
+@click.group()
+def main() -> None:
+  """mustardfall: a router fleet for prepaid token budgets."""
+
+
+@main.command()
+@click.option("--config", "path", required=True, type=click.Path(exists=True))
+def router(path: str) -> None:
+  """Runs the entry-host router daemon."""
+  from mustardfall.daemons import router as daemon  # noqa: PLC0415
+
+  config = _load(path, settings.Router)
+  log_setup.setup(f"router:{config.name}", config.log_level)
+  anyio.run(daemon.run, config)
+
+
+@main.group()
+def standin() -> None:
+  """Runs a stand-in for one of the platform's systems."""
+
+
+def _standin(name: str, kind: type, module: str) -> None:
+  @standin.command(name=name)
+  @click.option("--config", "path", required=True, type=click.Path(exists=True))
+  def _command(path: str) -> None:
+    import importlib  # noqa: PLC0415
+
+    config = _load(path, kind)
+    log_setup.setup(f"standin:{name}", config.log_level)
+    anyio.run(importlib.import_module(module).run, config)
+
+  _command.__doc__ = f"Runs the {name} stand-in."
+
+
+_standin("kv", settings.KvStandin, "mustardfall.standins.kv")
+_standin("hosts", settings.HostsStandin, "mustardfall.standins.hosts")
+_standin("engine", settings.EngineStandin, "mustardfall.standins.engine")
+_standin("service", settings.ServiceStandin, "mustardfall.standins.service")
+
+
+async def _with_kv(kv_url: str, fn):
+  kv = kv_client.Client(kv_url, "operator")
+  try:
+    return await fn(kv)
+  finally:
+    await kv.close()
+
+
+@main.group()
+def catalogue() -> None:
+  """Reads and changes the catalogue."""
+
+
+@catalogue.command(name="apply")
+@click.argument("path", type=click.Path(exists=True))
+@_kv_option
+def catalogue_apply(path: str, kv_url: str) -> None:
+  """Applies a catalogue file; a lost race is reported, not overwritten."""
+  with open(path, encoding="utf-8") as f:
+    try:
+      spec = model.parse(yaml.safe_load(f), source=path)
+    except errors.SettingsError as exc:
+      raise click.ClickException(str(exc)) from exc
+  try:
+    revision = anyio.run(_with_kv, kv_url, lambda kv: store.apply(kv, spec))
+  except errors.CatalogueRaceLostError as exc:
+    raise click.ClickException(
+        f"not applied: {exc}; re-read and edit again"
+    ) from exc
+  except errors.KvUnavailableError as exc:
+    raise click.ClickException(f"not applied: KV unavailable: {exc}") from exc
+  except errors.KvUnknownError as exc:
+    raise click.ClickException(
+        f"may be applied: {exc}; run 'catalogue show'"
+    ) from exc
+  click.echo(json.dumps({"applied": True, "revision": revision}))
+
+
+@catalogue.command(name="show")
+@_kv_option
+def catalogue_show(kv_url: str) -> None:
+  """Prints the catalogue in force, with its revision as `base`."""
+  revision, spec = anyio.run(_with_kv, kv_url, store.read)
+  if spec is None:
+    raise click.ClickException("no catalogue")
+  data = spec.model_dump(mode="json", by_alias=True)
+  data["base"] = revision
+  click.echo(yaml.safe_dump(data, sort_keys=False))
+
+
+@main.group()
+def budget() -> None:
+  """Reads and tops up budgets."""
+
+
+@budget.command(name="show")
+@click.argument("name")
+@_kv_option
+def budget_show(name: str, kv_url: str) -> None:
+  """Prints a budget's ledger and headroom."""
+  found = anyio.run(_with_kv, kv_url, lambda kv: ledger.read(kv, name))
+  if found is None:
+    raise click.ClickException(f"no budget {name}")
+  click.echo(json.dumps({**found, "headroom": ledger.headroom(found)}))
+
+
+@budget.command(name="top-up")
+@click.argument("name")
+@click.argument("tokens", type=click.IntRange(min=1))
+@click.option(
+    "--op", default=None, help="Op id; a retry with the same id is a no-op."
+)
+@_kv_option
+def budget_top_up(name: str, tokens: int, op: str | None, kv_url: str) -> None:
+  """Adds TOKENS to budget NAME, exactly once."""
+  op = op or f"topup:{uuid.uuid4().hex}"
+  try:
+    after = anyio.run(
+        _with_kv, kv_url, lambda kv: ledger.top_up(kv, name, tokens, op)
+    )
+  except errors.KvUnavailableError as exc:
+    raise click.ClickException(
+        f"not known to be applied: {exc}; retry with --op {op}"
+    ) from exc
+  click.echo(json.dumps({"op": op, "limit": after["limit"]}))
+
+
+@main.command()
+@click.option("--requests", "count", default=240, show_default=True)
+@click.option("--seed", default=7, show_default=True)
+def demo(count: int, seed: int) -> None:
+  """Starts a small fleet on loopback, drives a mixed load, prints a summary."""
+  from mustardfall.bench import demo as demo_lib  # noqa: PLC0415
+
+  log_setup.setup("demo", "WARNING")
+  summary = anyio.run(demo_lib.run, count, seed)
+  click.echo(json.dumps(summary))
+  sys.exit(0 if summary["overspend_tokens"] == 0 else 1)
+
+
+if __name__ == "__main__":
+  main()
--- /dev/null
+++ b/mustardfall/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin entry points: each builds its role from settings and serves it."""
--- /dev/null
+++ b/mustardfall/kv/client.py
@@ -0,0 +1,226 @@
+"""An async client for the subset of the etcd v3 JSON gateway we use.
+
+Keys and values travel base64-encoded, as the gateway wants. Failures
+are split by what they mean for a write: `errors.KvUnavailableError` when the
+request cannot have reached the service, `errors.KvUnknownError` when it may
+have taken effect without our hearing so.
+"""
+
+import base64
+from collections.abc import AsyncIterator
+import json
+from typing import Any, NamedTuple
+
+import httpx
+
+from mustardfall import errors
+
+CLIENT_HEADER = "x-mustardfall-client"
+"""Names the caller to the stand-in, which can cut it off (a partition)."""
+
+
+class Record(NamedTuple):
+  """One key as the service holds it."""
+
+  key: str
+  value: bytes
+  mod_revision: int
+  version: int
+
+
+class Compare(NamedTuple):
+  """One condition of a transaction: `target` of `key` equals `expected`."""
+
+  key: str
+  target: str  # "MOD" or "VERSION"
+  expected: int
+
+
+class TxnResult(NamedTuple):
+  """Whether the compares held, the revision, and records read."""
+
+  succeeded: bool
+  revision: int
+  records: list[Record]
+
+
+def _b64(text: str | bytes) -> str:
+  raw = text.encode() if isinstance(text, str) else text
+  return base64.b64encode(raw).decode()
+
+
+def _unb64(text: str) -> bytes:
+  return base64.b64decode(text) if text else b""
+
+
+def _prefix_end(prefix: str) -> str:
+  raw = bytearray(prefix.encode())
+  raw[-1] += 1
+  return _b64(bytes(raw))
+
+
+def _record(kv: dict[str, Any]) -> Record:
+  return Record(
+      key=_unb64(kv["key"]).decode(),
+      value=_unb64(kv.get("value", "")),
+      mod_revision=int(kv.get("mod_revision", 0)),
+      version=int(kv.get("version", 0)),
+  )
+
+
+def put_op(key: str, value: bytes, lease: int = 0) -> dict[str, Any]:
+  """Returns a put operation for `txn`."""
+  op: dict[str, Any] = {"key": _b64(key), "value": _b64(value)}
+  if lease:
+    op["lease"] = str(lease)
+  return {"request_put": op}
+
+
+def range_op(key: str) -> dict[str, Any]:
+  """Returns a single-key read operation for `txn`."""
+  return {"request_range": {"key": _b64(key)}}
+
+
+class Client:
+  """Talks to one KV endpoint over HTTP/JSON.
+
+  Args:
+    url: base URL of the gateway, e.g. `http://127.0.0.1:2379`.
+    name: sent in `CLIENT_HEADER` on every call.
+    timeout_s: seconds before a call is given up.
+    transport: an httpx transport, e.g. to an in-process stand-in.
+  """
+
+  def __init__(
+      self,
+      url: str,
+      name: str,
+      timeout_s: float = 2.0,
+      transport: httpx.AsyncBaseTransport | None = None,
+  ) -> None:
+    self._http = httpx.AsyncClient(
+        base_url=url,
+        timeout=timeout_s,
+        headers={CLIENT_HEADER: name},
+        transport=transport,
+    )
+    self.calls = 0
+    """Calls made, a waiting watch counted once."""
+
+  async def close(self) -> None:
+    """Closes the connection pool."""
+    await self._http.aclose()
+
+  async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    self.calls += 1
+    try:
+      reply = await self._http.post(path, json=body)
+    except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+      raise errors.KvUnavailableError(f"{path}: {exc!r}") from exc
+    except httpx.HTTPError as exc:
+      raise errors.KvUnknownError(f"{path}: {exc!r}") from exc
+    if reply.status_code == 503:
+      raise errors.KvUnavailableError(f"{path}: unavailable")
+    if reply.status_code >= 500:
+      raise errors.KvUnknownError(f"{path}: status {reply.status_code}")
+    reply.raise_for_status()
+    return reply.json()
+
+  async def get(self, key: str) -> Record | None:
+    """Returns the record at `key`, or None when there is none."""
+    body = await self._call("/v3/kv/range", {"key": _b64(key)})
+    kvs = body.get("kvs") or []
+    return _record(kvs[0]) if kvs else None
+
+  async def get_prefix(self, prefix: str) -> tuple[int, list[Record]]:
+    """Returns the revision and every record whose key starts so."""
+    body = await self._call(
+        "/v3/kv/range", {"key": _b64(prefix), "range_end": _prefix_end(prefix)}
+    )
+    revision = int(body.get("header", {}).get("revision", 0))
+    return revision, [_record(kv) for kv in body.get("kvs") or []]
+
+  async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    """Writes `value` at `key`; returns the new revision."""
+    op = put_op(key, value, lease)["request_put"]
+    body = await self._call("/v3/kv/put", op)
+    return int(body.get("header", {}).get("revision", 0))
+
+  async def txn(
+      self,
+      compares: list[Compare],
+      success: list[dict[str, Any]],
+      failure: list[dict[str, Any]] | None = None,
+  ) -> TxnResult:
+    """Runs a compare-and-swap transaction.
+
+    Returns:
+      Whether the compares held, the revision after, and the records of
+      any range operations in the branch that ran.
+    """
+    body = {
+        "compare": [
+            {
+                "key": _b64(c.key),
+                "result": "EQUAL",
+                "target": c.target,
+                ("mod_revision" if c.target == "MOD" else "version"): str(
+                    c.expected
+                ),
+            }
+            for c in compares
+        ],
+        "success": success,
+        "failure": failure or [],
+    }
+    reply = await self._call("/v3/kv/txn", body)
+    records = []
+    for response in reply.get("responses") or []:
+      for kv in response.get("response_range", {}).get("kvs") or []:
+        records.append(_record(kv))
+    return TxnResult(
+        succeeded=bool(reply.get("succeeded", False)),
+        revision=int(reply.get("header", {}).get("revision", 0)),
+        records=records,
+    )
+
+  async def grant_lease(self, ttl_s: int) -> int:
+    """Grants a lease of `ttl_s` seconds; returns its id."""
+    body = await self._call("/v3/lease/grant", {"TTL": str(ttl_s), "ID": "0"})
+    return int(body["ID"])
+
+  async def keep_alive(self, lease: int) -> int:
+    """Renews `lease`; returns the TTL left, 0 when it has lapsed."""
+    body = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
+    return int(body.get("result", {}).get("TTL", 0))
+
+  async def watch(
+      self, prefix: str, start_revision: int
+  ) -> AsyncIterator[Record]:
+    """Yields every put under `prefix` from `start_revision` on.
+
+    Ends when the stream breaks; the caller re-reads and watches again.
+    """
+    self.calls += 1
+    body = {
+        "create_request": {
+            "key": _b64(prefix),
+            "range_end": _prefix_end(prefix),
+            "start_revision": str(start_revision),
+        }
+    }
+    try:
+      async with self._http.stream(
+          "POST", "/v3/watch", json=body, timeout=None
+      ) as reply:
+        if reply.status_code != 200:
+          raise errors.KvUnavailableError(f"watch: status {reply.status_code}")
+        async for line in reply.aiter_lines():
+          if not line.strip():
+            continue
+          result = json.loads(line).get("result", {})
+          for event in result.get("events") or []:
+            if event.get("type", "PUT") == "PUT":
+              yield _record(event["kv"])
+    except httpx.HTTPError as exc:
+      raise errors.KvUnavailableError(f"watch: {exc!r}") from exc
--- /dev/null
+++ b/mustardfall/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing endpoints and forwarding requests to them."""
--- /dev/null
+++ b/mustardfall/standins/engine.py
@@ -0,0 +1,205 @@
+"""An OpenAI-compatible model engine stand-in.
+
+`POST /v1/chat/completions` answers in the OpenAI shape, streamed as
+server-sent events or whole. The answer's first word echoes the first
+word of the last user message, so a caller can tell its answer from
+another's; the length is `max_tokens`, or fewer when the message says
+`words=N`. Priorities follow the vLLM convention: lower runs first.
+Load is reported at `GET /load` with a lag. `POST /standin/faults`
+takes `fail_next` (requests refused with 500 before any work),
+`drop_after` (the next stream is cut after that many tokens) and
+`stall_s` (added wait before the first token).
+"""
+
+import heapq
+import itertools
+import json
+import re
+import time
+import uuid
+
+import anyio
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from mustardfall import settings
+from mustardfall.util import serving
+
+_SLOTS = 16
+"""Requests decoded at once; the rest wait in priority order."""
+
+_WORDS = re.compile(r"words=(\d+)")
+
+
+def count_prompt(messages: list[dict]) -> int:
+  """Returns the prompt's size in tokens, one token per word."""
+  return sum(len(str(m.get("content", "")).split()) for m in messages)
+
+
+class _Slots:
+  """Admits at most `_SLOTS` requests; waiting ones by priority."""
+
+  def __init__(self) -> None:
+    self.running = 0
+    self._waiting: list[tuple[int, int, anyio.Event]] = []
+    self._seq = itertools.count()
+
+  @property
+  def waiting(self) -> int:
+    return len(self._waiting)
+
+  async def acquire(self, priority: int) -> None:
+    if self.running < _SLOTS and not self._waiting:
+      self.running += 1
+      return
+    ready = anyio.Event()
+    heapq.heappush(self._waiting, (priority, next(self._seq), ready))
+    await ready.wait()
+
+  def release(self) -> None:
+    if self._waiting:
+      _, _, ready = heapq.heappop(self._waiting)
+      ready.set()
+    else:
+      self.running -= 1
+
+
+def create_app(config: settings.EngineStandin) -> applications.Starlette:
+  """Returns the ASGI application of the engine."""
+  slots = _Slots()
+  faults = {"fail_next": 0, "drop_after": 0, "stall_s": 0.0}
+  stats = {"requests": 0, "tokens": 0}
+  load = {"running": 0, "waiting": 0, "at": 0.0}
+
+  def _report_load() -> dict:
+    now = time.monotonic()
+    if now - load["at"] >= config.load_lag_s:
+      load.update(running=slots.running, waiting=slots.waiting, at=now)
+    return {"running": load["running"], "waiting": load["waiting"]}
+
+  async def _complete(request: requests.Request) -> responses.Response:
+    body = await request.json()
+    if faults["fail_next"] > 0:
+      faults["fail_next"] -= 1
+      return responses.JSONResponse({"error": "injected"}, status_code=500)
+    messages = body.get("messages") or []
+    last = str(messages[-1].get("content", "")) if messages else ""
+    nonce = (last.split() or ["-"])[0]
+    limit = int(
+        body.get("max_tokens") or body.get("max_completion_tokens") or 16
+    )
+    asked = _WORDS.search(last)
+    length = min(limit, int(asked.group(1))) if asked else limit
+    prompt = count_prompt(messages)
+    words = [nonce] + [f"w{i}" for i in range(1, length)]
+    drop = faults["drop_after"]
+    faults["drop_after"] = 0
+    stall = faults["stall_s"]
+    cid = f"chatcmpl-{uuid.uuid4().hex[:12]}"
+    priority = int(body.get("priority") or 0)
+    stats["requests"] += 1
+    usage = {
+        "prompt_tokens": prompt,
+        "completion_tokens": len(words),
+        "total_tokens": prompt + len(words),
+    }
+
+    def _chunk(delta: dict, finish: str | None = None) -> str:
+      data = {
+          "id": cid,
+          "object": "chat.completion.chunk",
+          "created": int(time.time()),
+          "model": body.get("model", ""),
+          "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+      }
+      return f"data: {json.dumps(data)}\n\n"
+
+    async def _generate():
+      await slots.acquire(priority)
+      try:
+        await anyio.sleep(config.first_token_s + stall)
+        for i, word in enumerate(words):
+          if drop and i >= drop:
+            return
+          if i:
+            await anyio.sleep(1.0 / config.tokens_per_s)
+          stats["tokens"] += 1
+          yield word
+      finally:
+        slots.release()
+
+    if body.get("stream"):
+
+      async def _events():
+        yield _chunk({"role": "assistant", "content": ""})
+        sent = 0
+        async for word in _generate():
+          yield _chunk({"content": word if sent == 0 else " " + word})
+          sent += 1
+        if sent < len(words):
+          return  # dropped: the stream ends without a finish or [DONE]
+        yield _chunk({}, "stop" if length < limit else "length")
+        if (body.get("stream_options") or {}).get("include_usage"):
+          tail = {
+              "id": cid,
+              "object": "chat.completion.chunk",
+              "created": int(time.time()),
+              "model": body.get("model", ""),
+              "choices": [],
+              "usage": usage,
+          }
+          yield f"data: {json.dumps(tail)}\n\n"
+        yield "data: [DONE]\n\n"
+
+      return responses.StreamingResponse(
+          _events(), media_type="text/event-stream"
+      )
+    text = " ".join([w async for w in _generate()])
+    return responses.JSONResponse(
+        {
+            "id": cid,
+            "object": "chat.completion",
+            "created": int(time.time()),
+            "model": body.get("model", ""),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": "stop" if length < limit else "length",
+                }
+            ],
+            "usage": usage,
+        }
+    )
+
+  async def _load(_: requests.Request) -> responses.Response:
+    return responses.JSONResponse(_report_load())
+
+  async def _faults(request: requests.Request) -> responses.Response:
+    faults.update(await request.json())
+    return responses.JSONResponse({"ok": True})
+
+  async def _stats(_: requests.Request) -> responses.Response:
+    return responses.JSONResponse(stats)
+
+  async def _health(_: requests.Request) -> responses.Response:
+    return responses.JSONResponse({"ok": True})
+
+  return applications.Starlette(
+      routes=[
+          routing.Route("/v1/chat/completions", _complete, methods=["POST"]),
+          routing.Route("/load", _load, methods=["GET"]),
+          routing.Route("/standin/faults", _faults, methods=["POST"]),
+          routing.Route("/standin/stats", _stats, methods=["GET"]),
+          routing.Route("/healthz", _health, methods=["GET"]),
+      ]
+  )
+
+
+async def run(config: settings.EngineStandin) -> None:
+  """Serves the engine until SIGTERM."""
+  await serving.serve(
+      create_app(config), config.listen.host, config.listen.port, 30
+  )
--- /dev/null
+++ b/mustardfall/standins/kvstore.py
@@ -0,0 +1,170 @@
+"""The state machine of the key-value stand-in, without HTTP.
+
+Kept apart from the server so that property tests can drive it directly
+and inject the faults of the real service: outages, lost replies after
+the write took effect, and clients cut off from it.
+"""
+
+import base64
+import dataclasses
+from typing import Any
+
+
+@dataclasses.dataclass
+class _Entry:
+  value: bytes
+  create_revision: int
+  mod_revision: int
+  version: int
+  lease: int = 0
+
+
+@dataclasses.dataclass
+class Faults:
+  """Faults the stand-in injects; changed at run time by tests."""
+
+  down: bool = False
+  """Every call fails with 503 and changes nothing."""
+  delay_s: float = 0.0
+  """Every call waits this long first."""
+  lose_replies: int = 0
+  """The next N writes take effect, then fail as if the reply was lost."""
+  blocked: frozenset[str] = frozenset()
+  """Clients (by name) whose calls fail unapplied: a partition."""
+
+
+def _b64(raw: bytes) -> str:
+  return base64.b64encode(raw).decode()
+
+
+def _unb64(text: str | None) -> bytes:
+  return base64.b64decode(text) if text else b""
+
+
+class Store:
+  """Keys, revisions and leases, as etcd v3 keeps them."""
+
+  def __init__(self) -> None:
+    self.revision = 1
+    self.entries: dict[bytes, _Entry] = {}
+    self.leases: dict[int, float] = {}
+    self._next_lease = 0x1000
+    self.writes = 0
+    self.reads = 0
+
+  def _kv(self, key: bytes) -> dict[str, Any]:
+    e = self.entries[key]
+    return {
+        "key": _b64(key),
+        "value": _b64(e.value),
+        "create_revision": str(e.create_revision),
+        "mod_revision": str(e.mod_revision),
+        "version": str(e.version),
+        "lease": str(e.lease),
+    }
+
+  def header(self) -> dict[str, str]:
+    """Returns the response header with the current revision."""
+    return {"revision": str(self.revision)}
+
+  def _keys(self, op: dict[str, Any]) -> list[bytes]:
+    key = _unb64(op.get("key"))
+    end = _unb64(op.get("range_end"))
+    if not end:
+      return [key] if key in self.entries else []
+    return sorted(k for k in self.entries if key <= k < end)
+
+  def range(self, op: dict[str, Any]) -> dict[str, Any]:
+    """Answers a range request."""
+    self.reads += 1
+    kvs = [self._kv(k) for k in self._keys(op)]
+    return {"header": self.header(), "kvs": kvs, "count": str(len(kvs))}
+
+  def put(self, op: dict[str, Any]) -> tuple[dict[str, Any], dict[str, Any]]:
+    """Applies a put; returns the response and the watch event."""
+    key = _unb64(op.get("key"))
+    self.revision += 1
+    old = self.entries.get(key)
+    self.entries[key] = _Entry(
+        value=_unb64(op.get("value")),
+        create_revision=old.create_revision if old else self.revision,
+        mod_revision=self.revision,
+        version=(old.version + 1) if old else 1,
+        lease=int(op.get("lease", 0) or 0),
+    )
+    return {"header": self.header()}, {"type": "PUT", "kv": self._kv(key)}
+
+  def delete(self, op: dict[str, Any]) -> dict[str, Any]:
+    """Applies a delete-range."""
+    keys = self._keys(op)
+    if keys:
+      self.revision += 1
+    for k in keys:
+      del self.entries[k]
+    return {"header": self.header(), "deleted": str(len(keys))}
+
+  def _holds(self, cmp: dict[str, Any]) -> bool:
+    entry = self.entries.get(_unb64(cmp.get("key")))
+    target = cmp.get("target", "VERSION")
+    if target == "MOD":
+      actual = entry.mod_revision if entry else 0
+      expected = int(cmp.get("mod_revision", 0))
+    elif target == "CREATE":
+      actual = entry.create_revision if entry else 0
+      expected = int(cmp.get("create_revision", 0))
+    elif target == "VALUE":
+      return (entry.value if entry else b"") == _unb64(cmp.get("value"))
+    else:
+      actual = entry.version if entry else 0
+      expected = int(cmp.get("version", 0))
+    result = cmp.get("result", "EQUAL")
+    if result == "EQUAL":
+      return actual == expected
+    if result == "GREATER":
+      return actual > expected
+    if result == "LESS":
+      return actual < expected
+    return actual != expected
+
+  def txn(
+      self, body: dict[str, Any]
+  ) -> tuple[dict[str, Any], list[dict[str, Any]]]:
+    """Applies a transaction; returns the response and watch events."""
+    succeeded = all(self._holds(c) for c in body.get("compare") or [])
+    ops = body.get("success" if succeeded else "failure") or []
+    responses, events = [], []
+    for op in ops:
+      if "request_put" in op:
+        reply, event = self.put(op["request_put"])
+        responses.append({"response_put": reply})
+        events.append(event)
+      elif "request_range" in op:
+        responses.append({"response_range": self.range(op["request_range"])})
+      elif "request_delete_range" in op:
+        reply = self.delete(op["request_delete_range"])
+        responses.append({"response_delete_range": reply})
+    if any("request_put" in op or "request_delete_range" in op for op in ops):
+      self.writes += 1
+    else:
+      self.reads += 1
+    return {
+        "header": self.header(),
+        "succeeded": succeeded,
+        "responses": responses,
+    }, events
+
+  def grant(self, ttl_s: int, now: float) -> int:
+    """Grants a lease; returns its id."""
+    self._next_lease += 1
+    self.leases[self._next_lease] = now + ttl_s
+    self.writes += 1
+    return self._next_lease
+
+  def expire(self, now: float) -> None:
+    """Drops lapsed leases and the keys attached to them."""
+    for lease, deadline in list(self.leases.items()):
+      if deadline <= now:
+        del self.leases[lease]
+        for key in [k for k, e in self.entries.items() if e.lease == lease]:
+          self.revision += 1
+          del self.entries[key]
--- /dev/null
+++ b/mustardfall/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that know nothing of the domain: clock, logging, serving."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of mustardfall; helpers shared by them live beside them."""
