--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -81,28 +81,26 @@
 """Returns the new ledger, or None when nothing is to be written."""
 
 
-async def _update(
-    kv: kv_client.Client,
-    name: str,
-    change: Change,
-    applied: Callable[[Ledger], bool],
-) -> Ledger:
+async def _update(kv: kv_client.Client, name: str, change: Change) -> Ledger:
   """Applies `change` by compare-and-swap until it holds.
 
-  `applied` tells from a re-read whether a write whose reply was lost
-  took effect, so that it is not applied twice.
+  Every `change` names its write inside the value (a grant id, an op
+  id) and returns None when it finds that name already there. So after a
+  lost reply the re-read shows whether the write took effect, and the
+  change is never applied twice.
 
   Returns:
     The ledger after the change (or as found, when it was a no-op).
+
+  Raises:
+    errors.KvUnavailableError: the KV did not answer, or the CAS lost
+      `_ATTEMPTS` races in a row.
   """
-  lost_reply = False
   for _ in range(_ATTEMPTS):
     record = await kv.get(key(name))
     if record is None:
       raise errors.KvUnavailableError(f"no budget {name}")
     current = decode(record.value)
-    if lost_reply and applied(current):
-      return current
     new = change(current)
     if new is None:
       return current
@@ -112,7 +110,6 @@
           [kv_client.put_op(key(name), _encode(new))],
       )
     except errors.KvUnknownError:
-      lost_reply = True
       continue
     if result.succeeded:
       return new
@@ -150,7 +147,7 @@
         ops=ledger["ops"],
     )
 
-  after = await _update(kv, name, _change, lambda ld: gid in ld["grants"])
+  after = await _update(kv, name, _change)
   return after["grants"].get(gid, 0)
 
 
@@ -172,7 +169,7 @@
         ops=ledger["ops"],
     )
 
-  await _update(kv, name, _change, lambda ld: gid not in ld["grants"])
+  await _update(kv, name, _change)
 
 
 async def top_up(
@@ -200,4 +197,4 @@
         ops=(ledger["ops"] + [op])[-_OPS_KEPT:],
     )
 
-  return await _update(kv, name, _change, lambda ld: op in ld["ops"])
+  return await _update(kv, name, _change)
--- a/tests/kvfake.py
+++ b/tests/kvfake.py
@@ -11,3 +11,11 @@
   server = kv_standin._Server()
   transport = httpx.ASGITransport(app=kv_standin.create_app(server))
   return kv_client.Client("http://kv", name, transport=transport), server
+
+
+def share(
+    server: kv_standin._Server, name: str
+) -> tuple[kv_client.Client, kv_standin._Server]:
+  """Returns another caller's client to the same in-process stand-in."""
+  transport = httpx.ASGITransport(app=kv_standin.create_app(server))
+  return kv_client.Client("http://kv", name, transport=transport), server
