mustardfall bench: allotments against a per-request CAS baseline

Ruled out: timing inside tests (benchmarks measure, tests assert); a plotting library (not installed here; the JSON report carries the figures, the plot is left for later and listed).

Change: `mustardfall bench` runs the demo workload on a fresh fleet twice, with the allotment design and with allotments of exactly one request (one grant CAS and one settle per request), reads router CPU and RSS from /proc, and measures catalogue propagation and idle (control-only) router costs for several router counts. Writes bench-out/report.json.

--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -174,5 +174,31 @@
   sys.exit(0 if summary["overspend_tokens"] == 0 else 1)
 
 
+@main.command()
+@click.option("--requests", "count", default=400, show_default=True)
+@click.option("--seed", default=7, show_default=True)
+@click.option(
+    "--routers",
+    default="3,12,24",
+    show_default=True,
+    help="Router counts for the catalogue propagation slope.",
+)
+@click.option("--out", default="bench-out/report.json", show_default=True)
+def bench(count: int, seed: int, routers: str, out: str) -> None:
+  """Runs the design against its baseline and measures the slopes."""
+  import pathlib  # noqa: PLC0415
+
+  from mustardfall.bench import run as bench_run  # noqa: PLC0415
+
+  log_setup.setup("bench", "WARNING")
+  sizes = tuple(int(n) for n in routers.split(","))
+  report = anyio.run(bench_run.run, count, seed, sizes)
+  path = pathlib.Path(out)
+  path.parent.mkdir(parents=True, exist_ok=True)
+  path.write_text(json.dumps(report, indent=2), encoding="utf-8")
+  click.echo(json.dumps(report["ratio_design_to_baseline"]))
+  click.echo(f"report: {path}")
+
+
 if __name__ == "__main__":
   main()
