--- /dev/null
+++ b/mustardfall/bench/memory.py
@@ -0,0 +1,53 @@
+"""Memory slopes of a router's tables, measured in-process with tracemalloc.
+
+Prints bytes per catalogue entry in force and per allotment row, the
+two tables whose size grows with the catalogue and the budgets drawn.
+"""
+
+import json
+import tracemalloc
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.catalogue import model
+
+_N = 20_000
+
+
+def _entries(n: int) -> list[model.EntrySpec]:
+  return [
+      model.EntrySpec(
+          name=f"customer-team{i}-entry",
+          customer="customer",
+          team=f"team{i % 890}",
+          klass="urgent" if i % 2 else "deferrable",
+          api_key=f"sk-{i:012d}-abcdefghijklmnop",
+          model="appraisal",
+          tokens=100_000,
+      )
+      for i in range(n)
+  ]
+
+
+def measure(n: int = _N) -> dict[str, float]:
+  """Returns bytes per catalogue entry and per allotment row."""
+  tracemalloc.start()
+  base = tracemalloc.get_traced_memory()[0]
+  catalogue = model.build(1, model.CatalogueSpec(entries=_entries(n)))
+  per_entry = (tracemalloc.get_traced_memory()[0] - base) / n
+  table = allotment.Table("router-1", settings.Allotment())
+  base = tracemalloc.get_traced_memory()[0]
+  for i in range(n):
+    table.add(f"budget-{i}", table.new_gid(1), 5_000, 0.0)
+    table.reserve(f"budget-{i}", 100)
+  per_row = (tracemalloc.get_traced_memory()[0] - base) / n
+  tracemalloc.stop()
+  del catalogue
+  return {
+      "bytes_per_catalogue_entry": round(per_entry),
+      "bytes_per_allotment": round(per_row),
+  }
+
+
+if __name__ == "__main__":
+  print(json.dumps(measure()))
