--- a/mustardfall/api/calls.py
+++ b/mustardfall/api/calls.py
@@ -13,7 +13,7 @@
 from mustardfall import idempotency
 from mustardfall import router as router_lib
 from mustardfall.budget import allotment
-from mustardfall.catalogue import model
+from mustardfall.catalogue import table
 from mustardfall.routing import endpoints
 from mustardfall.routing import scheduler
 
@@ -29,12 +29,12 @@
   REPLAYED = "replayed"
 
 
-def attributes(entry: model.EntrySpec) -> dict[str, str]:
+def attributes(entry: table.Found) -> dict[str, str]:
   """Returns the metric attributes of an entry: tenant and class."""
   return {"customer": entry.customer, "class": entry.klass.value}
 
 
-def count(router: router_lib.Router, entry: model.EntrySpec, end: End) -> None:
+def count(router: router_lib.Router, entry: table.Found, end: End) -> None:
   """Counts one request's end."""
   router.instruments.outcomes.add(
       1, {**attributes(entry), "outcome": end.value}
@@ -54,7 +54,7 @@
   def __init__(
       self,
       router: router_lib.Router,
-      entry: model.EntrySpec,
+      entry: table.Found,
       reservation: allotment.Reservation,
   ) -> None:
     self.router = router
@@ -110,10 +110,15 @@
     self._sent = self.router.clock.monotonic()
     return None
 
+  def await_first_token(self) -> None:
+    """Notes that a stream's first token is due, for the limits."""
+    self.row.awaiting[id(self)] = self._sent
+
   def release(self) -> None:
     """Gives the place back, if one is held."""
     if self.row is not None:
       row, self.row = self.row, None
+      row.awaiting.pop(id(self), None)
       self.router.scheduler.release(row, self._want)
 
   def note_first_token(self, steer: bool = True) -> None:
@@ -131,6 +136,7 @@
         now - self._started, attributes(self.entry)
     )
     if steer and self.row is not None:
+      self.row.awaiting.pop(id(self), None)
       self.router.endpoints.steer(self.row, now - self._sent, now)
 
   def settle(self, used: int | None, end: End) -> int:
--- a/mustardfall/api/chat.py
+++ b/mustardfall/api/chat.py
@@ -22,6 +22,7 @@
 from mustardfall.api import relay
 from mustardfall.api import replies
 from mustardfall.catalogue import model
+from mustardfall.catalogue import table
 
 logger = logging.getLogger(__name__)
 
@@ -72,7 +73,7 @@
 
 def _read(
     router: router_lib.Router,
-    entry: model.EntrySpec,
+    entry: table.Found,
     request: requests.Request,
     body: dict[str, Any] | None,
 ) -> _Ask | verdict.Verdict:
@@ -208,6 +209,8 @@
     and may be tried elsewhere.
   """
   row, http = call.row, call.router.http
+  if ask.stream:
+    call.await_first_token()
   request = http.build_request(
       "POST",
       row.url + "/v1/chat/completions",
--- a/mustardfall/api/replies.py
+++ b/mustardfall/api/replies.py
@@ -7,7 +7,7 @@
 
 from mustardfall import router as router_lib
 from mustardfall import verdict
-from mustardfall.catalogue import model
+from mustardfall.catalogue import table
 
 BILLED_HEADER = "x-mustardfall-billed"
 """Tokens billed for a whole answer."""
@@ -27,7 +27,7 @@
 
 def find_entry(
     router: router_lib.Router, request: requests.Request
-) -> model.EntrySpec | None:
+) -> table.Found | None:
   """Returns the catalogue entry of the caller's API key, or None."""
   auth = request.headers.get("authorization", "")
   return router.catalogue.current.find(auth.removeprefix("Bearer ").strip())
--- a/mustardfall/bench/fleet.py
+++ b/mustardfall/bench/fleet.py
@@ -123,12 +123,17 @@
 def start_platform(
     fleet: Fleet,
     datacentres: tuple[str, ...] = RETOURHUIS_DCS,
-    engine_tokens_per_s: float = 400.0,
+    engine: dict[str, object] | None = None,
     hosts_lag_s: float = 0.5,
-    engine_slots: int = 16,
 ) -> dict[str, str]:
   """Starts the KV, one engine per data centre, a service and the host list.
 
+  Args:
+    fleet: where to start them.
+    datacentres: one engine each.
+    engine: settings of the engines, over the defaults.
+    hosts_lag_s: the host list's lag.
+
   Returns:
     URLs by name: `kv`, `hosts`, `engine-<dc>`, `service`.
   """
@@ -143,8 +148,7 @@
         name=f"engine-{dc}",
         datacentre=dc,
         listen=_listen(),
-        tokens_per_s=engine_tokens_per_s,
-        slots=engine_slots,
+        **(engine or {}),
     )
     proc = fleet.start(["standin", "engine"], cfg.name, cfg)
     urls[cfg.name] = proc.url
--- a/mustardfall/bench/load.py
+++ b/mustardfall/bench/load.py
@@ -50,11 +50,15 @@
 
   limit: int
   used: int = 0
+  """Tokens of whole answers, and those seen of broken ones."""
+  unsure: int = 0
+  """Tokens more that broken answers may have used."""
   in_flight: int = 0
 
   def covers(self, tokens: int) -> bool:
     """Whether the budget can pay for `tokens` more."""
-    return self.limit - self.used - self.in_flight >= tokens
+    counted = self.used + self.unsure + self.in_flight
+    return self.limit - counted >= tokens
 
 
 class Mix(NamedTuple):
@@ -141,7 +145,8 @@
       account.in_flight -= need
     used = answer.tokens
     if answer.outcome == "may_have_run":
-      used = need  # nobody knows; count the most it can be
+      used = len(answer.words)
+      account.unsure += need - used
     account.used += used
     # Covered before and after: the answer of others in flight meanwhile
     # must not make a true refusal look false.
@@ -257,6 +262,7 @@
   return {
       "requests": len(seen),
       **dict(sorted(outcomes.items())),
+      "tokens": sum(s.tokens for s in seen),
       "false_refusals": sum(s.false_refusal for s in seen),
       "crossed": sum(s.crossed for s in seen),
       "ttft_ms": {f"p{q}": quantile_ms(ttft, q / 100) for q in (50, 95, 99)},
--- a/mustardfall/bench/memory.py
+++ b/mustardfall/bench/memory.py
@@ -10,8 +10,9 @@
 from mustardfall import settings
 from mustardfall.budget import allotment
 from mustardfall.catalogue import model
+from mustardfall.catalogue import table as catalogue_table
 
-_N = 20_000
+_N = 100_000
 
 
 def _entries(n: int) -> list[model.EntrySpec]:
@@ -33,12 +34,13 @@
   """Returns bytes per catalogue entry and per allotment row."""
   tracemalloc.start()
   base = tracemalloc.get_traced_memory()[0]
-  catalogue = model.build(1, model.CatalogueSpec(entries=_entries(n)))
+  catalogue = catalogue_table.Table()
+  catalogue.replace(1, _entries(n), catalogue_table.NO_HEAD)
   per_entry = (tracemalloc.get_traced_memory()[0] - base) / n
   table = allotment.Table("router-1", settings.Allotment())
   base = tracemalloc.get_traced_memory()[0]
   for i in range(n):
-    table.add(f"budget-{i}", table.new_gid(1), 5_000, 0.0)
+    table.add(f"budget-{i}", table.new_gid(), 5_000, 0.0)
     table.reserve(f"budget-{i}", 100)
   per_row = (tracemalloc.get_traced_memory()[0] - base) / n
   tracemalloc.stop()
--- a/mustardfall/bench/probe.py
+++ b/mustardfall/bench/probe.py
@@ -28,3 +28,19 @@
       if line.startswith("VmRSS:"):
         rss = int(line.split()[1]) * 1024
   return Usage(cpu, rss)
+
+
+def read_wire_bytes(pid: int) -> int:
+  """Returns bytes that process `pid` has read and written so far.
+
+  All its descriptors count; a daemon's are sockets but for its log.
+
+  Raises:
+    OSError: the process is gone.
+  """
+  total = 0
+  with open(f"/proc/{pid}/io", encoding="ascii") as f:
+    for line in f:
+      if line.startswith(("rchar:", "wchar:")):
+        total += int(line.split()[1])
+  return total
--- a/mustardfall/bench/scenarios.py
+++ b/mustardfall/bench/scenarios.py
@@ -258,6 +258,10 @@
   engine_slots: int = 16
 
 
+_NO_LIMIT = settings.Scheduler(
+    policy="fifo", target_s=1000.0, initial_limit=64.0
+)
+"""Baseline: all is sent at once, and waits in the engines' own queues."""
 _TIGHT = Scenario(tokens=1_200, small=600)
 _OVERLOAD = Scenario(
     rate=90.0, words=(40, 160), weight=_mostly_deferrable, engine_slots=4
@@ -271,8 +275,9 @@
     "tight_per_request": _TIGHT._replace(allotment=PER_REQUEST),
     "overload": _OVERLOAD,
     "overload_fifo": _OVERLOAD._replace(
-        scheduler=settings.Scheduler(policy="fifo", target_s=30.0)
+        scheduler=settings.Scheduler(policy="fifo")
     ),
+    "overload_engine_queue": _OVERLOAD._replace(scheduler=_NO_LIMIT),
     "kv_outage": Scenario(_kv_outage),
     "kv_slow": Scenario(_kv_slow),
     "kv_lost_replies": Scenario(_kv_lost_replies),
@@ -292,7 +297,7 @@
   with fleet_lib.Fleet() as fleet:
     urls = await anyio.to_thread.run_sync(
         lambda: fleet_lib.start_platform(
-            fleet, engine_slots=scenario.engine_slots
+            fleet, engine={"slots": scenario.engine_slots}
         )
     )
     kv = kv_client.Client(urls["kv"], "operator")
@@ -356,7 +361,7 @@
           max(0, -ledger.headroom(found)) for found in ledgers.values()
       ),
       billed_twice_tokens=sum(
-          max(0, found["spent"] - accounts[n].used)
+          max(0, found["spent"] - accounts[n].used - accounts[n].unsure)
           for n, found in ledgers.items()
       ),
       lost_tokens=sum(ledger.lost(found) for found in ledgers.values()),
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -244,6 +244,11 @@
     self._note_draw(row.budget, used - tokens)
     return None
 
+  def budget_of(self, part: str) -> str | None:
+    """Returns the budget of a part that is out, or None."""
+    row = self.rows.get(self._part_row.get(part, ""))
+    return None if row is None else row.budget
+
   def write_off(self, part: str) -> None:
     """Counts a part as lost: its holder has gone, it seems."""
     row = self.rows[self._part_row[part]]
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -13,7 +13,6 @@
 
 import collections
 from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 
@@ -22,6 +21,8 @@
 from mustardfall.budget import allotment
 from mustardfall.budget import ledger
 from mustardfall.budget import policy as policy_lib
+from mustardfall.budget import refusals
+from mustardfall.budget import settling
 from mustardfall.kv import writer as writer_lib
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers as peers_lib
@@ -31,22 +32,14 @@
     limit=0, spent=0, grants={}, lost={}, lost_before=0, parts={}, ops=[]
 )
 """Stands for a budget that the KV does not hold."""
+_OWNER_REFUSAL_TTL_S = 0.05
+"""How long an owner's refusal is repeated from memory."""
 _WAIT_STEP_S = 0.05
 """Pause between two looks at a budget that ran out."""
-_FORGET_S = 600.0
-"""An owner gone for this long is not paused; it will not come back."""
 _STOP_ROUNDS = 3
 """Rounds in which a stopping router hands its parts back."""
 
 
-class _Refused(NamedTuple):
-  """A budget that lately could not give `tokens`."""
-
-  since: float
-  at: float
-  tokens: int
-
-
 class Pool:
   """A router's share of the budgets.
 
@@ -75,23 +68,25 @@
     self._writer = writer
     self._policy_of = policy_of
     self.table = allotment.Table(members.me.life, config.allotment)
-    self.counts: collections.Counter[str] = collections.Counter()
+    self._settler = settling.Settler(self.table, members, peers, writer)
+    self._counts: collections.Counter[str] = collections.Counter()
     self._locks: dict[str, anyio.Lock] = {}
     self._demand: collections.Counter[str] = collections.Counter()
     """Tokens that waiting requests need, per budget."""
-    self._refused: dict[str, _Refused] = {}
+    self._refusals = refusals.Refusals(clock)
     self._recalled_at: dict[str, float] = {}
     self._asking: set[str] = set()
     """Grants asked of the KV whose answer is still out."""
-    self._settling: dict[str, set[str]] = {}
-    """Grants with a settlement on its way, by budget."""
-    self._ended: dict[str, list[tuple[peers_lib.Ended, allotment.Row]]] = {}
-    """Parts to settle, by the life of the owner that handed them on."""
     self._low: dict[str, str] = {}
     """Budgets that run low, and their customers."""
     self._low_event = anyio.Event()
     self._stopping = False
 
+  @property
+  def counts(self) -> collections.Counter[str]:
+    """What happened so far."""
+    return self._counts + self._settler.counts
+
   async def reserve(
       self, budget: str, tokens: int, customer: str
   ) -> allotment.Reservation | None:
@@ -118,14 +113,13 @@
     self._demand[budget] += tokens
     try:
       while True:
-        if not self._refused_lately(budget, tokens):
+        if not self._refusals.repeat(budget, tokens):
           await self._fetch(budget, tokens, customer)
         found = self.table.reserve(budget, tokens)
         if found is not None:
           return found
         now = self._clock.monotonic()
-        last = self._refused.get(budget)
-        hopeless = last is not None and now - last.since > patience_s
+        hopeless = self._refusals.lasts_s(budget) > patience_s
         if now >= deadline or hopeless or self._stopping:
           return None
         await anyio.sleep(_WAIT_STEP_S)
@@ -134,28 +128,11 @@
       if not self._demand[budget]:
         del self._demand[budget]
 
-  def _note_refusal(self, budget: str, tokens: int) -> None:
-    now = self._clock.monotonic()
-    last = self._refused.get(budget)
-    since = last.since if last is not None else now
-    self._refused[budget] = _Refused(since, now, tokens)
-
-  def _refused_lately(self, budget: str, tokens: int) -> bool:
-    """Whether asking again would only repeat a refusal just had.
-
-    Without this each request on a used-up budget would cost a read of the
-    KV; a top-up is noticed after `refusal_ttl_s` at the latest.
-    """
-    last = self._refused.get(budget)
-    if last is None or tokens < last.tokens:
-      return False
-    return self._clock.monotonic() - last.at <= self._config.refusal_ttl_s
-
   async def _fetch(self, budget: str, tokens: int, customer: str) -> None:
     """Gets an allotment of at least `tokens`, unless one is there now."""
     async with self._locks.setdefault(budget, anyio.Lock()):
       done = self.table.has_room(budget, tokens)
-      if done or self._stopping or self._refused_lately(budget, tokens):
+      if done or self._stopping or self._refusals.repeat(budget, tokens):
         return
       demand = max(tokens, self._demand.get(budget, 0))
       # Shielded: a caller that leaves now must not leave tokens behind
@@ -191,17 +168,18 @@
     if answer is None:
       # The owner may have handed the part on and its answer got lost.
       # Settled as unused, it goes back; no request ever drew on it.
-      self.counts["owner_unreachable"] += 1
+      self._counts["owner_unreachable"] += 1
       unused = allotment.Row(budget, part, 0, 0.0, owner.life)
-      self._queue_ended(unused)
+      self._settler.queue_ended(unused)
       return False
     if answer.tokens:
-      self.counts["parts"] += 1
+      self._counts["parts"] += 1
       now = self._clock.monotonic()
       self.table.add(budget, part, answer.tokens, now, owner.life, answer.gid)
-      self._refused.pop(budget, None)
+      self._refusals.end(budget)
     elif not answer.unsure:
-      self._note_refusal(budget, least)
+      # Short: the owner knows best, and answers from its own memory.
+      self._refusals.note(budget, least, _OWNER_REFUSAL_TTL_S)
     return not answer.unsure
 
   async def _take_grant(
@@ -214,30 +192,41 @@
       return False
     if self.table.has_room(budget, least):
       return True
-    if await self._recall(budget, found):
+    called_back = await self._recall(budget, found)
+    if called_back and not self.table.has_room(budget, least):
       await self._grant_once(budget, least, want, policy.margin)
     if not self.table.has_room(budget, least):
-      self._note_refusal(budget, least)
+      self._refusals.note(budget, least, self._config.refusal_ttl_s)
     return True
 
+  def _share(self) -> float:
+    """Returns the part of a budget's headroom that a grant may take.
+
+    An owner draws for its whole region, so it may take the region's part.
+    Grants that shrink with the headroom would leave many rows with a rest
+    too small for any request: at the edge of a budget, false refusals.
+    """
+    if self._config.owned:
+      return 1.0 / self._members.regions
+    return self._config.headroom_share
+
   async def _grant_once(
       self, budget: str, least: int, want: int, margin: float
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
     gid = self.table.new_gid()
-    share = self._config.headroom_share
-    change = ledger.Grant(gid, least, want, share, margin)
+    change = ledger.Grant(gid, least, want, self._share(), margin)
     self._asking.add(gid)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
     except errors.KvUnavailableError:
-      self.counts["grant_failures"] += 1
+      self._counts["grant_failures"] += 1
       return None
     except errors.KvUnknownError:
       # It may have landed: settled as unused, it goes back. Should it
       # land later still, `sweep` finds it in the ledger.
-      self.counts["grant_failures"] += 1
-      self._settle_row(allotment.Row(budget, gid, 0, 0.0))
+      self._counts["grant_failures"] += 1
+      self._settler.settle_row(allotment.Row(budget, gid, 0, 0.0))
       return None
     finally:
       self._asking.discard(gid)
@@ -245,9 +234,9 @@
       return _NO_BUDGET
     granted = after["grants"].get(gid, 0)
     if granted:
-      self.counts["grants"] += 1
+      self._counts["grants"] += 1
       self.table.add(budget, gid, granted, self._clock.monotonic())
-      self._refused.pop(budget, None)
+      self._refusals.end(budget)
     return after
 
   async def _recall(self, budget: str, found: ledger.Ledger) -> bool:
@@ -270,7 +259,7 @@
         for life in lives - {me}
         if life in self._members.lives
     ]
-    self.counts["recalls"] += len(holders)
+    self._counts["recalls"] += len(holders)
     async with anyio.create_task_group() as tg:
       for holder in holders:
         tg.start_soon(self._peers.recall, holder, budget)
@@ -280,6 +269,7 @@
       self, reservation: allotment.Reservation, used: int
   ) -> allotment.Settled:
     """Ends a reservation; `used` tokens of it are billed."""
+    self._refusals.forgive(reservation.budget)
     return self.table.settle(reservation, used)
 
   # What other routers ask of this one.
@@ -289,7 +279,7 @@
     handed = self._hand_on(ask)
     if handed.tokens or self._stopping:
       return handed._replace(unsure=not handed.tokens)
-    if self._refused_lately(ask.budget, ask.least):
+    if self._refusals.repeat(ask.budget, ask.least):
       return handed
     answered = True
     async with self._locks.setdefault(ask.budget, anyio.Lock()):
@@ -311,24 +301,27 @@
 
   def serve_settle(self, ended: list[peers_lib.Ended]) -> None:
     """Takes ended parts back from another router."""
-    for part, used in ended:
-      left = self.table.left_out.pop(part, None)
-      if left is not None:
-        # This router stopped without the part; the ledger still counts it.
-        change = ledger.SettlePart(left.gid, part, left.tokens, used)
-        self._writer.post(ledger.key(left.budget), change)
-        continue
-      budget = self.table.take_back(part, used)
+    for part in ended:
+      budget = self.table.budget_of(part.part)
       if budget is not None:
-        self._writer.post(ledger.key(budget), ledger.Settle(part, used))
+        self._refusals.forgive(budget)
+      self._settler.take_back(part)
+
+  async def settle_parts(self) -> None:
+    """Settles ended parts with their owners; see `settling`."""
+    await self._settler.settle_parts()
+
+  def sweep(self, budget: str, found: ledger.Ledger) -> None:
+    """Ends grants in a ledger that nobody draws on; see `settling`."""
+    self._settler.sweep(budget, found, self._asking)
 
   async def serve_recall(self, budget: str) -> None:
     """Gives idle tokens of `budget` back before answering."""
     with anyio.CancelScope(shield=True):
       async with anyio.create_task_group() as tg:
         for row in self.table.retire(budget):
-          tg.start_soon(self._settle_now, row)
-      await self.settle_parts()
+          tg.start_soon(self._settler.settle_now, row)
+      await self._settler.settle_parts()
 
   # Systems, run over the tables.
 
@@ -336,7 +329,7 @@
     """Ages rows, settles finished ones, writes off what is gone."""
     now = self._clock.monotonic()
     for row in self.table.tick(now, elapsed_s):
-      self._settle_row(row)
+      self._settler.settle_row(row)
     self._write_off_parts()
     self._forget(now - self._config.term_s)
 
@@ -346,14 +339,12 @@
       if not self._members.has_gone(life):
         continue
       for part in self.table.parts_held_by(life):
-        self.counts["parts_written_off"] += 1
+        self._counts["parts_written_off"] += 1
         self.table.write_off(part)
 
   def _forget(self, before: float) -> None:
     """Drops what was noted of budgets that are quiet since `before`."""
-    for budget, last in list(self._refused.items()):
-      if last.at < before:
-        del self._refused[budget]
+    self._refusals.forget(before)
     for budget, at in list(self._recalled_at.items()):
       if at < before:
         del self._recalled_at[budget]
@@ -380,7 +371,7 @@
       size = self.table.want if owner is None else self.table.want_part
       want = size(budget, 1)
       least = max(1, want // 4)
-      if self._refused_lately(budget, least):
+      if self._refusals.repeat(budget, least):
         return
       if owner is not None:
         await self._ask_owner(owner, budget, least, want, customer)
@@ -388,80 +379,7 @@
       margin = self._policy_of(customer).margin
       await self._grant_once(budget, least, want, margin)
       if not self.table.has_room(budget, least):
-        self._note_refusal(budget, least)
-
-  def _settle_row(self, row: allotment.Row) -> None:
-    if row.source:
-      self._queue_ended(row)
-      return
-    self._settling.setdefault(row.budget, set()).add(row.gid)
-    self._writer.post(ledger.key(row.budget), _settlement(row))
-
-  async def _settle_now(self, row: allotment.Row) -> None:
-    """Settles a row and waits for it, or leaves it to be tried again."""
-    if row.source or self._stopping:
-      self._settle_row(row)
-      return
-    self._settling.setdefault(row.budget, set()).add(row.gid)
-    try:
-      await self._writer.submit(ledger.key(row.budget), _settlement(row))
-    except (errors.KvUnavailableError, errors.KvUnknownError):
-      self._settle_row(row)
-
-  def _queue_ended(self, row: allotment.Row) -> None:
-    ended = peers_lib.Ended(row.gid, row.own)
-    self._ended.setdefault(row.source, []).append((ended, row))
-
-  async def settle_parts(self) -> None:
-    """Settles ended parts with the owners that handed them on.
-
-    When an owner has gone, its parts are settled in the ledger itself.
-    They are kept all the same: an owner that was only paused must hear
-    of them when it is back, or it would wait for them for ever.
-    """
-    for life in list(self._ended):
-      batch = self._ended.pop(life)
-      owner = self._members.lives.get(life)
-      if owner is not None:
-        if await self._peers.settle(owner, [ended for ended, _ in batch]):
-          continue
-      elif self._members.has_gone(life):
-        for ended, row in batch:
-          self._settle_orphan(ended, row)
-        if self._members.absent_s(life) > _FORGET_S:
-          continue
-      self._ended.setdefault(life, []).extend(batch)
-
-  def _settle_orphan(self, ended: peers_lib.Ended, row: allotment.Row) -> None:
-    """Settles a part in the ledger, once, since its owner has gone."""
-    if not row.source_gid:
-      return
-    change = ledger.SettlePart(row.source_gid, row.gid, row.granted, ended.used)
-    row.source_gid = ""
-    self._writer.post(ledger.key(row.budget), change)
-    self.counts["orphan_parts"] += 1
-
-  def sweep(self, budget: str, found: ledger.Ledger) -> None:
-    """Ends grants seen in a ledger that nobody draws on any more.
-
-    A grant whose reply was lost may land after this router gave it up:
-    it is its own, unknown to it and unused, so it is settled with
-    nothing used. A grant of a router that has gone is written off.
-    """
-    settling = self._settling.get(budget, set())
-    settling &= found["grants"].keys()
-    if not settling:
-      self._settling.pop(budget, None)
-    for gid in found["grants"]:
-      life = ledger.holder(gid)
-      if life == self._members.me.life:
-        known = gid in self.table.rows or gid in self._asking
-        if not known and gid not in settling:
-          self.counts["stray_grants"] += 1
-          self._settle_row(allotment.Row(budget, gid, 0, 0.0))
-      elif self._members.has_gone(life):
-        self.counts["grants_written_off"] += 1
-        self._writer.post(ledger.key(budget), ledger.WriteOff(gid))
+        self._refusals.note(budget, least, self._config.refusal_ttl_s)
 
   async def stop(self) -> None:
     """Hands everything back; called after the last request has ended.
@@ -485,18 +403,6 @@
             tg.start_soon(self._peers.recall, holder, budget)
       await anyio.sleep(_WAIT_STEP_S)
     for row in self.table.clear():
-      self._settle_row(row)
-    await self.settle_parts()
-    for batch in self._ended.values():
-      for ended, row in batch:  # their owners do not answer any more
-        self._settle_orphan(ended, row)
-
-
-def _settlement(row: allotment.Row) -> ledger.Settle | ledger.Reduce:
-  """Returns the ledger change that ends `row`."""
-  if not row.parts:
-    return ledger.Settle(row.gid, row.own, row.parts_used, row.lost_parts)
-  release = row.granted - sum(p.tokens for p in row.parts.values())
-  return ledger.Reduce(
-      row.gid, row.own, release, row.parts_used, row.lost_parts
-  )
+      self._settler.settle_row(row)
+    await self._settler.settle_parts()
+    self._settler.settle_orphans()
--- /dev/null
+++ b/mustardfall/budget/settling.py
@@ -0,0 +1,154 @@
+"""Settling what is done with: rows with the ledger, parts with owners.
+
+Everything here may be repeated: the ledger's changes and the owners'
+tables know what they have seen. Nothing here waits for a request.
+"""
+
+import collections
+
+from mustardfall import errors
+from mustardfall.budget import allotment
+from mustardfall.budget import ledger
+from mustardfall.kv import writer as writer_lib
+from mustardfall.membership import members as members_lib
+from mustardfall.membership import peers as peers_lib
+
+_FORGET_S = 600.0
+"""An owner gone for this long is not paused; it will not come back."""
+
+
+class Settler:
+  """Settles a router's rows and parts.
+
+  Args:
+    table: the router's allotments.
+    members: who is up.
+    peers: calls to other routers.
+    writer: the batch writer to the KV.
+  """
+
+  def __init__(
+      self,
+      table: allotment.Table,
+      members: members_lib.Members,
+      peers: peers_lib.Client,
+      writer: writer_lib.Writer,
+  ) -> None:
+    self._table = table
+    self._members = members
+    self._peers = peers
+    self._writer = writer
+    self.counts: collections.Counter[str] = collections.Counter()
+    self._settling: dict[str, set[str]] = {}
+    """Grants with a settlement on its way, by budget."""
+    self._ended: dict[str, list[tuple[peers_lib.Ended, allotment.Row]]] = {}
+    """Parts to settle, by the life of the owner that handed them on."""
+
+  def settle_row(self, row: allotment.Row) -> None:
+    """Settles a finished row where it came from, some time soon."""
+    if row.source:
+      self.queue_ended(row)
+      return
+    self._settling.setdefault(row.budget, set()).add(row.gid)
+    self._writer.post(ledger.key(row.budget), _settlement(row))
+
+  async def settle_now(self, row: allotment.Row) -> None:
+    """Settles a row and waits for it, or leaves it to be tried again."""
+    if row.source:
+      self.settle_row(row)
+      return
+    self._settling.setdefault(row.budget, set()).add(row.gid)
+    try:
+      await self._writer.submit(ledger.key(row.budget), _settlement(row))
+    except (errors.KvUnavailableError, errors.KvUnknownError):
+      self.settle_row(row)
+
+  def queue_ended(self, row: allotment.Row) -> None:
+    """Leaves a finished part to be settled with its owner."""
+    ended = peers_lib.Ended(row.gid, row.own)
+    self._ended.setdefault(row.source, []).append((ended, row))
+
+  async def settle_parts(self) -> None:
+    """Settles ended parts with the owners that handed them on.
+
+    When an owner has gone, its parts are settled in the ledger itself.
+    They are kept all the same: an owner that was only paused must hear
+    of them when it is back, or it would wait for them for ever.
+    """
+    for life in list(self._ended):
+      batch = self._ended.pop(life, None)
+      if batch is None:
+        continue  # a recall settles them at this very moment
+      owner = self._members.lives.get(life)
+      if owner is not None:
+        if await self._peers.settle(owner, [ended for ended, _ in batch]):
+          continue
+      elif self._members.has_gone(life):
+        for ended, row in batch:
+          self._settle_orphan(ended, row)
+        if self._members.absent_s(life) > _FORGET_S:
+          continue
+      self._ended.setdefault(life, []).extend(batch)
+
+  def _settle_orphan(self, ended: peers_lib.Ended, row: allotment.Row) -> None:
+    """Settles a part in the ledger, once, since its owner has gone."""
+    if not row.source_gid:
+      return
+    change = ledger.SettlePart(row.source_gid, row.gid, row.granted, ended.used)
+    row.source_gid = ""
+    self._writer.post(ledger.key(row.budget), change)
+    self.counts["orphan_parts"] += 1
+
+  def settle_orphans(self) -> None:
+    """Settles what is left in the ledger, whether its owner is gone or not.
+
+    For a router that stops: it cannot wait for an owner to answer.
+    """
+    for batch in self._ended.values():
+      for ended, row in batch:
+        self._settle_orphan(ended, row)
+
+  def take_back(self, ended: peers_lib.Ended) -> None:
+    """Takes a part that another router has done with."""
+    part, used = ended
+    left = self._table.left_out.pop(part, None)
+    if left is not None:
+      # This router stopped without the part; the ledger still counts it.
+      change = ledger.SettlePart(left.gid, part, left.tokens, used)
+      self._writer.post(ledger.key(left.budget), change)
+      return
+    budget = self._table.take_back(part, used)
+    if budget is not None:
+      self._writer.post(ledger.key(budget), ledger.Settle(part, used))
+
+  def sweep(self, budget: str, found: ledger.Ledger, asking: set[str]) -> None:
+    """Ends grants seen in a ledger that nobody draws on any more.
+
+    A grant whose reply was lost may land after this router gave it up:
+    it is its own, unknown to it and unused, so it is settled with
+    nothing used. A grant of a router that has gone is written off.
+    """
+    settling = self._settling.get(budget, set())
+    settling &= found["grants"].keys()
+    if not settling:
+      self._settling.pop(budget, None)
+    for gid in found["grants"]:
+      life = ledger.holder(gid)
+      if life == self._members.me.life:
+        known = gid in self._table.rows or gid in asking
+        if not known and gid not in settling:
+          self.counts["stray_grants"] += 1
+          self.settle_row(allotment.Row(budget, gid, 0, 0.0))
+      elif self._members.has_gone(life):
+        self.counts["grants_written_off"] += 1
+        self._writer.post(ledger.key(budget), ledger.WriteOff(gid))
+
+
+def _settlement(row: allotment.Row) -> ledger.Settle | ledger.Reduce:
+  """Returns the ledger change that ends `row`."""
+  if not row.parts:
+    return ledger.Settle(row.gid, row.own, row.parts_used, row.lost_parts)
+  release = row.granted - sum(p.tokens for p in row.parts.values())
+  return ledger.Reduce(
+      row.gid, row.own, release, row.parts_used, row.lost_parts
+  )
--- a/mustardfall/catalogue/model.py
+++ b/mustardfall/catalogue/model.py
@@ -6,6 +6,9 @@
     customers:        # optional; who is not named weighs overspend
       - name: retourhuis
         weighs: false_refusals   # or overspend
+    placements:       # optional; engines not named are left alone
+      - engine: engine-lier-a
+        models: [appraisal]
     entries:
       - name: retourhuis-appraisal-t1
         customer: retourhuis
@@ -19,16 +22,12 @@
 """
 
 import enum
-from typing import NamedTuple
 
 import pydantic
 
 from mustardfall import settings
 from mustardfall.budget import policy
 
-KEY = "catalogue"
-"""The KV key that holds the whole catalogue as JSON."""
-
 
 class Klass(enum.StrEnum):
   """How soon a caller's work must reach a model."""
@@ -66,6 +65,15 @@
   weighs: policy.Weighs
 
 
+class PlacementSpec(pydantic.BaseModel):
+  """The models that an engine shall have loaded; see `routing.orders`."""
+
+  model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+  engine: str
+  models: list[str] = pydantic.Field(min_length=1)
+
+
 class CatalogueSpec(pydantic.BaseModel):
   """A catalogue file."""
 
@@ -73,6 +81,7 @@
 
   base: int | None = None
   customers: list[CustomerSpec] = []
+  placements: list[PlacementSpec] = []
   entries: list[EntrySpec]
 
   @pydantic.model_validator(mode="after")
@@ -81,41 +90,15 @@
       values = [getattr(e, field) for e in self.entries]
       if len(values) != len(set(values)):
         raise ValueError(f"entries: duplicate {field}")
-    names = [c.name for c in self.customers]
-    if len(names) != len(set(names)):
-      raise ValueError("customers: duplicate name")
+    for field, names in (
+        ("customers", [c.name for c in self.customers]),
+        ("placements", [p.engine for p in self.placements]),
+    ):
+      if len(names) != len(set(names)):
+        raise ValueError(f"{field}: duplicate name")
     return self
 
 
-class Catalogue(NamedTuple):
-  """The catalogue in force: its KV revision and entries by API key."""
-
-  revision: int
-  by_key: dict[str, EntrySpec]
-  weighs: dict[str, policy.Weighs]
-
-  def find(self, api_key: str) -> EntrySpec | None:
-    """Returns the entry for `api_key`, or None."""
-    return self.by_key.get(api_key)
-
-  def policy_of(self, customer: str) -> policy.Policy:
-    """Returns how the edge of the customer's budgets is treated."""
-    weighs = self.weighs.get(customer, policy.Weighs.OVERSPEND)
-    return policy.POLICIES[weighs]
-
-
-EMPTY = Catalogue(revision=0, by_key={}, weighs={})
-
-
 def parse(data: object, source: str = "<catalogue>") -> CatalogueSpec:
   """Checks a loaded catalogue file; raises `errors.SettingsError`."""
   return settings.parse(data, CatalogueSpec, source=source)
-
-
-def build(revision: int, spec: CatalogueSpec) -> Catalogue:
-  """Returns the in-force form of `spec` at `revision`."""
-  return Catalogue(
-      revision,
-      {e.api_key: e for e in spec.entries},
-      {c.name: c.weighs for c in spec.customers},
-  )
--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import pathlib
 import sys
 import uuid
 
@@ -89,8 +90,13 @@
 
 @catalogue.command(name="apply")
 @click.argument("path", type=click.Path(exists=True))
+@click.option(
+    "--only",
+    is_flag=True,
+    help="Leave what the file does not name alone.",
+)
 @_kv_option
-def catalogue_apply(path: str, kv_url: str) -> None:
+def catalogue_apply(path: str, only: bool, kv_url: str) -> None:
   """Applies a catalogue file; a lost race is reported, not overwritten."""
   with open(path, encoding="utf-8") as f:
     try:
@@ -98,7 +104,9 @@
     except errors.SettingsError as exc:
       raise click.ClickException(str(exc)) from exc
   try:
-    revision = anyio.run(_with_kv, kv_url, lambda kv: store.apply(kv, spec))
+    revision = anyio.run(
+        _with_kv, kv_url, lambda kv: store.apply(kv, spec, only)
+    )
   except errors.CatalogueRaceLostError as exc:
     raise click.ClickException(
         f"not applied: {exc}; re-read and edit again"
@@ -180,29 +188,54 @@
 
 
 @main.command()
-@click.option("--requests", "count", default=400, show_default=True)
+@click.option(
+    "--scenario",
+    "names",
+    multiple=True,
+    help="Run only these (repeatable); the default is all.",
+)
+@click.option("--list", "list_only", is_flag=True, help="List scenarios.")
+@click.option("--seconds", default=10.0, show_default=True)
 @click.option("--seed", default=7, show_default=True)
 @click.option(
-    "--routers",
-    default="3,12,24",
-    show_default=True,
-    help="Router counts for the catalogue propagation slope.",
+    "--slopes",
+    default="",
+    help="Also measure the capacity slopes at these router counts (3,12,24).",
 )
-@click.option("--out", default="bench-out/report.json", show_default=True)
-def bench(count: int, seed: int, routers: str, out: str) -> None:
-  """Runs the design against its baseline and measures the slopes."""
-  import pathlib  # noqa: PLC0415
-
-  from mustardfall.bench import run as bench_run  # noqa: PLC0415
+@click.option("--out", default="bench-out", show_default=True)
+def bench(
+    names: tuple[str, ...],
+    list_only: bool,
+    seconds: float,
+    seed: int,
+    slopes: str,
+    out: str,
+) -> None:
+  """Runs fault and load scenarios on real processes; writes a report."""
+  from mustardfall.bench import report as report_lib  # noqa: PLC0415
+  from mustardfall.bench import scenarios  # noqa: PLC0415
+  from mustardfall.bench import slopes as slopes_lib  # noqa: PLC0415
 
   log_setup.setup("bench", "WARNING")
-  sizes = tuple(int(n) for n in routers.split(","))
-  report = anyio.run(bench_run.run, count, seed, sizes)
-  path = pathlib.Path(out)
-  path.parent.mkdir(parents=True, exist_ok=True)
-  path.write_text(json.dumps(report, indent=2), encoding="utf-8")
-  click.echo(json.dumps(report["ratio_design_to_baseline"]))
-  click.echo(f"report: {path}")
+  if list_only:
+    click.echo("\n".join(scenarios.SCENARIOS))
+    return
+  unknown = set(names) - set(scenarios.SCENARIOS)
+  if unknown:
+    raise click.ClickException(f"no such scenario: {', '.join(unknown)}")
+  runs = {}
+  for name in names or ([] if slopes else scenarios.SCENARIOS):
+    click.echo(f"scenario: {name}", err=True)
+    runs[name] = anyio.run(scenarios.run, name, seed, seconds)
+    runs[name]["cost"] = report_lib.weigh(runs[name])
+  report = {"seed": seed, "seconds": seconds, "runs": runs}
+  report["ratios"] = report_lib.add_ratios(runs)
+  if slopes:
+    sizes = tuple(int(n) for n in slopes.split(","))
+    report["slopes"] = anyio.run(slopes_lib.run, sizes)
+  for path in report_lib.write(report, pathlib.Path(out)):
+    click.echo(f"written: {path}", err=True)
+  click.echo(report_lib.to_table(runs))
 
 
 if __name__ == "__main__":
--- a/mustardfall/kv/client.py
+++ b/mustardfall/kv/client.py
@@ -83,6 +83,11 @@
   return {"request_put": op}
 
 
+def delete_op(key: str) -> dict[str, Any]:
+  """Returns a delete operation for `txn`."""
+  return {"request_delete_range": {"key": _b64(key)}}
+
+
 def range_op(key: str) -> dict[str, Any]:
   """Returns a single-key read operation for `txn`."""
   return {"request_range": {"key": _b64(key)}}
@@ -152,6 +157,26 @@
     revision = int(body.get("header", {}).get("revision", 0))
     return revision, [_record(kv) for kv in body.get("kvs") or []]
 
+  async def get_pages(
+      self, prefix: str, limit: int
+  ) -> AsyncIterator[tuple[int, list[Record]]]:
+    """Yields what `get_prefix` returns, `limit` records at a time.
+
+    Pages may be read at different revisions: whoever needs one state
+    watches on from the first page's.
+    """
+    start, end = _b64(prefix), _prefix_end(prefix)
+    while True:
+      body = await self._call(
+          "/v3/kv/range",
+          {"key": start, "range_end": end, "limit": str(limit)},
+      )
+      records = [_record(kv) for kv in body.get("kvs") or []]
+      yield int(body.get("header", {}).get("revision", 0)), records
+      if not body.get("more"):
+        return
+      start = _b64(records[-1].key + "\0")
+
   async def put(self, key: str, value: bytes, lease: int = 0) -> int:
     """Writes `value` at `key`; returns the new revision."""
     op = put_op(key, value, lease)["request_put"]
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -88,6 +88,11 @@
     """The lives that are up, as last heard."""
     return self._lives
 
+  @property
+  def regions(self) -> int:
+    """How many regions have routers up."""
+    return len({m.region for m in self._by_name.values()})
+
   def owner(self, budget: str) -> Member:
     """Returns the router of this region through which `budget` is drawn."""
     return self._lives[self._owner_of(budget)]
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Awaitable, Callable
 import logging
 import secrets
 
@@ -28,6 +29,7 @@
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers as peers_lib
 from mustardfall.routing import endpoints
+from mustardfall.routing import orders
 from mustardfall.routing import retries
 from mustardfall.routing import scheduler
 from mustardfall.util import clock as clock_lib
@@ -68,7 +70,7 @@
         self.kv, config.writer, self.clock, self._on_value, self._lease_of
     )
     self.catalogue = store.Follower(
-        self.kv, self.bus, config.membership.watch_idle_s
+        self.kv, self.bus, self.clock, config.membership.watch_idle_s
     )
     peer = config.peer_listen
     me = members_lib.Member(
@@ -93,6 +95,14 @@
     self.endpoints = endpoints.Table(config.scheduler)
     self.scheduler = scheduler.Scheduler(config, self.endpoints, self.clock)
     self._poller = endpoints.Poller(self.http, config.hosts_url)
+    self.orders = orders.Orders(
+        config,
+        self.http,
+        self.kv,
+        self.members,
+        self.catalogue,
+        self.endpoints,
+    )
     self.retries = retries.RetryBudget()
     self._record_lease = 0
     self.bus.connect(events.Name.LEDGER_READ, lambda e: self.pool.sweep(*e))
@@ -128,12 +138,16 @@
   def stats(self) -> dict[str, object]:
     """Returns the counters, for `/admin/stats`."""
     counts = self.counts + self.pool.counts + self.scheduler.counts
+    counts += self.orders.counts
     return {
         "counts": dict(counts),
         "writer": dict(self.writer.counts),
         "kv_calls": self.kv.calls,
         "peer_calls": self.peers.calls,
         "catalogue_revision": self.catalogue.current.revision,
+        "catalogue_since": self.catalogue.since.timestamp()
+        if self.catalogue.since
+        else None,
         "members": len(self.members.lives),
         "allotments": len(self.pool.table.rows),
         "limits": {r.name: r.limit for r in self.endpoints.rows.values()},
@@ -161,7 +175,7 @@
       await anyio.sleep(self.config.tick_s)
       now = self.clock.monotonic()
       self.pool.tick(now - last)
-      self.endpoints.tick()
+      self.endpoints.tick(now)
       self.scheduler.tick(now - last)
       last = now
 
@@ -196,8 +210,23 @@
           self._watch_hosts,
           self._run_systems,
           self._settle_parts,
+          self.orders.run,
       ):
-        tg.start_soon(loop)
+        tg.start_soon(self._supervise, loop)
+
+  async def _supervise(self, loop: Callable[[], Awaitable[None]]) -> None:
+    """Runs a loop, again whenever it breaks.
+
+    A fault in one loop must not end the process: that would cut every
+    open stream off and write this router's allotments off.
+    """
+    while True:
+      try:
+        await loop()
+      except Exception:  # noqa: BLE001  whatever it is, streams go on
+        self._count("loop_failures")
+        logger.exception("loop failed", extra={"loop": loop.__qualname__})
+      await anyio.sleep(self.config.tick_s)
 
   def begin_stop(self) -> None:
     """Takes the router out of the balancer; it still serves."""
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -37,6 +37,8 @@
   failures: int = 0
   """Failures lately; decays each tick."""
   shrunk_at: float = -float("inf")
+  awaiting: dict[int, float] = dataclasses.field(default_factory=dict)
+  """When each request without a first token yet was sent, by its id."""
 
   @property
   def room(self) -> float:
@@ -154,10 +156,18 @@
       row.limit = max(_MIN_LIMIT, row.limit * _SHRINK)
       row.shrunk_at = now
 
-  def tick(self) -> None:
-    """Forgets failures, one a tick."""
+  def tick(self, now: float) -> None:
+    """Forgets failures, one a tick, and notes overdue first tokens.
+
+    A first token that is overdue says now what it would say on arrival,
+    when many more requests would have been sent after it.
+    """
     for row in self.rows.values():
       row.failures = max(0, row.failures - 1)
+      if row.awaiting:
+        waited = now - min(row.awaiting.values())
+        if waited > self._config.target_s:
+          self.steer(row, waited, now)
 
 
 class Poller:
--- a/mustardfall/routing/scheduler.py
+++ b/mustardfall/routing/scheduler.py
@@ -20,6 +20,8 @@
 
 _RATE_WEIGHT = 0.2
 """Weight of the newest tick in the average of places freed a second."""
+_RATE_FLOOR = 0.05
+"""Places a second assumed at the least, to divide by."""
 _DEFERRABLE_SHARE = 0.75
 """Part of an endpoint's limit that deferrable requests may fill.
 
@@ -63,8 +65,8 @@
     self.urgent_run = 0
     """Places given to urgent requests in a row while others waited."""
     self.freed = 0
-    self.rate = 0.0
-    """Places freed a second (moving average)."""
+    self.rate: float | None = None
+    """Places freed a second (moving average); None: not yet known."""
 
   def __len__(self) -> int:
     return sum(len(q) for q in self.waiting.values())
@@ -148,9 +150,9 @@
     ahead = len(line.waiting[model_lib.Klass.URGENT])
     if klass is not model_lib.Klass.URGENT or self._fifo:
       ahead = len(line)
-    if not ahead:
+    if not ahead or line.rate is None:
       return 0.0
-    return ahead / line.rate if line.rate > 0 else 0.0
+    return ahead / max(line.rate, _RATE_FLOOR)
 
   def _retry_after(self, expected: float) -> float:
     return max(_RETRY_AFTER_MIN_S, math.ceil(expected))
@@ -215,7 +217,9 @@
   def tick(self, elapsed_s: float) -> None:
     """Updates the rates and hands out places that came with new rows."""
     for line in self._lines.values():
-      rate = line.freed / max(elapsed_s, 1e-3)
-      line.rate += _RATE_WEIGHT * (rate - line.rate)
+      if line.freed or len(line):
+        rate = line.freed / max(elapsed_s, 1e-3)
+        old = rate if line.rate is None else line.rate
+        line.rate = old + _RATE_WEIGHT * (rate - old)
       line.freed = 0
       self._dispatch(line)
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -81,7 +81,7 @@
 
   policy: str = pydantic.Field(default="class", pattern="^(class|fifo)$")
   """`class` puts urgent work first; `fifo` is the bench's baseline."""
-  initial_limit: float = pydantic.Field(default=8.0, ge=1)
+  initial_limit: float = pydantic.Field(default=2.0, ge=1)
   """Requests in flight per endpoint and router, to begin with."""
   max_limit: float = pydantic.Field(default=64.0, ge=1)
   target_s: float = pydantic.Field(default=0.4, gt=0)
@@ -118,6 +118,8 @@
   """Seconds that requests in flight may take after SIGTERM."""
   lame_duck_s: float = pydantic.Field(default=1.0, ge=0)
   """After SIGTERM, still serving but not ready, so the balancer leaves."""
+  orders_s: float = pydantic.Field(default=1.0, gt=0)
+  """Seconds between two looks at what engines have loaded."""
   kv_timeout_s: float = pydantic.Field(default=2.0, gt=0)
   default_max_tokens: int = pydantic.Field(default=256, ge=1)
   retry_after_s: float = pydantic.Field(default=2.0, gt=0)
@@ -169,6 +171,8 @@
   slots: int = pydantic.Field(default=16, ge=1)
   """Requests decoded at once; the rest wait in priority order."""
   load_lag_s: float = pydantic.Field(default=1.0, ge=0)
+  honours_fencing: bool = True
+  """Whether orders with an old fencing token are refused."""
   log_level: str = "INFO"
 
 
--- a/mustardfall/standins/engine.py
+++ b/mustardfall/standins/engine.py
@@ -5,7 +5,10 @@
 word of the last user message, so a caller can tell its answer from
 another's; the length is `max_tokens`, or fewer when the message says
 `words=N`. Priorities follow the vLLM convention: lower runs first.
-Load is reported at `GET /load` with a lag. `POST /standin/faults`
+Load is reported at `GET /load` with a lag. `GET /v1/models` lists what
+is loaded; `POST /orders` takes `{"order": "load"|"unload", "model"}` with
+a `fencing-token` header, and refuses older ones with 409 if it honours
+them. `POST /standin/faults`
 takes `fail_next` (requests refused with 503 before any work),
 `fail_after_run` (requests run to the end, then answered 500),
 `drop_after` (the next stream is cut after that many tokens),
@@ -27,6 +30,7 @@
 from starlette import routing
 
 from mustardfall import settings
+from mustardfall.routing import orders
 from mustardfall.util import serving
 
 _WORDS = re.compile(r"words=(\d+)")
@@ -76,7 +80,9 @@
       "cross_next": 0,
       "stall_s": 0.0,
   }
-  stats = {"requests": 0, "tokens": 0}
+  stats = {"requests": 0, "tokens": 0, "orders": 0, "stale_orders": 0}
+  loaded = set(config.models)
+  fence = 0
   load = {"running": 0, "waiting": 0, "at": 0.0}
 
   def _report_load() -> dict:
@@ -190,6 +196,26 @@
         }
     )
 
+  async def _models(_: requests.Request) -> responses.Response:
+    models = [{"id": m, "object": "model"} for m in sorted(loaded)]
+    return responses.JSONResponse({"object": "list", "data": models})
+
+  async def _orders(request: requests.Request) -> responses.Response:
+    nonlocal fence
+    token = int(request.headers.get(orders.FENCING_HEADER, 0))
+    if token < fence:
+      stats["stale_orders"] += 1
+      if config.honours_fencing:
+        return responses.JSONResponse({"error": "stale"}, status_code=409)
+    fence = max(fence, token)
+    stats["orders"] += 1
+    body = await request.json()
+    if body["order"] == "load":
+      loaded.add(body["model"])
+    else:
+      loaded.discard(body["model"])
+    return responses.JSONResponse({"ok": True})
+
   async def _load(_: requests.Request) -> responses.Response:
     return responses.JSONResponse(_report_load())
 
@@ -206,6 +232,8 @@
   return applications.Starlette(
       routes=[
           routing.Route("/v1/chat/completions", _complete, methods=["POST"]),
+          routing.Route("/v1/models", _models, methods=["GET"]),
+          routing.Route("/orders", _orders, methods=["POST"]),
           routing.Route("/load", _load, methods=["GET"]),
           routing.Route("/standin/faults", _faults, methods=["POST"]),
           routing.Route("/standin/stats", _stats, methods=["GET"]),
--- a/mustardfall/standins/kvstore.py
+++ b/mustardfall/standins/kvstore.py
@@ -81,8 +81,14 @@
 
   def range(self, op: dict[str, Any]) -> dict[str, Any]:
     """Answers a range request."""
-    kvs = [self._kv(k) for k in self._keys(op)]
-    return {"header": self.header(), "kvs": kvs, "count": str(len(kvs))}
+    keys = self._keys(op)
+    limit = int(op.get("limit", 0) or 0) or len(keys)
+    return {
+        "header": self.header(),
+        "kvs": [self._kv(k) for k in keys[:limit]],
+        "count": str(len(keys)),
+        "more": limit < len(keys),
+    }
 
   def put(self, op: dict[str, Any]) -> tuple[dict[str, Any], dict[str, Any]]:
     """Applies a put; returns the response and the watch event."""
--- a/tests/fleetcase.py
+++ b/tests/fleetcase.py
@@ -30,11 +30,22 @@
 
 class FleetCase(testtools.TestCase):
 
-  def start(self, dcs=("lier-a",), routers=1, tokens_per_s=400.0, **overrides):
-    """Starts a platform and routers; sets `fleet`, `urls` and `routers`."""
+  def start(
+      self,
+      dcs=("lier-a",),
+      routers=1,
+      tokens_per_s=400.0,
+      engine=None,
+      **overrides,
+  ):
+    """Starts a platform and routers; sets `fleet`, `urls` and `routers`.
+
+    `engine` holds settings of the engines, `overrides` of the routers.
+    """
     self.fleet = fleet_lib.Fleet()
     self.addCleanup(self.fleet.__exit__)
-    self.urls = fleet_lib.start_platform(self.fleet, dcs, tokens_per_s)
+    engine = {"tokens_per_s": tokens_per_s} | (engine or {})
+    self.urls = fleet_lib.start_platform(self.fleet, dcs, engine)
     self.kv_do(lambda kv: store.apply(kv, sample.catalogue()))
     names = tuple(dcs[i % len(dcs)] for i in range(routers))
     kept = {"tick_s": 0.2, "drain_s": 10.0, "lame_duck_s": 0.2} | overrides
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -54,6 +54,8 @@
     self._world = world
     self.me = world.member(name)
 
+  regions = 1
+
   @property
   def lives(self):
     absent = self._world.gone - {self.me.name}
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,6 +1,8 @@
 """Idempotency records and catalogue writes against the in-process KV."""
 
 import anyio
+from hypothesis import given
+from hypothesis import strategies as st
 import testtools
 
 from mustardfall import errors
@@ -9,6 +11,9 @@
 from mustardfall.bench import sample
 from mustardfall.catalogue import model
 from mustardfall.catalogue import store
+from mustardfall.catalogue import table
+from mustardfall.kv import client as kv_client
+from mustardfall.util import clock
 from tests import kvfake
 
 
@@ -99,15 +104,136 @@
     _, found = anyio.run(go)
     self.assertEqual(5, len(found.entries))
 
+  def test_apply_only_leaves_other_entries_alone(self):
+    async def go():
+      kv, _ = kvfake.make()
+      await store.apply(kv, sample.catalogue())
+      entry = sample.catalogue().entries[3].model_copy(update={"team": "new"})
+      spec = model.CatalogueSpec(entries=[entry])
+      revision = await store.apply(kv, spec, only=True)
+      return revision, await store.read(kv)
+
+    revision, (read_at, found) = anyio.run(go)
+    self.assertEqual(revision, read_at)
+    self.assertEqual(20, len(found.entries))
+    self.assertIn("new", [e.team for e in found.entries])
+    self.assertEqual(2, len(found.customers))
+
+  def test_apply_with_lost_reply_is_not_reported_as_lost_race(self):
+    # The write landed and its reply was lost. The operator is told the
+    # truth: applied; and the next edit from that revision goes through.
+    async def go():
+      kv, server = kvfake.make()
+      base = await store.apply(kv, sample.catalogue())
+      spec = sample.catalogue()
+      edit = model.CatalogueSpec(base=base, entries=spec.entries[:5])
+      answer = server._reply
+
+      def _lose_heads(body, wrote):
+        server.faults.lose_replies = int(
+            b"catalogue/head" in server.store.entries and wrote
+        )
+        return answer(body, wrote)
+
+      server._reply = _lose_heads
+      revision = await store.apply(kv, edit)
+      server._reply = answer
+      return revision, await store.read(kv)
+
+    revision, (read_at, found) = anyio.run(go)
+    self.assertEqual((revision, 5), (read_at, len(found.entries)))
+
+  def test_change_while_pages_are_read_is_not_half_seen(self):
+    # A router starts and reads the catalogue page by page; an operator's
+    # change lands between two pages. The router must not put a mixture
+    # in force, nor miss the change later as old news.
+    async def go():
+      kv, _ = kvfake.make()
+      await store.apply(kv, sample.catalogue())
+      edit = sample.catalogue().entries[0].model_copy(update={"team": "new"})
+      pages = kv.get_pages
+      edits = [edit]
+
+      async def _get_pages(prefix, _):
+        async for page in pages(prefix, 7):
+          yield page
+          if edits:
+            spec = model.CatalogueSpec(entries=[edits.pop()])
+            kv.get_pages = pages
+            await store.apply(kv, spec, only=True)
+            kv.get_pages = _get_pages
+
+      kv.get_pages = _get_pages
+      return await store._read(kv)
+
+    found = anyio.run(go)
+    teams = {e.name: e.team for e in found.entries}
+    self.assertEqual("new", teams[sample.catalogue().entries[0].name])
+    self.assertLessEqual(found.revision, found.at)
+
+
+class TableTest(testtools.TestCase):
+
+  def _follower(self):
+    self.seen = []
+    bus = events.Bus()
+    bus.connect(events.Name.CATALOGUE_CHANGED, self.seen.append)
+    return store.Follower(None, bus, clock.FakeClock(), 1.0)
+
+  def _event(self, revision, entry, deleted=False):
+    value = b"" if deleted else store._encode(entry)
+    key = store.ENTRY + entry.name
+    record = kv_client.Record(key, value, revision, 1)
+    return kv_client.Event(deleted, record)
+
   def test_follower_never_goes_back_a_revision(self):
     # A late watch event or stale read carries an older catalogue; the
     # router keeps the newer one in force.
-    seen = []
-    bus = events.Bus()
-    bus.connect(events.Name.CATALOGUE_CHANGED, seen.append)
-    follower = store.Follower(None, bus, 1.0)
+    follower = self._follower()
+    spec = sample.catalogue()
+    entry = spec.entries[0]
+    self.assertTrue(follower.current.replace(9, spec.entries, table.NO_HEAD))
+    follower.take(self._event(12, entry.model_copy(update={"team": "new"})))
+    follower.take(self._event(11, entry.model_copy(update={"team": "old"})))
+    follower.take(self._event(10, entry, deleted=True))
+    self.assertFalse(follower.current.replace(8, [], table.NO_HEAD))
+    self.assertEqual(12, follower.current.revision)
+    self.assertEqual("new", follower.current.find(entry.api_key).team)
+
+  def test_changed_key_and_removed_entry_are_refused(self):
+    # A key taken away must not go on drawing on its budget.
+    follower = self._follower()
     spec = sample.catalogue()
-    self.assertTrue(follower.offer(9, spec))
-    self.assertFalse(follower.offer(7, model.CatalogueSpec(entries=[])))
-    self.assertEqual(9, follower.current.revision)
-    self.assertEqual(1, len(seen))
+    first, second = spec.entries[:2]
+    follower.current.replace(9, spec.entries, table.NO_HEAD)
+    rekeyed = first.model_copy(update={"api_key": "sk-another-one"})
+    follower.take(self._event(10, rekeyed))
+    follower.take(self._event(11, second, deleted=True))
+    find = follower.current.find
+    self.assertIsNone(find(first.api_key))
+    self.assertIsNone(find(second.api_key))
+    self.assertEqual(first.name, find("sk-another-one").name)
+
+  @given(
+      st.lists(st.tuples(st.integers(0, 9), st.integers(0, 14)), max_size=40)
+  )
+  def test_table_finds_what_a_dict_would(self, moves):
+    current = table.Table()
+    entries = sample.catalogue().entries
+    current.replace(1, entries[:5], table.NO_HEAD)
+    expected = {e.api_key: e.name for e in entries[:5]}
+    for revision, (at, key) in enumerate(moves, start=2):
+      name = entries[at].name
+      expected = {k: n for k, n in expected.items() if n != name}
+      if key > 9:
+        current.remove(revision, name)
+        continue
+      api_key = f"sk-{at}-{key}-key"
+      expected[api_key] = name
+      changed = entries[at].model_copy(update={"api_key": api_key})
+      current.put(revision, changed)
+    for api_key, name in expected.items():
+      self.assertEqual(name, current.find(api_key).name)
+    for entry in entries:
+      found = current.find(entry.api_key)
+      self.assertEqual(expected.get(entry.api_key), found and found.name)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,81 @@
+"""The router object: its loops outlive their faults."""
+
+import anyio
+import testtools
+
+from mustardfall import router as router_lib
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import settling
+from mustardfall.membership import members
+from mustardfall.membership import peers
+
+
+def _settings() -> settings.Router:
+  listen = settings.Listen(port=0)
+  return settings.Router(
+      name="r",
+      datacentre="dc",
+      listen=listen,
+      peer_listen=listen,
+      kv_url="http://127.0.0.1:1",
+      hosts_url="http://127.0.0.1:1",
+      tick_s=0.01,
+  )
+
+
+class LoopTest(testtools.TestCase):
+
+  def test_fault_in_a_loop_does_not_end_the_router(self):
+    # A background loop breaks. The router runs it again; ended by it,
+    # the process would cut off every open stream.
+    runs = []
+
+    async def _loop():
+      runs.append(None)
+      if len(runs) < 3:
+        raise KeyError("a fault")
+      await anyio.sleep_forever()
+
+    async def go():
+      router = router_lib.Router(_settings())
+      with anyio.move_on_after(0.5):
+        await router._supervise(_loop)
+      return router.counts["loop_failures"]
+
+    self.assertEqual(2, anyio.run(go))
+    self.assertEqual(3, len(runs))
+
+  def test_two_settlements_of_parts_at_once_do_not_break(self):
+    # Another router recalls tokens at the moment at which the tick
+    # settles them; the bench's overload once ended a router that way.
+    class _Peers:
+
+      def __init__(self):
+        self.told = []
+
+      async def settle(self, owner, ended):
+        await anyio.sleep(0.02)
+        self.told += ended
+        return True
+
+    class _Members:
+      lives = {
+          f"r{i}:e": members.Member(f"r{i}", "e", "", "", "") for i in (1, 2)
+      }
+
+    async def go():
+      table = allotment.Table("r0:e", settings.Allotment())
+      asked = _Peers()
+      settler = settling.Settler(table, _Members(), asked, None)
+      for i in (1, 2):
+        row = allotment.Row("b", f"r0:e:{i}", 9, 0.0, f"r{i}:e")
+        settler.queue_ended(row)
+      async with anyio.create_task_group() as tg:
+        tg.start_soon(settler.settle_parts)
+        tg.start_soon(settler.settle_parts)
+      return asked.told
+
+    told = anyio.run(go)
+    expected = [peers.Ended(f"r0:e:{i}", 0) for i in (1, 2)]
+    self.assertEqual(expected, sorted(told))
