Suspected owners are passed over; rings rebuilt only for the own region

Cause: a lease lapses only after tens of seconds (760 routers renewing every 2 s would be 380 KV writes a second, so the default term is now 24 s, 95 writes a second). Until then every request on a dead owner's budgets would first wait for a timeout of 0.4 s. And a ring over 127 routers takes 100 ms to build (measured), at every change of any region.

Ruled out: short leases (KV writes grow with the fleet); going to the KV for all of a dead owner's budgets (a burst of a grant per budget).

Change: a router that gives no answer is passed over for 2 s, its deputy on the ring stands in; the ring is kept when only other regions change; a stopped holder's used-up grant goes whichever of the two ends first.

Conclusion: the failure of an owner costs one timeout per 2 s and router instead of one per request.

--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -229,7 +229,9 @@
       "parts": {**ledger["parts"], change.gid: marks},
       "ops": _mark(ledger, mark),
   }
-  return _lose(after, _not_here(change, ledger))
+  return _lose(
+      _drop_if_done(after, place, change.gid), _not_here(change, ledger)
+  )
 
 
 @change_lib.apply.register
@@ -253,10 +255,19 @@
           change.gid: {**here, change.part: change.tokens},
       },
   }
-  if left <= 0 and f"{change.gid}/reduced" in ledger["ops"]:
-    after[place] = _without(after[place], change.gid)
-    after["parts"] = _without(after["parts"], change.gid)
-  return after
+  return _drop_if_done(after, place, change.gid)
+
+
+def _drop_if_done(ledger: Ledger, place: str, gid: str) -> Ledger:
+  """Returns `ledger` without a stopped holder's grant that is used up."""
+  stopped = f"{gid}/reduced" in ledger["ops"]
+  if not stopped or ledger[place][gid] > 0:
+    return ledger
+  return {
+      **ledger,
+      place: _without(ledger[place], gid),
+      "parts": _without(ledger["parts"], gid),
+  }
 
 
 @change_lib.apply.register
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -169,6 +169,7 @@
       # The owner may have handed the part on and its answer got lost.
       # Settled as unused, it goes back; no request ever drew on it.
       self._counts["owner_unreachable"] += 1
+      self._members.suspect(owner.life)
       unused = allotment.Row(budget, part, 0, 0.0, owner.life)
       self._settler.queue_ended(unused)
       return False
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -25,6 +25,8 @@
 PREFIX = "member/"
 _OWNERS_CACHED = 100_000
 _RETRY_S = 0.5
+_SUSPECT_S = 2.0
+"""How long a router that did not answer is passed over."""
 
 
 class Member(NamedTuple):
@@ -69,19 +71,28 @@
     self._bus = bus
     self._by_name: dict[str, Member] = {me.name: me}
     self._lives: dict[str, Member] = {me.life: me}
+    self._suspected: dict[str, float] = {}
+    """Routers that did not answer, and until when they are passed over."""
     self._absent_since: dict[str, float] = {}
     self._in_touch_since: float | None = None
     self._lease = 0
+    self._near: list[str] = []
     self._set_ring()
 
   def _set_ring(self) -> None:
-    near = {
-        m.life: {"weight": 1}
-        for m in self._by_name.values()
-        if m.region == self.me.region
-    }
+    near = sorted(
+        m.life for m in self._by_name.values() if m.region == self.me.region
+    )
+    if near == self._near:
+      return  # a tenth of a second saved at each change of other regions
+    self._near = near
     self._ring = uhashring.HashRing(nodes=near, hash_fn="ketama")
-    self._owner_of = functools.lru_cache(_OWNERS_CACHED)(self._ring.get_node)
+    self._owners_of = functools.lru_cache(_OWNERS_CACHED)(self._find_owners)
+
+  def _find_owners(self, name: str) -> tuple[str, ...]:
+    """Returns the lives next on the ring: the owner, then its deputy."""
+    near = self._ring.range(name, size=2, unique=True)
+    return tuple(node["nodename"] for node in near)
 
   @property
   def lives(self) -> dict[str, Member]:
@@ -93,9 +104,25 @@
     """How many regions have routers up."""
     return len({m.region for m in self._by_name.values()})
 
-  def owner(self, budget: str) -> Member:
-    """Returns the router of this region through which `budget` is drawn."""
-    return self._lives[self._owner_of(budget)]
+  def owner(self, name: str) -> Member:
+    """Returns the router of this region that owns a budget or engine.
+
+    While it is suspected, the next on the ring stands in for it.
+    """
+    owners = self._owners_of(name)
+    now = self._clock.monotonic()
+    for life in owners:
+      if self._suspected.get(life, 0.0) <= now:
+        return self._lives[life]
+    return self._lives[owners[0]]
+
+  def suspect(self, life: str) -> None:
+    """Notes that a router did not answer.
+
+    Its lease lapses only after many seconds. Asking it all that time
+    would cost each request that draws on its budgets a timeout.
+    """
+    self._suspected[life] = self._clock.monotonic() + _SUSPECT_S
 
   def has_gone(self, life: str) -> bool:
     """Whether `life` has been absent for the whole grace time."""
@@ -171,6 +198,7 @@
     lives = {m.life: m for m in by_name.values()}
     for life in self._lives.keys() - lives.keys():
       self._absent_since[life] = self._clock.monotonic()
+      self._suspected.pop(life, None)
       logger.info("router gone", extra={"life": life})
     for life in lives.keys() - self._lives.keys():
       self._absent_since.pop(life, None)
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -66,9 +66,9 @@
 class Membership(_Base):
   """How routers know of each other."""
 
-  ttl_s: int = pydantic.Field(default=6, ge=2)
+  ttl_s: int = pydantic.Field(default=24, ge=2)
   """Term of a router's lease; it renews after a third of it."""
-  grace_s: float = pydantic.Field(default=6.0, ge=0)
+  grace_s: float = pydantic.Field(default=10.0, ge=0)
   """An absent router counts as gone after this long."""
   watch_idle_s: float = pydantic.Field(default=6.0, gt=0)
   """A watch without a word for this long is opened again."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -145,6 +145,23 @@
     self.assertEqual((80, 920), (after["spent"], ledger.headroom(after)))
     self.assertEqual({}, after["grants"])
 
+  def test_part_settled_before_its_holder_stops_leaves_no_grant(self):
+    # Two routers stop at once: the part reaches the ledger before the
+    # holder's own end does. No empty grant may stay behind.
+    async def go():
+      kv, _ = kvfake.make()
+      await _write(
+          kv,
+          ledger.Create(1000),
+          ledger.Grant("r1:x:1", 10, 400, 1.0),
+          ledger.SettlePart("r1:x:1", "r2:y:1", 100, 30),
+          ledger.Reduce("r1:x:1", 50, 300),
+      )
+      return await ledger.read(kv, "b")
+
+    after = _run(go)
+    self.assertEqual((80, {}), (after["spent"], after["grants"]))
+
 
 class WriterTest(testtools.TestCase):
 
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,69 @@
+"""Membership: who owns a budget, and when a router counts as gone."""
+
+import datetime
+
+import testtools
+
+from mustardfall import events
+from mustardfall import settings
+from mustardfall.membership import members
+from mustardfall.util import clock as clock_lib
+
+
+def _member(i: int, region: str = "here") -> members.Member:
+  return members.Member(f"r{i}", "e", f"http://r{i}", "dc", region)
+
+
+class MembersTest(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    self.clock = clock_lib.FakeClock()
+    config = settings.Membership(grace_s=10.0)
+    self.view = members.Members(
+        None, _member(0), config, self.clock, events.Bus()
+    )
+    self.view._replace([_member(i) for i in range(8)])
+
+  def _owners(self) -> dict[str, str]:
+    return {f"b{i}": self.view.owner(f"b{i}").name for i in range(2000)}
+
+  def test_ownership_is_spread_and_moves_little(self):
+    # One of eight routers is replaced: only its budgets change hands,
+    # else each of the day's restarts would shuffle all allotments.
+    before = self._owners()
+    self.assertEqual(8, len(set(before.values())))
+    self.view._replace([_member(i) for i in range(8) if i != 3])
+    after = self._owners()
+    moved = [b for b in before if before[b] != after[b]]
+    self.assertEqual({"r3"}, {before[b] for b in moved})
+
+  def test_budgets_are_owned_in_the_own_region(self):
+    far = [_member(i, "far") for i in range(10, 20)]
+    self.view._replace([_member(0), _member(1), *far])
+    self.assertEqual({"r0", "r1"}, set(self._owners().values()))
+    self.assertEqual(2, self.view.regions)
+
+  def test_router_that_does_not_answer_is_passed_over_for_a_moment(self):
+    # Its lease lapses much later; until then every request on its
+    # budgets would wait for a timeout.
+    before = self._owners()
+    self.view.suspect("r3:e")
+    during = self._owners()
+    self.assertNotIn("r3", during.values())
+    self.clock.advance(datetime.timedelta(seconds=3))
+    self.assertEqual(before, self._owners())
+
+  def test_router_out_of_touch_takes_nobody_for_gone(self):
+    # A router that was cut off, or paused, has heard of nobody for long.
+    # It must not write everyone's grants off; nor right after it is back.
+    self.view._in_touch_since = self.clock.monotonic()
+    self.view._replace([_member(i) for i in range(7)])
+    self.clock.advance(datetime.timedelta(seconds=11))
+    self.assertTrue(self.view.has_gone("r7:e"))
+    self.assertFalse(self.view.has_gone("r6:e"))
+    self.view._in_touch_since = None
+    self.assertFalse(self.view.has_gone("r7:e"))
+    self.view._in_touch_since = self.clock.monotonic()
+    self.clock.advance(datetime.timedelta(seconds=5))
+    self.assertFalse(self.view.has_gone("r7:e"))
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -64,6 +64,9 @@
   def owner(self, _):
     return self._world.member(self._world.owner)
 
+  def suspect(self, _):
+    pass
+
   def has_gone(self, life):
     return life not in self.lives
 
