--- a/mustardfall/api/bookings.py
+++ b/mustardfall/api/bookings.py
@@ -8,7 +8,6 @@
 from starlette import requests
 from starlette import responses
 
-from mustardfall import errors
 from mustardfall import idempotency
 from mustardfall import router as router_lib
 from mustardfall import verdict
@@ -38,14 +37,10 @@
   body = await replies.read_object(request)
   if body is None:
     return replies.answer(replies.NOT_JSON)
-  router.retries.deposit()
-  reservation = await router.pool.reserve(entry.name, _COST, entry.customer)
-  if reservation is None:
-    calls.count(router, entry, calls.End.REFUSED)
-    return replies.answer(
-        verdict.refuse("budget exhausted", router.config.retry_after_s)
-    )
-  with calls.Call(router, entry, reservation) as call:
+  call = await calls.admit(router, entry, _COST)
+  if isinstance(call, verdict.Verdict):
+    return replies.answer(call)
+  with call:
     return await _book(call, idem_key, body)
 
 
@@ -53,16 +48,10 @@
     call: calls.Call, idem_key: str, body: dict
 ) -> responses.Response:
   """Claims the call, sends it, and records what came of it."""
-  retry_after_s = call.router.config.retry_after_s
-  try:
-    earlier = await call.claim_key(idem_key)
-  except errors.KvUnavailableError:
-    call.settle(0, calls.End.NOT_RUN)
-    return replies.answer(
-        verdict.refuse("cannot record the call", retry_after_s, 503)
-    )
+  earlier = await call.claim_key(idem_key)
+  if isinstance(earlier, verdict.Verdict):
+    return replies.answer(earlier)
   if earlier is not None:
-    call.settle(0, calls.End.REPLAYED)
     return _replay(earlier)
   sent = await _send(call, idem_key, body)
   if isinstance(sent, verdict.Verdict):
--- a/mustardfall/api/calls.py
+++ b/mustardfall/api/calls.py
@@ -10,8 +10,10 @@
 import contextlib
 import enum
 
+from mustardfall import errors
 from mustardfall import idempotency
 from mustardfall import router as router_lib
+from mustardfall import verdict
 from mustardfall.budget import allotment
 from mustardfall.catalogue import table
 from mustardfall.routing import endpoints
@@ -42,6 +44,20 @@
   router.counts[end.value] += 1
 
 
+async def admit(
+    router: router_lib.Router, entry: table.Found, tokens: int
+) -> "Call | verdict.Verdict":
+  """Admits a request that may use `tokens`, or refuses it at once."""
+  router.retries.deposit()
+  reservation = await router.pool.reserve(entry.name, tokens, entry.customer)
+  if reservation is None:
+    count(router, entry, End.REFUSED)
+    return verdict.refuse(
+        "budget cannot cover this request now", router.config.retry_after_s
+    )
+  return Call(router, entry, reservation)
+
+
 class Call:
   """An admitted request.
 
@@ -159,14 +175,28 @@
     count(self.router, self.entry, end)
     return settled.billed
 
-  async def claim_key(self, idem_key: str) -> idempotency.Record | None:
-    """Claims the caller's Idempotency-Key; see `idempotency.claim`."""
+  async def claim_key(
+      self, idem_key: str
+  ) -> idempotency.Record | verdict.Verdict | None:
+    """Claims the caller's Idempotency-Key.
+
+    Returns:
+      None when the call is this one's to send. Else the call is settled,
+      and the record of an earlier try or a refusal says why.
+    """
     claim = self.router.new_claim()
-    earlier = await idempotency.claim(
-        self.router.writer, self.entry.name, idem_key, claim
-    )
+    try:
+      earlier = await idempotency.claim(
+          self.router.writer, self.entry.name, idem_key, claim
+      )
+    except errors.KvUnavailableError:
+      self.settle(0, End.NOT_RUN)
+      retry_after_s = self.router.config.retry_after_s
+      return verdict.refuse("cannot record the call", retry_after_s, 503)
     if earlier is None:
       self._idem_key, self._claim = idem_key, claim
+    else:
+      self.settle(0, End.REPLAYED)
     return earlier
 
   async def record(
--- a/mustardfall/api/chat.py
+++ b/mustardfall/api/chat.py
@@ -116,19 +116,9 @@
   ask = _read(router, entry, request, await replies.read_object(request))
   if isinstance(ask, verdict.Verdict):
     return replies.answer(ask)
-  router.retries.deposit()
-  reservation = await router.pool.reserve(
-      entry.name, ask.tokens, entry.customer
-  )
-  if reservation is None:
-    calls.count(router, entry, calls.End.REFUSED)
-    return replies.answer(
-        verdict.refuse(
-            "budget cannot cover this request now",
-            router.config.retry_after_s,
-        )
-    )
-  call = calls.Call(router, entry, reservation)
+  call = await calls.admit(router, entry, ask.tokens)
+  if isinstance(call, verdict.Verdict):
+    return replies.answer(call)
   with call.unless_handed_over():
     opened = await _claim_and_open(call, ask)
     if isinstance(opened, responses.Response):
@@ -147,17 +137,10 @@
     The engine's open answer, or the final answer to the caller.
   """
   if ask.idem_key:
-    try:
-      earlier = await call.claim_key(ask.idem_key)
-    except errors.KvUnavailableError:
-      call.settle(0, calls.End.NOT_RUN)
-      return replies.answer(
-          verdict.refuse(
-              "cannot record the call", call.router.config.retry_after_s, 503
-          )
-      )
+    earlier = await call.claim_key(ask.idem_key)
+    if isinstance(earlier, verdict.Verdict):
+      return replies.answer(earlier)
     if earlier is not None:
-      call.settle(0, calls.End.REPLAYED)
       return replies.answer(_verdict_of(earlier))
   opened = await _open(call, ask)
   if isinstance(opened, httpx.Response):
--- a/mustardfall/api/peer.py
+++ b/mustardfall/api/peer.py
@@ -1,4 +1,7 @@
-"""The routers' own API, on a port that callers do not reach."""
+"""The routers' and operators' API, on a port that callers do not reach.
+
+The counters and metrics are here because they name every tenant.
+"""
 
 from starlette import applications
 from starlette import requests
@@ -27,8 +30,18 @@
     await router.pool.serve_recall(body["budget"])
     return responses.JSONResponse({})
 
+  async def _stats(_: requests.Request) -> responses.Response:
+    return responses.JSONResponse(router.stats())
+
+  async def _metrics(_: requests.Request) -> responses.Response:
+    return responses.Response(
+        router.instruments.snapshot(), media_type="application/json"
+    )
+
   return applications.Starlette(
       routes=[
+          routing.Route("/admin/stats", _stats, methods=["GET"]),
+          routing.Route("/admin/metrics", _metrics, methods=["GET"]),
           routing.Route(peers.RESERVE_PATH, _reserve, methods=["POST"]),
           routing.Route(peers.SETTLE_PATH, _settle, methods=["POST"]),
           routing.Route(peers.RECALL_PATH, _recall, methods=["POST"]),
--- a/mustardfall/api/public.py
+++ b/mustardfall/api/public.py
@@ -1,4 +1,4 @@
-"""The callers' and the operators' API of a router."""
+"""The callers' API of a router."""
 
 from starlette import applications
 from starlette import requests
@@ -19,14 +19,6 @@
   async def _book(request: requests.Request) -> responses.Response:
     return await bookings.handle(router, request)
 
-  async def _stats(_: requests.Request) -> responses.Response:
-    return responses.JSONResponse(router.stats())
-
-  async def _metrics(_: requests.Request) -> responses.Response:
-    return responses.Response(
-        router.instruments.snapshot(), media_type="application/json"
-    )
-
   async def _health(_: requests.Request) -> responses.Response:
     status = 200 if router.ready else 503
     return responses.JSONResponse({"ready": router.ready}, status_code=status)
@@ -35,8 +27,6 @@
       routes=[
           routing.Route("/v1/chat/completions", _chat, methods=["POST"]),
           routing.Route("/v1/bookings", _book, methods=["POST"]),
-          routing.Route("/admin/stats", _stats, methods=["GET"]),
-          routing.Route("/admin/metrics", _metrics, methods=["GET"]),
           routing.Route("/healthz", _health, methods=["GET"]),
       ]
   )
--- a/mustardfall/bench/fleet.py
+++ b/mustardfall/bench/fleet.py
@@ -51,6 +51,8 @@
     self._tmp = None if workdir else tempfile.TemporaryDirectory()
     self.dir = pathlib.Path(workdir or self._tmp.name)
     self.procs: dict[str, Process] = {}
+    self.admin: dict[str, str] = {}
+    """A router's URL for callers to its URL for operators."""
 
   def start(self, role: list[str], name: str, config) -> Process:
     """Writes `config` as YAML and starts `mustardfall ROLE --config`."""
@@ -66,6 +68,9 @@
     url = f"http://{config.listen.host}:{config.listen.port}"
     proc = Process(name, url, popen)
     self.procs[name] = proc
+    if isinstance(config, settings.Router):
+      own = config.peer_listen
+      self.admin[url] = f"http://{own.host}:{own.port}/admin"
     return proc
 
   def wait_ready(self, timeout_s: float = 20.0, path: str = "/healthz") -> None:
--- a/mustardfall/bench/probe.py
+++ b/mustardfall/bench/probe.py
@@ -30,17 +30,15 @@
   return Usage(cpu, rss)
 
 
-def read_wire_bytes(pid: int) -> int:
-  """Returns bytes that process `pid` has read and written so far.
+def read_loopback_bytes() -> int:
+  """Returns bytes received on the loopback interface so far.
 
-  All its descriptors count; a daemon's are sockets but for its log.
-
-  Raises:
-    OSError: the process is gone.
+  Each packet counts once, with its TCP/IP headers. On a machine where
+  only one fleet runs, that is the fleet's traffic.
   """
-  total = 0
-  with open(f"/proc/{pid}/io", encoding="ascii") as f:
+  with open("/proc/net/dev", encoding="ascii") as f:
     for line in f:
-      if line.startswith(("rchar:", "wchar:")):
-        total += int(line.split()[1])
-  return total
+      name, _, fields = line.partition(":")
+      if name.strip() == "lo":
+        return int(fields.split()[0])
+  return 0
--- a/mustardfall/bench/report.py
+++ b/mustardfall/bench/report.py
@@ -6,6 +6,8 @@
 _BASELINES = {
     "calm": ("calm_router_grants", "calm_per_request"),
     "tight": ("tight_router_grants", "tight_per_request"),
+    "router_kill": ("router_kill_router_grants",),
+    "router_freeze": ("router_freeze_router_grants",),
     "overload": ("overload_fifo", "overload_engine_queue"),
 }
 _WEIGHTS = {
--- a/mustardfall/bench/scenarios.py
+++ b/mustardfall/bench/scenarios.py
@@ -195,7 +195,7 @@
     async with httpx.AsyncClient() as http:
       while True:
         for url in stage.in_service():
-          got = (await http.get(url + "/admin/stats")).json()
+          got = (await http.get(stage.fleet.admin[url] + "/stats")).json()
           revision = got["catalogue_revision"]
           reverts += revision < last.get(url, 0)
           last[url] = revision
@@ -230,7 +230,7 @@
   async with httpx.AsyncClient() as http:
     for url in stage.in_service():
       while True:
-        got = (await http.get(url + "/admin/stats")).json()
+        got = (await http.get(stage.fleet.admin[url] + "/stats")).json()
         if got["catalogue_revision"] >= revision:
           break
         await anyio.sleep(0.005)
@@ -283,7 +283,13 @@
     "kv_lost_replies": Scenario(_kv_lost_replies),
     "partition_with_top_up": Scenario(_partition_with_top_up),
     "router_kill": Scenario(_router_kill),
+    "router_kill_router_grants": Scenario(
+        _router_kill, allotment=ROUTER_GRANTS
+    ),
     "router_freeze": Scenario(_router_freeze),
+    "router_freeze_router_grants": Scenario(
+        _router_freeze, allotment=ROUTER_GRANTS
+    ),
     "rolling_restart": Scenario(_rolling_restart),
     "engines_leave": Scenario(_engines_leave),
     "operators_race": Scenario(_operators_race),
--- a/mustardfall/bench/slopes.py
+++ b/mustardfall/bench/slopes.py
@@ -37,6 +37,7 @@
   def __init__(self, fleet, urls, routers) -> None:
     self.urls = urls
     self.routers = routers
+    self.admin = fleet.admin
     self.pids = [
         p.popen.pid for n, p in fleet.procs.items() if n.startswith("router")
     ]
@@ -48,18 +49,16 @@
   def rss_mb(self) -> float:
     return sum(probe.read(p).rss_bytes for p in self.pids) / 2**20
 
-  def wire_bytes(self) -> int:
-    return sum(probe.read_wire_bytes(pid) for pid in self.pids)
-
   async def kv_stats(self) -> dict:
     async with httpx.AsyncClient() as http:
       return (await http.get(self.urls["kv"] + "/standin/stats")).json()
 
 
-async def _with_bed(routers: int, measure, engine_slots: int = 400) -> dict:
+async def _with_bed(routers: int, measure, tokens_per_s=400.0) -> dict:
+  engine = {"slots": 400, "tokens_per_s": tokens_per_s}
   with fleet_lib.Fleet() as fleet:
     urls = await anyio.to_thread.run_sync(
-        lambda: fleet_lib.start_platform(fleet, engine={"slots": engine_slots})
+        lambda: fleet_lib.start_platform(fleet, engine=engine)
     )
     kv = kv_client.Client(urls["kv"], "operator")
     await store.apply(kv, sample.catalogue(tokens=50_000_000))
@@ -151,7 +150,8 @@
         "streams": list(_STREAMS),
     }
 
-  return await _with_bed(1, _measure)
+  # Slow engines: the streams shall be open, not busy.
+  return await _with_bed(1, _measure, tokens_per_s=5.0)
 
 
 async def control(routers: int) -> dict:
@@ -159,12 +159,12 @@
 
   async def _measure(bed: _Bed, kv) -> dict:
     stats, cpu, kv_cpu = await bed.kv_stats(), bed.cpu_s(), _cpu(bed.kv_pid)
-    wire = bed.wire_bytes()
+    wire = probe.read_loopback_bytes()
     await anyio.sleep(_IDLE_S)
     per_router_s = len(bed.pids) * _IDLE_S
     idle_cpu = (bed.cpu_s() - cpu) / per_router_s
     idle_kv_cpu = (_cpu(bed.kv_pid) - kv_cpu) / per_router_s
-    idle_wire = (bed.wire_bytes() - wire) / per_router_s
+    idle_wire = (probe.read_loopback_bytes() - wire) / per_router_s
     after = await bed.kv_stats()
     times = await _time_changes(bed, kv)
     return {
@@ -193,8 +193,9 @@
 async def _time_changes(bed: _Bed, kv: kv_client.Client) -> list[float]:
   """Times catalogue changes until each router has them in force.
 
-  The routers note when a revision came into force; asking them only
-  after that keeps the bench's own polling out of the figure.
+  From the start of the operator's command. The routers note when a
+  revision came into force; asking them only after that keeps the bench's
+  own polling out of the figure.
   """
   spec = sample.catalogue()
   times = []
@@ -202,15 +203,15 @@
     for i in range(_CHANGES):
       entries = spec.entries[: 10 + i]
       change = model.CatalogueSpec(customers=spec.customers, entries=entries)
+      started = time.time()
       revision = await store.apply(kv, change)
-      written = time.time()
       await anyio.sleep(1.5)
       worst = 0.0
       for url in bed.routers:
-        got = (await http.get(url + "/admin/stats")).json()
+        got = (await http.get(bed.admin[url] + "/stats")).json()
         if got["catalogue_revision"] < revision:
           raise RuntimeError(f"{url}: {revision} not in force after 1.5 s")
-        worst = max(worst, got["catalogue_since"] - written)
+        worst = max(worst, got["catalogue_since"] - started)
       times.append(worst)
   return times
 
@@ -250,7 +251,7 @@
   total = 0
   async with httpx.AsyncClient() as http:
     for url in bed.routers:
-      total += (await http.get(url + "/admin/stats")).json()["peer_calls"]
+      total += (await http.get(bed.admin[url] + "/stats")).json()["peer_calls"]
   return total
 
 
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -37,6 +37,8 @@
 """Recent op ids kept per budget, to answer a retried top-up."""
 _LOST_KEPT = 64
 """Written-off grants that can still be settled; older ones are summed."""
+_EDGE = 8
+"""Requests' worth of headroom below which a budget is near its end."""
 _ATTEMPTS = 8
 """Compare-and-swap attempts before a write is given up as unavailable."""
 
@@ -64,8 +66,11 @@
 
   At most `share` of the headroom is given (but never below `least` when
   that much is free), so that one holder cannot take a budget that others
-  draw on too. `margin` of the limit is never given out: a cushion for
-  engines that generate more than they were allowed.
+  draw on too, nor its death lose it. Near the end of a budget, when the
+  headroom is under `_EDGE` times `least`, `edge_share` of it is: grants
+  that shrank further would leave rests too small for any request.
+  `margin` of the limit is never given out: a cushion for engines that
+  generate more than they were allowed.
   """
 
   gid: str
@@ -73,6 +78,7 @@
   want: int
   share: float
   margin: float = 0.0
+  edge_share: float = 0.0
 
 
 class Settle(NamedTuple):
@@ -169,7 +175,10 @@
   if ledger is None or change.gid in ledger["grants"]:
     return None
   free = headroom(ledger) - int(ledger["limit"] * change.margin)
-  size = min(change.want, max(change.least, int(free * change.share)), free)
+  share = change.share
+  if free < _EDGE * change.least:
+    share = max(share, change.edge_share)
+  size = min(change.want, max(change.least, int(free * share)), free)
   if size < change.least:
     return None
   return {**ledger, "grants": {**ledger["grants"], change.gid: size}}
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -63,7 +63,7 @@
     self.instruments = metrics.Instruments(config.name)
     self.stopping = False
     self.http = httpx.AsyncClient(
-        timeout=httpx.Timeout(60.0, connect=1.0), limits=_HTTP_LIMITS
+        timeout=httpx.Timeout(60.0, connect=1.0, pool=1.0), limits=_HTTP_LIMITS
     )
     self.kv = kv_client.Client(config.kv_url, config.name, config.kv_timeout_s)
     self.writer = writer_lib.Writer(
@@ -107,9 +107,10 @@
     self._record_lease = 0
     self.bus.connect(events.Name.LEDGER_READ, lambda e: self.pool.sweep(*e))
     self.bus.connect(
-        events.Name.CATALOGUE_CHANGED,
-        lambda _: self._count("catalogue_changes"),
+        events.Name.ENDPOINTS_CHANGED, lambda _: self.scheduler.dispatch()
     )
+    for name in (events.Name.CATALOGUE_CHANGED, events.Name.MEMBERS_CHANGED):
+      self.bus.connect(name, lambda _, n=name: self._count(n.name.lower()))
 
   def _count(self, name: str) -> None:
     self.counts[name] += 1
--- a/mustardfall/routing/scheduler.py
+++ b/mustardfall/routing/scheduler.py
@@ -214,12 +214,17 @@
       line.freed += 1
       self._dispatch(line)
 
+  def dispatch(self) -> None:
+    """Hands out places that came free in other ways than by `release`."""
+    for line in self._lines.values():
+      self._dispatch(line)
+
   def tick(self, elapsed_s: float) -> None:
-    """Updates the rates and hands out places that came with new rows."""
+    """Updates the rates, and hands out places of limits that grew."""
     for line in self._lines.values():
       if line.freed or len(line):
         rate = line.freed / max(elapsed_s, 1e-3)
         old = rate if line.rate is None else line.rate
         line.rate = old + _RATE_WEIGHT * (rate - old)
       line.freed = 0
-      self._dispatch(line)
+    self.dispatch()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -276,7 +276,7 @@
     time.sleep(4.0)
     self.inject("kv", blocked=[], silent=False)
     self.wait_until(
-        lambda: httpx.get(self.routers[0] + "/admin/stats").json()[
+        lambda: httpx.get(self.fleet.admin[self.routers[0]] + "/stats").json()[
             "catalogue_revision"
         ]
         >= revision,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,6 +6,9 @@
 from mustardfall.budget import ledger
 from tests import kvfake
 
+_GRANT = ledger.Grant("r1:x:1", 10, 400, 1.0)
+_PART = ledger.SettlePart("r1:x:1", "r2:y:1", 100, 30)
+
 
 def _run(fn):
   return anyio.run(fn)
@@ -16,6 +19,17 @@
     await ledger.write(kv, "b", change)
 
 
+def _after(*changes):
+  """Returns a budget of 1,000 tokens after `changes`, as the KV holds it."""
+
+  async def go():
+    kv, _ = kvfake.make()
+    await _write(kv, ledger.Create(1000), *changes)
+    return await ledger.read(kv, "b")
+
+  return _run(go)
+
+
 class LedgerTest(testtools.TestCase):
 
   def test_grant_then_settle_bills_used_and_returns_rest(self):
@@ -87,19 +101,9 @@
     # A paused router's grant is written off, so its tokens stay counted.
     # It wakes, finishes its requests and settles: the true count is
     # billed and the rest returns; settling again changes nothing.
-    async def go():
-      kv, _ = kvfake.make()
-      await _write(
-          kv,
-          ledger.Create(1000),
-          ledger.Grant("r1:x:1", 10, 400, 1.0),
-          ledger.WriteOff("r1:x:1"),
-      )
-      paused = await ledger.read(kv, "b")
-      await _write(kv, *[ledger.Settle("r1:x:1", 150)] * 2)
-      return paused, await ledger.read(kv, "b")
-
-    paused, after = _run(go)
+    gone = (_GRANT, ledger.WriteOff("r1:x:1"))
+    paused = _after(*gone)
+    after = _after(*gone, *[ledger.Settle("r1:x:1", 150)] * 2)
     self.assertEqual((600, 400), (ledger.headroom(paused), ledger.lost(paused)))
     self.assertEqual((150, 0), (after["spent"], ledger.lost(after)))
 
@@ -108,19 +112,9 @@
     # taken for gone just after it heard that the part used 30; the reply
     # is lost, so router 2 settles in the ledger as well. Router 1 wakes
     # and settles all it knows: those 30 tokens are billed once.
-    async def go():
-      kv, _ = kvfake.make()
-      await _write(
-          kv,
-          ledger.Create(1000),
-          ledger.Grant("r1:x:1", 10, 400, 1.0),
-          ledger.SettlePart("r1:x:1", "r2:y:1", 100, 30),
-          ledger.SettlePart("r1:x:1", "r2:y:1", 100, 30),
-          ledger.Settle("r1:x:1", 50, {"r2:y:1": 30}),
-      )
-      return await ledger.read(kv, "b")
-
-    after = _run(go)
+    after = _after(
+        _GRANT, _PART, _PART, ledger.Settle("r1:x:1", 50, {"r2:y:1": 30})
+    )
     self.assertEqual(80, after["spent"])
     self.assertEqual(920, ledger.headroom(after))
     self.assertEqual({}, after["parts"])
@@ -128,19 +122,8 @@
   def test_stopping_holder_leaves_parts_to_their_holders(self):
     # Router 1 stops while router 2 still holds 100 of its 400 tokens:
     # 300 come back at once, the part is settled by router 2 later.
-    async def go():
-      kv, _ = kvfake.make()
-      await _write(
-          kv,
-          ledger.Create(1000),
-          ledger.Grant("r1:x:1", 10, 400, 1.0),
-          ledger.Reduce("r1:x:1", 50, 300),
-      )
-      stopped = await ledger.read(kv, "b")
-      await _write(kv, *[ledger.SettlePart("r1:x:1", "r2:y:1", 100, 30)] * 2)
-      return stopped, await ledger.read(kv, "b")
-
-    stopped, after = _run(go)
+    stopped = _after(_GRANT, ledger.Reduce("r1:x:1", 50, 300))
+    after = _after(_GRANT, ledger.Reduce("r1:x:1", 50, 300), _PART, _PART)
     self.assertEqual((50, 850), (stopped["spent"], ledger.headroom(stopped)))
     self.assertEqual((80, 920), (after["spent"], ledger.headroom(after)))
     self.assertEqual({}, after["grants"])
@@ -148,18 +131,7 @@
   def test_part_settled_before_its_holder_stops_leaves_no_grant(self):
     # Two routers stop at once: the part reaches the ledger before the
     # holder's own end does. No empty grant may stay behind.
-    async def go():
-      kv, _ = kvfake.make()
-      await _write(
-          kv,
-          ledger.Create(1000),
-          ledger.Grant("r1:x:1", 10, 400, 1.0),
-          ledger.SettlePart("r1:x:1", "r2:y:1", 100, 30),
-          ledger.Reduce("r1:x:1", 50, 300),
-      )
-      return await ledger.read(kv, "b")
-
-    after = _run(go)
+    after = _after(_GRANT, _PART, ledger.Reduce("r1:x:1", 50, 300))
     self.assertEqual((80, {}), (after["spent"], after["grants"]))
 
 
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -23,6 +23,7 @@
 from mustardfall.kv import writer as writer_lib
 from mustardfall.membership import members
 from mustardfall.util import clock as clock_lib
+from tests import configs
 from tests import kvfake
 
 _NAMES = ("r1", "r2", "r3")
@@ -120,15 +121,7 @@
   async def _set_up(self):
     self.op, self.server = kvfake.make("op")
     await ledger.write(self.op, "b", ledger.Create(_LIMIT))
-    config = settings.Router(
-        name="r",
-        datacentre="dc",
-        listen=settings.Listen(port=0),
-        peer_listen=settings.Listen(port=0),
-        kv_url="http://kv",
-        hosts_url="http://hosts",
-        allotment=_ALLOTMENT,
-    )
+    config = configs.router(allotment=_ALLOTMENT)
     self.writers = {}
     for name in _NAMES:
       kv, _ = kvfake.share(self.server, name)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,19 +9,7 @@
 from mustardfall.budget import settling
 from mustardfall.membership import members
 from mustardfall.membership import peers
-
-
-def _settings() -> settings.Router:
-  listen = settings.Listen(port=0)
-  return settings.Router(
-      name="r",
-      datacentre="dc",
-      listen=listen,
-      peer_listen=listen,
-      kv_url="http://127.0.0.1:1",
-      hosts_url="http://127.0.0.1:1",
-      tick_s=0.01,
-  )
+from tests import configs
 
 
 class LoopTest(testtools.TestCase):
@@ -38,7 +26,7 @@
       await anyio.sleep_forever()
 
     async def go():
-      router = router_lib.Router(_settings())
+      router = router_lib.Router(configs.router(tick_s=0.01))
       with anyio.move_on_after(0.5):
         await router._supervise(_loop)
       return router.counts["loop_failures"]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -13,21 +13,15 @@
 from mustardfall.routing import retries
 from mustardfall.routing import scheduler
 from mustardfall.util import clock as clock_lib
+from tests import configs
 
 _URGENT = scheduler.Want("engine", "m", model.Klass.URGENT)
 _DEFERRABLE = scheduler.Want("engine", "m", model.Klass.DEFERRABLE)
 
 
 def _make(limit=4.0, state="live", **config):
-  listen = settings.Listen(port=0)
-  router = settings.Router(
-      name="r",
-      datacentre="dc",
-      listen=listen,
-      peer_listen=listen,
-      kv_url="",
-      hosts_url="",
-      scheduler=settings.Scheduler(initial_limit=limit, **config),
+  router = configs.router(
+      scheduler=settings.Scheduler(initial_limit=limit, **config)
   )
   table = endpoints.Table(router.scheduler)
   host = {"name": "e", "url": "u", "datacentre": "dc", "kind": "engine"}
