The rest of a part stays with its grant; ports outside the ephemeral range

An owner that had heard that the part ended, with only its reply lost, was spending that rest by itself: two holders of the same tokens, an overspend. parts.pml did not show it, since its owner never reused what came back. Besides: with 24 routers one failed to start with "address already in use": free ports were taken from the ephemeral range and given to an outgoing connection before the daemon bound them.

Ruled out: telling the owner that the ledger has the rest (the reply can be lost in that direction too); asking ports from the system again.

Change: SettlePart takes only what was used off the grant, and the whole part only after its holder has stopped (Reduce, which now names the parts still out). parts.pml lets the owner reuse what comes back. Ports come from 10240..31999, none twice. membership.owners bounds the owners of a region, so that KV writes grow with them and not with routers.

Conclusion: an overspend that needed a false suspicion and a lost reply is gone, and the model would show it now.

--- a/mustardfall/bench/fleet.py
+++ b/mustardfall/bench/fleet.py
@@ -9,6 +9,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -24,11 +25,30 @@
 MAHAKAMA_DCS = ("upperhill", "westlands", "industrial-area")
 
 
+_PORTS = range(10_240, 32_000)
+"""Below the range from which the system takes ports for connections."""
+_taken: set[int] = set()
+
+
 def free_port() -> int:
-  """Returns a TCP port on 127.0.0.1 that was free a moment ago."""
-  with contextlib.closing(socket.socket()) as s:
-    s.bind(("127.0.0.1", 0))
-    return s.getsockname()[1]
+  """Returns a TCP port on 127.0.0.1 that stays free until it is used.
+
+  A port that the system names as free may be given to an outgoing
+  connection before the process that it is meant for binds it: with 24
+  routers one failed to start for that. So ports come from outside that
+  range, and none is named twice.
+  """
+  while True:
+    port = random.choice(_PORTS)
+    if port in _taken:
+      continue
+    with contextlib.closing(socket.socket()) as s:
+      try:
+        s.bind(("127.0.0.1", port))
+      except OSError:
+        continue
+    _taken.add(port)
+    return port
 
 
 @dataclasses.dataclass
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -37,8 +37,6 @@
 """Recent op ids kept per budget, to answer a retried top-up."""
 _LOST_KEPT = 64
 """Written-off grants that can still be settled; older ones are summed."""
-_EDGE = 8
-"""Requests' worth of headroom below which a budget is near its end."""
 _ATTEMPTS = 8
 """Compare-and-swap attempts before a write is given up as unavailable."""
 
@@ -66,11 +64,8 @@
 
   At most `share` of the headroom is given (but never below `least` when
   that much is free), so that one holder cannot take a budget that others
-  draw on too, nor its death lose it. Near the end of a budget, when the
-  headroom is under `_EDGE` times `least`, `edge_share` of it is: grants
-  that shrank further would leave rests too small for any request.
-  `margin` of the limit is never given out: a cushion for engines that
-  generate more than they were allowed.
+  draw on too. `margin` of the limit is never given out: a cushion for
+  engines that generate more than they were allowed.
   """
 
   gid: str
@@ -78,7 +73,6 @@
   want: int
   share: float
   margin: float = 0.0
-  edge_share: float = 0.0
 
 
 class Settle(NamedTuple):
@@ -99,21 +93,28 @@
 
 
 class Reduce(NamedTuple):
-  """Ends a stopping holder's own use of `gid`, `release` tokens of it.
+  """Ends a stopping holder's own use of `gid`.
 
-  The holder exits while other routers still hold parts of its grant;
-  the rest stays granted, and they settle it here themselves.
+  The holder exits while other routers still hold parts of its grant:
+  `out` maps them to their tokens. These stay granted, and their holders
+  settle them here.
   """
 
   gid: str
   used: int
-  release: int
+  out: Mapping[str, int]
   parts: Mapping[str, int] = {}
   lost: Mapping[str, int] = {}
 
 
 class SettlePart(NamedTuple):
-  """Ends a part of `tokens` of grant `gid` whose holder has gone."""
+  """Bills a part of `tokens` of grant `gid` whose holder has gone.
+
+  Only what was used comes off the grant. The rest may not be given back:
+  the holder may only be paused, and may have heard that the part ended
+  (its reply was lost) and be spending the rest by itself. It is given
+  back when the holder settles, or after a holder that stopped for good.
+  """
 
   gid: str
   part: str
@@ -175,10 +176,7 @@
   if ledger is None or change.gid in ledger["grants"]:
     return None
   free = headroom(ledger) - int(ledger["limit"] * change.margin)
-  share = change.share
-  if free < _EDGE * change.least:
-    share = max(share, change.edge_share)
-  size = min(change.want, max(change.least, int(free * share)), free)
+  size = min(change.want, max(change.least, int(free * change.share)), free)
   if size < change.least:
     return None
   return {**ledger, "grants": {**ledger["grants"], change.gid: size}}
@@ -226,21 +224,17 @@
   if place is None or mark in ledger["ops"]:
     return None
   here = ledger["parts"].get(change.gid, {})
-  # Parts settled here have come off the grant already.
-  twice = sum(here.get(part, 0) for part in change.parts)
-  twice += sum(here.get(part, 0) for part in change.lost)
-  left = ledger[place][change.gid] - (change.release - twice)
+  kept = {p: n for p, n in change.out.items() if p not in here}
   marks = {**here, **dict.fromkeys([*change.parts, *change.lost], 0)}
   after = {
       **ledger,
-      place: {**ledger[place], change.gid: left},
+      place: {**ledger[place], change.gid: sum(kept.values())},
       "spent": ledger["spent"] + _used(change, ledger),
       "parts": {**ledger["parts"], change.gid: marks},
       "ops": _mark(ledger, mark),
   }
-  return _lose(
-      _drop_if_done(after, place, change.gid), _not_here(change, ledger)
-  )
+  after = _drop_if_done(after, place, change.gid)
+  return _lose(after, _not_here(change, ledger))
 
 
 @change_lib.apply.register
@@ -254,15 +248,14 @@
   here = ledger["parts"].get(change.gid, {})
   if change.part in here:
     return None
-  left = ledger[place][change.gid] - change.tokens
+  stopped = f"{change.gid}/reduced" in ledger["ops"]
+  off = change.tokens if stopped else change.used
+  marks = {**here, change.part: change.used}
   after = {
       **ledger,
-      place: {**ledger[place], change.gid: left},
+      place: {**ledger[place], change.gid: ledger[place][change.gid] - off},
       "spent": ledger["spent"] + change.used,
-      "parts": {
-          **ledger["parts"],
-          change.gid: {**here, change.part: change.tokens},
-      },
+      "parts": {**ledger["parts"], change.gid: marks},
   }
   return _drop_if_done(after, place, change.gid)
 
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -200,24 +200,23 @@
       self._refusals.note(budget, least, self._config.refusal_ttl_s)
     return True
 
-  def _grant(
-      self, gid: str, least: int, want: int, margin: float
-  ) -> ledger.Grant:
-    """Returns the change that takes a grant.
+  def _share(self) -> float:
+    """Returns the part of a budget's headroom that a grant may take.
 
-    An owner draws for its whole region, so near the end of a budget it
-    takes the region's whole part, to have it in one row.
+    An owner draws for its whole region, so it may take the region's part.
+    Grants that shrink with the headroom would leave many rows with a rest
+    too small for any request: at the edge of a budget, false refusals.
     """
-    share = self._config.headroom_share
-    edge_share = 1.0 / self._members.regions if self._config.owned else share
-    return ledger.Grant(gid, least, want, share, margin, edge_share)
+    if self._config.owned:
+      return 1.0 / self._members.regions
+    return self._config.headroom_share
 
   async def _grant_once(
       self, budget: str, least: int, want: int, margin: float
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
     gid = self.table.new_gid()
-    change = self._grant(gid, least, want, margin)
+    change = ledger.Grant(gid, least, want, self._share(), margin)
     self._asking.add(gid)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
--- a/mustardfall/budget/settling.py
+++ b/mustardfall/budget/settling.py
@@ -148,7 +148,5 @@
   """Returns the ledger change that ends `row`."""
   if not row.parts:
     return ledger.Settle(row.gid, row.own, row.parts_used, row.lost_parts)
-  release = row.granted - sum(p.tokens for p in row.parts.values())
-  return ledger.Reduce(
-      row.gid, row.own, release, row.parts_used, row.lost_parts
-  )
+  out = {name: part.tokens for name, part in row.parts.items()}
+  return ledger.Reduce(row.gid, row.own, out, row.parts_used, row.lost_parts)
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import hashlib
 import json
 import logging
 from typing import NamedTuple
@@ -80,9 +81,11 @@
     self._set_ring()
 
   def _set_ring(self) -> None:
-    near = sorted(
+    near = [
         m.life for m in self._by_name.values() if m.region == self.me.region
-    )
+    ]
+    # Few owners batch more: KV writes grow with owners, not with routers.
+    near = sorted(near, key=_rank)[: self._config.owners or None]
     if near == self._near:
       return  # a tenth of a second saved at each change of other regions
     self._near = near
@@ -207,6 +210,15 @@
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
 
+def _rank(life: str) -> bytes:
+  """Returns where `life` stands among those that may own budgets.
+
+  A hash, so that all routers agree, and a router's coming or going
+  changes the owners only if it is or becomes one.
+  """
+  return hashlib.blake2b(life.encode(), digest_size=8).digest()
+
+
 def _member(record: kv_client.Record) -> Member:
   data = json.loads(record.value)
   return Member(**{field: data[field] for field in Member._fields})
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -70,6 +70,8 @@
   """Term of a router's lease; it renews after a third of it."""
   grace_s: float = pydantic.Field(default=10.0, ge=0)
   """An absent router counts as gone after this long."""
+  owners: int = pydantic.Field(default=0, ge=0)
+  """How many routers of a region own budgets; 0: all of them."""
   watch_idle_s: float = pydantic.Field(default=6.0, gt=0)
   """A watch without a word for this long is opened again."""
   peer_timeout_s: float = pydantic.Field(default=0.4, gt=0)
--- a/spec/parts.pml
+++ b/spec/parts.pml
@@ -25,6 +25,7 @@
 
 /* the owner */
 byte own = 0;            /* tokens its own requests used */
+byte mine = GRANT;       /* tokens it may use itself */
 bool part_out = false;   /* handed on, not settled with the owner */
 byte part_used_known = 0;
 bool part_ended = false;
@@ -45,8 +46,9 @@
 
 active proctype Owner() {
   do
-  :: atomic {
-       owner_up && open && own < GRANT - PART -> own++; generated++
+  :: atomic { /* what is not out is its own to spend: a part that has
+                 ended gives its rest back to the owner */
+       owner_up && open && own < mine -> own++; generated++
      }
   :: /* settle all it knows, once nothing of it is out; one step, since
         a router's tables change only between two of its awaits */
@@ -71,8 +73,8 @@
      peer_asked = true;
      d_step {
        if
-       :: owner_up && open && !part_ended ->
-          part_out = true; peer_held = PART
+       :: owner_up && open && !part_ended && own + PART <= mine ->
+          part_out = true; peer_held = PART; mine = mine - PART
        :: else -> peer_done = true; peer_settled = true
        fi
      }
@@ -85,7 +87,8 @@
      d_step {
        if
        :: part_out ->
-          part_out = false; part_ended = true; part_used_known = peer_used
+          part_out = false; part_ended = true; part_used_known = peer_used;
+          mine = mine + PART - peer_used
        :: else -> skip
        fi;
        peer_settled = !lost
@@ -95,7 +98,12 @@
      d_step {
        if
        :: open && !part_here ->
-          granted = granted - PART; spent = spent + peer_used;
+#ifdef NAIVE_REST
+          granted = granted - PART;
+#else
+          granted = granted - peer_used;
+#endif
+          spent = spent + peer_used;
 #ifndef NAIVE_PART
           part_here = true
 #endif
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -119,11 +119,21 @@
     self.assertEqual(920, ledger.headroom(after))
     self.assertEqual({}, after["parts"])
 
+  def test_rest_of_a_part_is_not_given_back_twice(self):
+    # Router 1 heard that the part ended and spends its rest, but its
+    # reply was lost: router 2 takes it for gone and settles here. Given
+    # back here too, those 70 tokens would be spent by two.
+    after = _after(_GRANT, _PART)
+    self.assertEqual((30, 370), (after["spent"], after["grants"]["r1:x:1"]))
+    self.assertEqual(600, ledger.headroom(after))
+
   def test_stopping_holder_leaves_parts_to_their_holders(self):
     # Router 1 stops while router 2 still holds 100 of its 400 tokens:
     # 300 come back at once, the part is settled by router 2 later.
-    stopped = _after(_GRANT, ledger.Reduce("r1:x:1", 50, 300))
-    after = _after(_GRANT, ledger.Reduce("r1:x:1", 50, 300), _PART, _PART)
+    stopped = _after(_GRANT, ledger.Reduce("r1:x:1", 50, {"r2:y:1": 100}))
+    after = _after(
+        _GRANT, ledger.Reduce("r1:x:1", 50, {"r2:y:1": 100}), _PART, _PART
+    )
     self.assertEqual((50, 850), (stopped["spent"], ledger.headroom(stopped)))
     self.assertEqual((80, 920), (after["spent"], ledger.headroom(after)))
     self.assertEqual({}, after["grants"])
@@ -131,7 +141,7 @@
   def test_part_settled_before_its_holder_stops_leaves_no_grant(self):
     # Two routers stop at once: the part reaches the ledger before the
     # holder's own end does. No empty grant may stay behind.
-    after = _after(_GRANT, _PART, ledger.Reduce("r1:x:1", 50, 300))
+    after = _after(_GRANT, _PART, ledger.Reduce("r1:x:1", 50, {"r2:y:1": 100}))
     self.assertEqual((80, {}), (after["spent"], after["grants"]))
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -38,6 +38,25 @@
     moved = [b for b in before if before[b] != after[b]]
     self.assertEqual({"r3"}, {before[b] for b in moved})
 
+  def test_few_owners_change_only_with_an_owner(self):
+    # With a bound on owners, a restart of another router moves nothing;
+    # an owner's going brings in one newcomer.
+    config = settings.Membership(owners=3)
+    self.view = members.Members(
+        None, _member(0), config, self.clock, events.Bus()
+    )
+    self.view._replace([_member(i) for i in range(8)])
+    before = self._owners()
+    owners = set(before.values())
+    self.assertEqual(3, len(owners))
+    for i in range(1, 8):
+      self.view._replace([_member(j) for j in range(8) if j != i])
+      after = self._owners()
+      if f"r{i}" not in owners:
+        self.assertEqual(before, after)
+      else:
+        self.assertEqual(1, len(set(after.values()) - owners))
+
   def test_budgets_are_owned_in_the_own_region(self):
     far = [_member(i, "far") for i in range(10, 20)]
     self.view._replace([_member(0), _member(1), *far])
