A stopping holder's end is known however many ops came since

Cause: reading the ledger as a newcomer: Reduce marked itself in `ops`, of which 64 are kept. A stopping router whose last reply was lost, in an outage with 64 top-ups or more before its retry, would bill its use twice.

Ruled out: keeping more ops (a budget's value grows for all).

Change: the mark stands among the grant's parts and goes with the grant.

Conclusion: top-ups keep their 64 ops to themselves.

--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -37,6 +37,9 @@
 """Recent op ids kept per budget, to answer a retried top-up."""
 _LOST_KEPT = 64
 """Written-off grants that can still be settled; older ones are summed."""
+_STOPPED = "/stopped"
+"""Mark among a grant's parts; it stays as long as the grant does, so that
+a late repeat of the holder's end is known, however many ops came since."""
 _ATTEMPTS = 8
 """Compare-and-swap attempts before a write is given up as unavailable."""
 
@@ -220,18 +223,16 @@
 @change_lib.apply.register
 def _(change: Reduce, ledger: Ledger | None) -> Ledger | None:
   place = _place(ledger, change.gid)
-  mark = f"{change.gid}/reduced"
-  if place is None or mark in ledger["ops"]:
+  if place is None or _has_stopped(ledger, change.gid):
     return None
   here = ledger["parts"].get(change.gid, {})
   kept = {p: n for p, n in change.out.items() if p not in here}
-  marks = {**here, **dict.fromkeys([*change.parts, *change.lost], 0)}
+  marks = {**here, **dict.fromkeys([*change.parts, *change.lost, _STOPPED], 0)}
   after = {
       **ledger,
       place: {**ledger[place], change.gid: sum(kept.values())},
       "spent": ledger["spent"] + _used(change, ledger),
       "parts": {**ledger["parts"], change.gid: marks},
-      "ops": _mark(ledger, mark),
   }
   after = _drop_if_done(after, place, change.gid)
   return _lose(after, _not_here(change, ledger))
@@ -248,7 +249,7 @@
   here = ledger["parts"].get(change.gid, {})
   if change.part in here:
     return None
-  stopped = f"{change.gid}/reduced" in ledger["ops"]
+  stopped = _has_stopped(ledger, change.gid)
   off = change.tokens if stopped else change.used
   marks = {**here, change.part: change.used}
   after = {
@@ -260,10 +261,14 @@
   return _drop_if_done(after, place, change.gid)
 
 
+def _has_stopped(ledger: Ledger, gid: str) -> bool:
+  """Whether the holder of `gid` has ended its own use of it."""
+  return _STOPPED in ledger["parts"].get(gid, {})
+
+
 def _drop_if_done(ledger: Ledger, place: str, gid: str) -> Ledger:
   """Returns `ledger` without a stopped holder's grant that is used up."""
-  stopped = f"{gid}/reduced" in ledger["ops"]
-  if not stopped or ledger[place][gid] > 0:
+  if not _has_stopped(ledger, gid) or ledger[place][gid] > 0:
     return ledger
   return {
       **ledger,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -138,6 +138,14 @@
     self.assertEqual((80, 920), (after["spent"], ledger.headroom(after)))
     self.assertEqual({}, after["grants"])
 
+  def test_end_of_a_holder_repeated_late_is_billed_once(self):
+    # The reply to a stopping router's last write is lost in a long
+    # outage; many top-ups later it tries again. Its 50 are billed once.
+    end = ledger.Reduce("r1:x:1", 50, {"r2:y:1": 100})
+    top_ups = [ledger.TopUp(1, f"op-{i}") for i in range(100)]
+    after = _after(_GRANT, end, *top_ups, end)
+    self.assertEqual(50, after["spent"])
+
   def test_part_settled_before_its_holder_stops_leaves_no_grant(self):
     # Two routers stop at once: the part reaches the ledger before the
     # holder's own end does. No empty grant may stay behind.
