Partition test: ask for more than the whole budget

No refusal had to come, and none did. Not a fault of the product. By the same chance test_router_cut_off_from_kv_draws_on_the_owner would fail about once in 256 runs (one router owning all nine budgets it asks).

Ruled out: fixing the epochs in tests (hides the case where the cut router is not the owner).

Change: 22 requests, and what the cut router spent is checked against the budget before the top-up, which is stricter; all twenty budgets in the other test.

Conclusion: both tests hold whoever owns the budgets.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -197,7 +197,9 @@
     _ask(cut)
     self.inject("kv", blocked=["router-1"])
     self.fleet.signal("router-2", signal.SIGSTOP)  # the peer's side too
-    cut_results = [_ask(cut) for _ in range(12)]
+    # More than the whole budget: the cut router may own it and hold it all.
+    cut_results = [_ask(cut) for _ in range(22)]
+    self.assertLessEqual(used, _SMALL.tokens)
     self.fleet.signal("router-2", signal.SIGCONT)
     change = ledger.TopUp(2000, "t1")
     self.kv_do(lambda kv: ledger.write(kv, _SMALL.name, change))
@@ -213,13 +215,14 @@
     self.start(routers=2)
     self.inject("kv", blocked=["router-1"])
     served = 0
-    for entry in sample.catalogue().entries[10:19]:
+    entries = sample.catalogue().entries  # each router owns some of them
+    for entry in entries:
       try:
         served += self.ask(self.routers[0], 3, entry) is not None
       except openai.APIStatusError:
         pass
     self.assertGreaterEqual(served, 1)
-    self.assertLess(served, 9)
+    self.assertLess(served, len(entries))
 
   def test_frozen_router_is_written_off_then_bills_what_it_used(self):
     # A router is paused past its lease while a stream is open. The other
