--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -26,11 +26,12 @@
 """
 
 from collections.abc import Mapping
+import typing
 from typing import NamedTuple, TypedDict
 
 from mustardfall import errors
 from mustardfall.kv import change as change_lib
-from mustardfall.kv import client as kv_client
+from mustardfall.kv import protocol
 
 PREFIX = "budget/"
 _OPS_KEPT = 64
@@ -48,6 +49,8 @@
   """A budget's state in the KV; token counts throughout."""
 
   limit: int
+  limit_version: typing.NotRequired[int]
+  """Version of the configuration that `limit` is from, if from one."""
   spent: int
   grants: dict[str, int]
   lost: dict[str, int]
@@ -56,12 +59,34 @@
   ops: list[str]
 
 
+class Balance(NamedTuple):
+  """What is known of a budget, from the last look at its ledger."""
+
+  limit: int
+  spent: int
+  held: int
+  """Tokens that routers hold, or held when they died."""
+  at: float
+  """When the ledger was seen, monotonic seconds."""
+
+  def exhausts(self, tokens: int, limit: int) -> bool:
+    """Whether `tokens` cannot fit under `limit`, whoever holds what."""
+    return self.spent + tokens > max(limit, self.limit)
+
+
 class Create(NamedTuple):
   """Creates the budget with `tokens`, unless it exists."""
 
   tokens: int
 
 
+class Limit(NamedTuple):
+  """A budget's limit as a version of the configuration sets it."""
+
+  tokens: int
+  version: int
+
+
 class Grant(NamedTuple):
   """Sets `least` to `want` tokens aside for a holder, as grant `gid`.
 
@@ -69,6 +94,10 @@
   that much is free), so that one holder cannot take a budget that others
   draw on too. `margin` of the limit is never given out: a cushion for
   engines that generate more than they were allowed.
+
+  `limit`, where operators set limits by configuration, replaces the
+  ledger's unless that is from a newer version: a router that has not
+  heard of a reduced limit cannot bring the old one back.
   """
 
   gid: str
@@ -76,6 +105,7 @@
   want: int
   share: float
   margin: float = 0.0
+  limit: Limit | None = None
 
 
 class Settle(NamedTuple):
@@ -174,8 +204,20 @@
   )
 
 
+def _limited(ledger: Ledger | None, limit: Limit | None) -> Ledger | None:
+  """Returns `ledger` under `limit`, created if there is none yet."""
+  if limit is None:
+    return ledger
+  if ledger is None:
+    ledger = change_lib.apply(Create(limit.tokens), None)
+  elif ledger.get("limit_version", 0) >= limit.version:
+    return ledger
+  return {**ledger, "limit": limit.tokens, "limit_version": limit.version}
+
+
 @change_lib.apply.register
 def _(change: Grant, ledger: Ledger | None) -> Ledger | None:
+  ledger = _limited(ledger, change.limit)
   if ledger is None or change.gid in ledger["grants"]:
     return None
   free = headroom(ledger) - int(ledger["limit"] * change.margin)
@@ -319,14 +361,14 @@
   }
 
 
-async def read(kv: kv_client.Client, name: str) -> Ledger | None:
+async def read(kv: protocol.Store, name: str) -> Ledger | None:
   """Returns budget `name`'s ledger, or None when there is none."""
   record = await kv.get(key(name))
   return change_lib.decode(record.value) if record else None
 
 
 async def write(
-    kv: kv_client.Client, name: str, change: NamedTuple
+    kv: protocol.Store, name: str, change: NamedTuple
 ) -> Ledger | None:
   """Applies one change at once, without a `writer.Writer` (operators).
 
@@ -349,8 +391,8 @@
     sent = True
     try:
       result = await kv.txn(
-          [kv_client.Compare(key(name), "MOD", revision)],
-          [kv_client.put_op(key(name), change_lib.encode(after))],
+          [protocol.Compare(key(name), "MOD", revision)],
+          [protocol.Put(key(name), change_lib.encode(after))],
       )
     except errors.KvUnknownError:
       continue  # the re-read shows whether it landed
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -50,6 +50,8 @@
     peers: calls to other routers.
     writer: the batch writer to the KV.
     policy_of: returns a customer's policy.
+    limit_of: returns a budget's limit where the configuration sets it,
+      None where the ledger keeps its own.
   """
 
   def __init__(
@@ -60,6 +62,7 @@
       peers: peers_lib.Client,
       writer: writer_lib.Writer,
       policy_of: Callable[[str], policy_lib.Policy],
+      limit_of: Callable[[str], ledger.Limit | None] = lambda budget: None,
   ) -> None:
     self._config = config.allotment
     self._clock = clock
@@ -67,6 +70,7 @@
     self._peers = peers
     self._writer = writer
     self._policy_of = policy_of
+    self._limit_of = limit_of
     self.table = allotment.Table(members.me.life, config.allotment)
     self._settler = settling.Settler(self.table, members, peers, writer)
     self._counts: collections.Counter[str] = collections.Counter()
@@ -216,7 +220,9 @@
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
     gid = self.table.new_gid()
-    change = ledger.Grant(gid, least, want, self._share(), margin)
+    change = ledger.Grant(
+        gid, least, want, self._share(), margin, self._limit_of(budget)
+    )
     self._asking.add(gid)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
@@ -316,6 +322,11 @@
     """Ends grants in a ledger that nobody draws on; see `settling`."""
     self._settler.sweep(budget, found, self._asking)
 
+  def retire(self, budget: str) -> None:
+    """Gives the budget's idle tokens back, soon; the rest as they end."""
+    for row in self.table.retire(budget):
+      self._settler.settle_row(row)
+
   async def serve_recall(self, budget: str) -> None:
     """Gives idle tokens of `budget` back before answering."""
     with anyio.CancelScope(shield=True):
--- a/mustardfall/catalogue/store.py
+++ b/mustardfall/catalogue/store.py
@@ -24,6 +24,7 @@
 from mustardfall.catalogue import model
 from mustardfall.catalogue import table as table_lib
 from mustardfall.kv import client as kv_client
+from mustardfall.kv import protocol
 from mustardfall.kv import writer as writer_lib
 from mustardfall.util import clock as clock_lib
 
@@ -52,12 +53,12 @@
   entries: list[model.EntrySpec]
 
 
-def _entry(record: kv_client.Record) -> model.EntrySpec:
+def _entry(record: protocol.Record) -> model.EntrySpec:
   data = json.loads(record.value)
   return settings.parse(data, model.EntrySpec, record.key)
 
 
-def _head(record: kv_client.Record) -> table_lib.Head:
+def _head(record: protocol.Record) -> table_lib.Head:
   data = json.loads(record.value)
   return table_lib.Head(
       [
@@ -162,13 +163,13 @@
   """Returns the operations that turn what is there into `spec`."""
   there = {e.name: e for e in found.entries}
   ops = [
-      kv_client.put_op(ENTRY + e.name, _encode(e))
+      protocol.Put(ENTRY + e.name, _encode(e))
       for e in spec.entries
       if there.get(e.name) != e
   ]
   if not only:
     wanted = {e.name for e in spec.entries}
-    ops += [kv_client.delete_op(ENTRY + n) for n in there if n not in wanted]
+    ops += [protocol.Delete(ENTRY + n) for n in there if n not in wanted]
   _check_keys(there, spec, only)
   return ops
 
@@ -215,8 +216,8 @@
   ).encode()
   try:
     result = await kv.txn(
-        [kv_client.Compare(HEAD, "MOD", revision)],
-        [*ops, kv_client.put_op(HEAD, value)],
+        [protocol.Compare(HEAD, "MOD", revision)],
+        [*ops, protocol.Put(HEAD, value)],
     )
   except errors.KvUnknownError:
     # Lost reply: the write may have landed. It did if the head is ours:
@@ -295,7 +296,7 @@
     async for event in changes:
       self.take(event)
 
-  def take(self, event: kv_client.Event) -> None:
+  def take(self, event: protocol.Event) -> None:
     """Puts one change in force, unless it is older than what is."""
     record = event.record
     if record.key == HEAD:
--- a/mustardfall/errors.py
+++ b/mustardfall/errors.py
@@ -17,9 +17,29 @@
   """A write was sent but no reply came: it may have taken effect."""
 
 
+class PeerUnavailableError(Error):
+  """Another router gave no usable answer; the call may have taken effect."""
+
+
 class CatalogueRaceLostError(Error):
   """Another operator changed the catalogue first; nothing was written."""
 
 
 class CrossedAnswerError(Error):
   """An engine sent an event of another answer; the stream must end."""
+
+
+class BadRequestError(Error):
+  """A caller's request is malformed; `status` is what it is told."""
+
+  def __init__(self, reason: str, status: int = 400) -> None:
+    super().__init__(reason)
+    self.status = status
+
+
+class EndpointUnreachableError(Error):
+  """No connection to an endpoint could be made: the request was not sent."""
+
+
+class BrokenAnswerError(Error):
+  """An endpoint's answer ended early or is not one: it may have run."""
--- /dev/null
+++ b/mustardfall/gateway.py
@@ -0,0 +1,246 @@
+"""The entry host's application object for deployments behind an adapter.
+
+Like `router.Router`, but what it serves is described by the operators'
+configuration of a platform: routes, services, teams with prepaid budgets.
+The adapter gives it a store, a dialect and news of the deployment; all
+decisions are here and in the parts it wires.
+"""
+
+from collections.abc import Awaitable, Callable
+import json
+import logging
+
+import anyio
+from anyio import abc
+
+from mustardfall import accounts as accounts_lib
+from mustardfall import errors
+from mustardfall import events
+from mustardfall import metrics
+from mustardfall import settings
+from mustardfall.budget import ledger
+from mustardfall.budget import policy
+from mustardfall.kv import protocol
+from mustardfall.proxy import calls
+from mustardfall.proxy import forwarder as forwarder_lib
+from mustardfall.proxy import front
+from mustardfall.proxy import internal
+from mustardfall.proxy import links as links_lib
+from mustardfall.proxy import messages
+from mustardfall.routing import configuration
+from mustardfall.routing import directory as directory_lib
+from mustardfall.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+_POLICY = policy.Policy(margin=0.01, patience_s=0.25)
+"""A hundredth is never granted: a request of ours that was cut off between
+its check and its send (a frozen host) may run after its tokens were given
+on. The wait lets reservations of answers that just ended come back."""
+_RELEASE_S = 3.0
+"""After SIGTERM, callers' idle connections are kept this long: the balancer
+asks every second and takes a host out after two misses, and whoever uses
+the connection meanwhile is told that it closes."""
+_HAND_BACK_S = 1.2
+"""Kept of the time after SIGTERM for handing the budgets back."""
+
+
+class Gateway:
+  """One router of a platform deployment.
+
+  Args:
+    config: the router's settings, whole.
+    clock: the time source.
+    dialect: the deployment's headers.
+    make_store: makes the store's client from a caller.
+  """
+
+  def __init__(
+      self,
+      config: settings.Router,
+      clock: clock_lib.Clock,
+      dialect: messages.Dialect,
+      make_store: Callable[[calls.Caller], protocol.Store],
+  ) -> None:
+    self.config = config
+    self.clock = clock
+    self.bus = events.Bus()
+    self.instruments = metrics.Instruments(config.name)
+    self.links = links_lib.Links(clock)
+    self.kv = make_store(calls.Caller(self.links))
+    self._peer_caller = calls.Caller(self.links)
+    self.directory = directory_lib.Directory(config.scheduler, clock)
+    self.accounts = accounts_lib.Accounts(
+        config,
+        clock,
+        self.kv,
+        self.bus,
+        self._post,
+        lambda customer: _POLICY,
+        self._limit_of,
+    )
+    self._dialect = dialect
+    self.stopping = False
+    self.front: front.Front | None = None
+
+  async def _post(self, url: str, body: dict, timeout_s: float) -> dict:
+    """Calls another router; see `peers.Post`."""
+    address, _, path = url.removeprefix("http://").partition("/")
+    try:
+      reply = await self._peer_caller.call(
+          address, "POST", f"/{path}", json.dumps(body).encode(), timeout_s
+      )
+      if reply.status != 200:  # noqa: PLR2004
+        raise errors.PeerUnavailableError(f"status {reply.status}")
+      return json.loads(reply.body)
+    except (
+        errors.EndpointUnreachableError,
+        errors.BrokenAnswerError,
+        ValueError,
+    ) as exc:
+      raise errors.PeerUnavailableError(repr(exc)) from exc
+
+  def _limit_of(self, budget: str) -> ledger.Limit | None:
+    config = self.directory.configuration
+    team = config.teams.get(budget) if config else None
+    if config is None or team is None or team.prepaid is None:
+      return None
+    return ledger.Limit(team.prepaid, config.version)
+
+  def take_configuration(self, new: configuration.Configuration) -> None:
+    """Puts a newer configuration in force, and reduced budgets with it."""
+    old = self.directory.configuration
+    if not self.directory.take_configuration(new) or old is None:
+      return
+    for name, team in new.teams.items():
+      before = old.teams.get(name)
+      if before is None or team.prepaid == before.prepaid:
+        continue
+      logger.info(
+          "budget limit changed",
+          extra={
+              "budget": name,
+              "before": before.prepaid,
+              "after": team.prepaid,
+              "version": new.version,
+          },
+      )
+      if (team.prepaid or 0) < (before.prepaid or 0):
+        # Tokens granted under the old limit may not fit under the new
+        # one; they go back, and are granted anew if they do.
+        self.accounts.pool.retire(name)
+
+  @property
+  def ready(self) -> bool:
+    """Whether the balancer should send callers here."""
+    return self.directory.configuration is not None and not self.stopping
+
+  async def run(
+      self,
+      adapter_loops: list[Callable[[], Awaitable[None]]],
+      ready: settings.Listen,
+      stop: anyio.Event,
+      stop_s: float,
+  ) -> None:
+    """Serves until `stop` is set and all is handed back.
+
+    Args:
+      adapter_loops: the adapter's followers, run supervised.
+      ready: where the balancer asks.
+      stop: set at SIGTERM.
+      stop_s: seconds from `stop` to the end, at most.
+    """
+    async with anyio.create_task_group() as tasks:
+      forwarder = forwarder_lib.Forwarder(
+          self.config,
+          self.clock,
+          self._dialect,
+          self.directory,
+          self.accounts,
+          self.links,
+          tasks,
+          self.instruments,
+      )
+      self.front = front.Front(
+          self._dialect,
+          forwarder.handle,
+          lambda: self.directory.limits,
+          self.clock,
+      )
+      for loop in (
+          *adapter_loops,
+          *self.accounts.loops(),
+          self._run_systems,
+      ):
+        tasks.start_soon(
+            accounts_lib.supervise,
+            loop,
+            self.config.tick_s,
+            lambda: self.instruments.outcomes.add(
+                1, {"outcome": "loop failed"}
+            ),
+        )
+      self._serve_internal(tasks, ready)
+      listen = self.config.listen
+      tasks.start_soon(self.front.serve, listen.host, listen.port)
+      logger.info("started", extra={"listen": listen.port})
+      await stop.wait()
+      await self._stop(self.front, stop_s)
+      tasks.cancel_scope.cancel()
+
+  def _serve_internal(
+      self, tasks: abc.TaskGroup, ready: settings.Listen
+  ) -> None:
+    """Serves other routers, the balancer's question and the metrics."""
+    peer = self.config.peer_listen
+    handler = internal.Handler(self.accounts, {})
+    pages = [
+        (handler.handle, peer.host, peer.port),
+        (
+            internal.ReadyHandler(lambda: self.ready).handle,
+            ready.host,
+            ready.port,
+        ),
+    ]
+    if self.config.proxy.metrics_port:
+      text = internal.TextHandler(self.instruments.render)
+      pages.append((text.handle, peer.host, self.config.proxy.metrics_port))
+    for handle, host, port in pages:
+      served = front.Front(
+          internal.Dialect(),
+          handle,
+          lambda: configuration.DEFAULT_LIMITS,
+          self.clock,
+      )
+      tasks.start_soon(served.serve, host, port)
+
+  async def _run_systems(self) -> None:
+    """Runs the systems over the tables each tick."""
+    last = self.clock.monotonic()
+    while True:
+      await anyio.sleep(self.config.tick_s)
+      now = self.clock.monotonic()
+      self.accounts.pool.tick(now - last)
+      self.directory.endpoints.tick(now)
+      await self.links.close_idle()
+      last = now
+
+  async def _stop(self, served: front.Front, stop_s: float) -> None:
+    """Finishes what is in flight and hands the budgets back."""
+    ends = self.clock.monotonic() + stop_s
+    self.stopping = True
+    logger.info("stopping", extra={"in_flight": served.in_flight})
+    await anyio.sleep(min(_RELEASE_S, stop_s / 2))
+    served.stop_idle()
+    left_s = ends - self.clock.monotonic() - _HAND_BACK_S
+    finished = await served.finish(max(0.0, left_s))
+    with anyio.move_on_after(max(0.1, ends - self.clock.monotonic())):
+      await self.accounts.hand_back()
+      await self.accounts.writer.flush(_HAND_BACK_S)
+    logger.info(
+        "stopped",
+        extra={
+            "finished": finished,
+            "unwritten": self.accounts.writer.backlog,
+        },
+    )
--- a/mustardfall/kv/client.py
+++ b/mustardfall/kv/client.py
@@ -8,49 +8,19 @@
 
 import base64
 from collections.abc import AsyncIterator
+import functools
 import json
-from typing import Any, NamedTuple
+from typing import Any
 
 import httpx
 
 from mustardfall import errors
+from mustardfall.kv import protocol
 
 CLIENT_HEADER = "x-mustardfall-client"
 """Names the caller to the stand-in, which can cut it off (a partition)."""
 
 
-class Record(NamedTuple):
-  """One key as the service holds it."""
-
-  key: str
-  value: bytes
-  mod_revision: int
-  version: int
-
-
-class Event(NamedTuple):
-  """One change seen by a watch; `value` is empty when deleted."""
-
-  deleted: bool
-  record: Record
-
-
-class Compare(NamedTuple):
-  """One condition of a transaction: `target` of `key` equals `expected`."""
-
-  key: str
-  target: str  # "MOD" or "VERSION"
-  expected: int
-
-
-class TxnResult(NamedTuple):
-  """Whether the compares held, the revision, and records read."""
-
-  succeeded: bool
-  revision: int
-  records: list[Record]
-
-
 def _b64(text: str | bytes) -> str:
   raw = text.encode() if isinstance(text, str) else text
   return base64.b64encode(raw).decode()
@@ -66,8 +36,8 @@
   return _b64(bytes(raw))
 
 
-def _record(kv: dict[str, Any]) -> Record:
-  return Record(
+def _record(kv: dict[str, Any]) -> protocol.Record:
+  return protocol.Record(
       key=_unb64(kv["key"]).decode(),
       value=_unb64(kv.get("value", "")),
       mod_revision=int(kv.get("mod_revision", 0)),
@@ -75,22 +45,28 @@
   )
 
 
-def put_op(key: str, value: bytes, lease: int = 0) -> dict[str, Any]:
-  """Returns a put operation for `txn`."""
-  op: dict[str, Any] = {"key": _b64(key), "value": _b64(value)}
-  if lease:
-    op["lease"] = str(lease)
-  return {"request_put": op}
+@functools.singledispatch
+def _encode_op(op: protocol.Op) -> dict[str, Any]:
+  """Returns `op` as the gateway spells it."""
+  raise TypeError(f"no operation: {op!r}")
+
+
+@_encode_op.register
+def _(op: protocol.Put) -> dict[str, Any]:
+  fields: dict[str, Any] = {"key": _b64(op.key), "value": _b64(op.value)}
+  if op.lease:
+    fields["lease"] = str(op.lease)
+  return {"request_put": fields}
 
 
-def delete_op(key: str) -> dict[str, Any]:
-  """Returns a delete operation for `txn`."""
-  return {"request_delete_range": {"key": _b64(key)}}
+@_encode_op.register
+def _(op: protocol.Delete) -> dict[str, Any]:
+  return {"request_delete_range": {"key": _b64(op.key)}}
 
 
-def range_op(key: str) -> dict[str, Any]:
-  """Returns a single-key read operation for `txn`."""
-  return {"request_range": {"key": _b64(key)}}
+@_encode_op.register
+def _(op: protocol.Read) -> dict[str, Any]:
+  return {"request_range": {"key": _b64(op.key)}}
 
 
 class Client:
@@ -138,18 +114,18 @@
     reply.raise_for_status()
     return reply.json()
 
-  async def get(self, key: str) -> Record | None:
+  async def get(self, key: str) -> protocol.Record | None:
     """Returns the record at `key`, or None when there is none."""
     body = await self._call("/v3/kv/range", {"key": _b64(key)})
     kvs = body.get("kvs") or []
     return _record(kvs[0]) if kvs else None
 
-  async def get_many(self, keys: list[str]) -> dict[str, Record]:
+  async def get_many(self, keys: list[str]) -> dict[str, protocol.Record]:
     """Returns the records found at `keys`, read in one call."""
-    result = await self.txn([], [range_op(k) for k in keys])
+    result = await self.txn([], [protocol.Read(k) for k in keys])
     return {record.key: record for record in result.records}
 
-  async def get_prefix(self, prefix: str) -> tuple[int, list[Record]]:
+  async def get_prefix(self, prefix: str) -> tuple[int, list[protocol.Record]]:
     """Returns the revision and every record whose key starts so."""
     body = await self._call(
         "/v3/kv/range", {"key": _b64(prefix), "range_end": _prefix_end(prefix)}
@@ -159,7 +135,7 @@
 
   async def get_pages(
       self, prefix: str, limit: int
-  ) -> AsyncIterator[tuple[int, list[Record]]]:
+  ) -> AsyncIterator[tuple[int, list[protocol.Record]]]:
     """Yields what `get_prefix` returns, `limit` records at a time.
 
     Pages may be read at different revisions: whoever needs one state
@@ -179,16 +155,16 @@
 
   async def put(self, key: str, value: bytes, lease: int = 0) -> int:
     """Writes `value` at `key`; returns the new revision."""
-    op = put_op(key, value, lease)["request_put"]
+    op = _encode_op(protocol.Put(key, value, lease))["request_put"]
     body = await self._call("/v3/kv/put", op)
     return int(body.get("header", {}).get("revision", 0))
 
   async def txn(
       self,
-      compares: list[Compare],
-      success: list[dict[str, Any]],
-      failure: list[dict[str, Any]] | None = None,
-  ) -> TxnResult:
+      compares: list[protocol.Compare],
+      success: list[protocol.Op],
+      failure: list[protocol.Op] | None = None,
+  ) -> protocol.TxnResult:
     """Runs a compare-and-swap transaction.
 
     Returns:
@@ -207,15 +183,15 @@
             }
             for c in compares
         ],
-        "success": success,
-        "failure": failure or [],
+        "success": [_encode_op(op) for op in success],
+        "failure": [_encode_op(op) for op in failure or []],
     }
     reply = await self._call("/v3/kv/txn", body)
     records = []
     for response in reply.get("responses") or []:
       for kv in response.get("response_range", {}).get("kvs") or []:
         records.append(_record(kv))
-    return TxnResult(
+    return protocol.TxnResult(
         succeeded=bool(reply.get("succeeded", False)),
         revision=int(reply.get("header", {}).get("revision", 0)),
         records=records,
@@ -237,7 +213,7 @@
 
   async def watch(
       self, prefix: str, start_revision: int, idle_s: float
-  ) -> AsyncIterator[Event]:
+  ) -> AsyncIterator[protocol.Event]:
     """Yields every change under `prefix` from `start_revision` on.
 
     Progress notifications are asked for, so a healthy watch is never
@@ -272,6 +248,6 @@
             raise errors.KvUnavailableError("watch: cancelled, history gone")
           for event in result.get("events") or []:
             deleted = event.get("type", "PUT") == "DELETE"
-            yield Event(deleted, _record(event["kv"]))
+            yield protocol.Event(deleted, _record(event["kv"]))
     except httpx.HTTPError as exc:
       raise errors.KvUnavailableError(f"watch: {exc!r}") from exc
--- a/mustardfall/kv/writer.py
+++ b/mustardfall/kv/writer.py
@@ -18,7 +18,7 @@
 from mustardfall import errors
 from mustardfall import settings
 from mustardfall.kv import change as change_lib
-from mustardfall.kv import client as kv_client
+from mustardfall.kv import protocol
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -65,7 +65,7 @@
 
   def __init__(
       self,
-      kv: kv_client.Client,
+      kv: protocol.Store,
       config: settings.Writer,
       clock: clock_lib.Clock,
       on_value: Callable[[str, change_lib.Value], None] | None = None,
@@ -266,15 +266,14 @@
 
   async def _swap(self, values: dict[str, change_lib.Value]) -> bool:
     compares = [
-        kv_client.Compare(key, "MOD", self._seen[key].revision)
-        for key in values
+        protocol.Compare(key, "MOD", self._seen[key].revision) for key in values
     ]
     puts = [
-        kv_client.put_op(key, change_lib.encode(value), self._lease_of(key))
+        protocol.Put(key, change_lib.encode(value), self._lease_of(key))
         for key, value in values.items()
     ]
     result = await self._kv.txn(
-        compares, puts, [kv_client.range_op(key) for key in values]
+        compares, puts, [protocol.Read(key) for key in values]
     )
     self.counts["transactions"] += 1
     if result.succeeded:
@@ -288,7 +287,7 @@
       self._remember(key, found.get(key))
     return False
 
-  def _remember(self, key: str, record: kv_client.Record | None) -> None:
+  def _remember(self, key: str, record: protocol.Record | None) -> None:
     if record is None:
       self._keep(key, _ABSENT)
     else:
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -18,7 +18,7 @@
 from mustardfall import errors
 from mustardfall import events
 from mustardfall import settings
-from mustardfall.kv import client as kv_client
+from mustardfall.kv import protocol
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -59,7 +59,7 @@
 
   def __init__(
       self,
-      kv: kv_client.Client,
+      kv: protocol.Store,
       me: Member,
       config: settings.Membership,
       clock: clock_lib.Clock,
@@ -185,7 +185,7 @@
       self._in_touch_since = None
       await anyio.sleep(_RETRY_S)
 
-  def _take(self, event: kv_client.Event) -> None:
+  def _take(self, event: protocol.Event) -> None:
     members = dict(self._by_name)
     if event.deleted:
       members.pop(event.record.key.removeprefix(PREFIX), None)
@@ -219,6 +219,6 @@
   return hashlib.blake2b(life.encode(), digest_size=8).digest()
 
 
-def _member(record: kv_client.Record) -> Member:
+def _member(record: protocol.Record) -> Member:
   data = json.loads(record.value)
   return Member(**{field: data[field] for field in Member._fields})
--- a/mustardfall/membership/peers.py
+++ b/mustardfall/membership/peers.py
@@ -5,18 +5,28 @@
 answered by asking again or by settling the part as unused.
 """
 
-from typing import NamedTuple
-
-import httpx
+from collections.abc import Awaitable, Callable
+import logging
+from typing import Any, NamedTuple
 
+from mustardfall import errors
 from mustardfall import settings
 from mustardfall.membership import members
 
+logger = logging.getLogger(__name__)
+
 RESERVE_PATH = "/peer/reserve"
 SETTLE_PATH = "/peer/settle"
 RECALL_PATH = "/peer/recall"
 
 
+Post = Callable[[str, dict[str, Any], float], Awaitable[dict[str, Any]]]
+"""Posts a JSON body to a URL with a timeout in seconds, returns the answer.
+
+Raises `errors.PeerUnavailableError` when there was no answer.
+"""
+
+
 class Ask(NamedTuple):
   """Asks the owner of `budget` for `least` to `want` tokens as `part`."""
 
@@ -50,14 +60,12 @@
   """Calls other routers.
 
   Args:
-    http: an HTTP client.
+    post: makes the calls.
     config: timeouts.
   """
 
-  def __init__(
-      self, http: httpx.AsyncClient, config: settings.Membership
-  ) -> None:
-    self._http = http
+  def __init__(self, post: Post, config: settings.Membership) -> None:
+    self._send = post
     self._config = config
     self.calls = 0
 
@@ -65,12 +73,14 @@
     """Returns the answer, or None when there was none."""
     self.calls += 1
     try:
-      reply = await self._http.post(
-          member.url + path, json=body, timeout=self._config.peer_timeout_s
+      return await self._send(
+          member.url + path, body, self._config.peer_timeout_s
+      )
+    except errors.PeerUnavailableError as exc:
+      logger.info(
+          "peer call failed",
+          extra={"peer": member.life, "call": path, "error": str(exc)},
       )
-      reply.raise_for_status()
-      return reply.json()
-    except (httpx.HTTPError, ValueError):
       return None
 
   async def reserve(self, owner: members.Member, ask: Ask) -> Handed | None:
--- /dev/null
+++ b/mustardfall/platform/store.py
@@ -0,0 +1,265 @@
+"""A client of the platform's store; serves `kv.protocol.Store`."""
+
+import base64
+from collections.abc import AsyncIterator
+import json
+import logging
+from typing import Any
+import urllib.parse
+
+from mustardfall import errors
+from mustardfall.kv import protocol
+from mustardfall.proxy import calls as calls_lib
+from mustardfall.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+_CALL_S = 0.45
+"""A call takes 4 ms, and 240 ms when the store is slow sixtyfold."""
+_PAUSE_S = 0.3
+"""After a call that failed, others fail at once for this long: a request
+that needs the store must not wait for one that is away."""
+_WATCH_MOST_S = 30.0
+_WATCH_SLACK_S = 0.6
+"""How much later than asked a watch may answer before it is taken for
+dead: connections can go silent for good."""
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+_HISTORY_GONE = 410
+_NOT_DONE = (403, 429, 503)
+"""The store did nothing."""
+
+
+def _record(item: dict[str, Any]) -> protocol.Record:
+  """Decodes an item; `rev` is the revision of its last change."""
+  return protocol.Record(
+      key=item["key"],
+      value=base64.b64decode(item.get("value") or ""),
+      mod_revision=item.get("rev", 0),
+      version=0,
+  )
+
+
+def _query(path: str, **fields: object) -> str:
+  return f"{path}?{urllib.parse.urlencode(fields)}"
+
+
+class Store:
+  """Talks to the platform's store.
+
+  Args:
+    address: `HOST:PORT`.
+    caller: makes the calls.
+    clock: the time source.
+  """
+
+  def __init__(
+      self, address: str, caller: calls_lib.Caller, clock: clock_lib.Clock
+  ) -> None:
+    self._address = address
+    self._caller = caller
+    self._clock = clock
+    self._paused_until = -float("inf")
+    self._lost_at: float | None = None
+
+  @property
+  def calls(self) -> int:
+    """Calls made."""
+    return self._caller.calls
+
+  @property
+  def reachable(self) -> bool:
+    """Whether the last call was answered."""
+    return self._lost_at is None
+
+  async def close(self) -> None:
+    """Does nothing: the connections are the caller's."""
+
+  def _note(self, error: str | None) -> None:
+    """Notes whether a call was answered, and logs when that changes."""
+    now = self._clock.monotonic()
+    if error is None:
+      if self._lost_at is not None:
+        away_s = round(now - self._lost_at, 3)
+        logger.info("store regained", extra={"away_s": away_s})
+      self._lost_at = None
+      self._paused_until = -float("inf")
+      return
+    self._paused_until = now + _PAUSE_S
+    if self._lost_at is None:
+      self._lost_at = now
+      logger.warning("store lost", extra={"error": error})
+
+  async def _call(
+      self,
+      method: str,
+      target: str,
+      body: dict[str, Any] | None = None,
+      timeout_s: float = _CALL_S,
+      eager: bool = False,
+  ) -> calls_lib.Reply:
+    """Makes one call.
+
+    Args:
+      method: the HTTP method.
+      target: path and query.
+      body: sent as JSON.
+      timeout_s: seconds.
+      eager: try even right after a failure; followers do.
+
+    Raises:
+      errors.KvUnavailableError: it had no effect.
+      errors.KvUnknownError: it may have had.
+    """
+    if not eager and self._clock.monotonic() < self._paused_until:
+      raise errors.KvUnavailableError("store away")
+    content = b"" if body is None else json.dumps(body).encode()
+    try:
+      reply = await self._caller.call(
+          self._address, method, target, content, timeout_s
+      )
+    except errors.EndpointUnreachableError as exc:
+      self._note(str(exc))
+      raise errors.KvUnavailableError(str(exc)) from exc
+    except errors.BrokenAnswerError as exc:
+      self._note(str(exc))
+      raise errors.KvUnknownError(str(exc)) from exc
+    if reply.status in _NOT_DONE:
+      self._note(f"status {reply.status}")
+      raise errors.KvUnavailableError(f"{target}: status {reply.status}")
+    self._note(None)
+    return reply
+
+  def _parse(self, reply: calls_lib.Reply, target: str) -> dict[str, Any]:
+    if reply.status != _OK:
+      raise errors.KvUnknownError(f"{target}: status {reply.status}")
+    try:
+      return json.loads(reply.body)
+    except ValueError as exc:
+      raise errors.KvUnknownError(f"{target}: {exc}") from exc
+
+  async def get(self, key: str) -> protocol.Record | None:
+    """Returns the record at `key`, or None when there is none."""
+    target = _query("/-/kv-key", key=key)
+    reply = await self._call("GET", target, eager=True)
+    if reply.status == _NOT_FOUND:
+      return None
+    return _record(self._parse(reply, target))
+
+  async def get_many(self, keys: list[str]) -> dict[str, protocol.Record]:
+    """Returns the records found at `keys`."""
+    found = {}
+    for key in keys:
+      record = await self.get(key)
+      if record is not None:
+        found[key] = record
+    return found
+
+  async def get_prefix(self, prefix: str) -> tuple[int, list[protocol.Record]]:
+    """Returns the first page's revision and all records under `prefix`."""
+    records: list[protocol.Record] = []
+    revision = 0
+    after = ""
+    while True:
+      fields = (
+          {"prefix": prefix, "after": after} if after else {"prefix": prefix}
+      )
+      target = _query("/-/kv-range", **fields)
+      reply = await self._call("GET", target, eager=True)
+      body = self._parse(reply, target)
+      revision = revision or body["store_revision"]
+      records += [_record(item) for item in body["items"]]
+      if not body.get("has_more") or not body["items"]:
+        return revision, records
+      after = records[-1].key
+
+  async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    """Writes `value` at `key`; returns the new revision."""
+    result = await self.txn([], [protocol.Put(key, value, lease)])
+    return result.revision
+
+  async def txn(
+      self,
+      compares: list[protocol.Compare],
+      success: list[protocol.Op],
+      failure: list[protocol.Op] | None = None,
+  ) -> protocol.TxnResult:
+    """Runs a compare-and-swap transaction.
+
+    The store always returns what the conditions found when they fail, so
+    the reads in `failure` need not be sent.
+    """
+    del failure
+    puts = [op for op in success if isinstance(op, protocol.Put)]
+    body = {
+        "precondition": [{"key": c.key, "rev": c.expected} for c in compares],
+        "set_keys": [
+            {
+                "key": op.key,
+                "value": base64.b64encode(op.value).decode(),
+                "lease": op.lease,
+            }
+            for op in puts
+        ],
+        "delete": [op.key for op in success if isinstance(op, protocol.Delete)],
+    }
+    reply = await self._call("POST", "/-/kv-txn", body)
+    if reply.status == _NOT_FOUND:
+      raise errors.KvUnavailableError("the lease has ended")
+    if reply.status == _CONFLICT:
+      items = json.loads(reply.body).get("items") or []
+      records = [_record(item) for item in items if item.get("rev")]
+      return protocol.TxnResult(False, 0, records)
+    revision = self._parse(reply, "txn")["rev"]
+    return protocol.TxnResult(True, revision, [])
+
+  async def grant_lease(self, ttl_s: int) -> int:
+    """Grants a lease of `ttl_s` seconds; returns its id."""
+    body = {"ttl_ms": ttl_s * 1000}
+    reply = await self._call("POST", "/-/kv-lease", body)
+    return self._parse(reply, "lease")["lease"]
+
+  async def keep_alive(self, lease: int) -> int:
+    """Renews `lease`; returns the TTL left, 0 when it has lapsed."""
+    reply = await self._call("POST", f"/-/kv-keep/{lease}")
+    if reply.status == _NOT_FOUND:
+      return 0
+    return max(1, self._parse(reply, "keep")["ttl_ms"] // 1000)
+
+  async def revoke_lease(self, lease: int) -> None:
+    """Ends `lease`; the keys under it are deleted."""
+    await self._call("DELETE", f"/-/kv-lease-end/{lease}")
+
+  async def watch(
+      self, prefix: str, start_revision: int, idle_s: float
+  ) -> AsyncIterator[protocol.Event]:
+    """Yields every change under `prefix` from `start_revision` on.
+
+    Each call waits for `idle_s` at most, so that a connection that has
+    gone silent is noticed soon after.
+
+    Raises:
+      errors.KvUnavailableError: the watch broke, or the history is gone;
+        read again, then watch.
+    """
+    after = start_revision - 1
+    wait_s = min(idle_s, _WATCH_MOST_S)
+    while True:
+      target = _query(
+          "/-/kv-watch",
+          prefix=prefix,
+          after=after,
+          wait_ms=int(wait_s * 1000),
+      )
+      reply = await self._call(
+          "GET", target, timeout_s=wait_s + _WATCH_SLACK_S, eager=True
+      )
+      if reply.status == _HISTORY_GONE:
+        raise errors.KvUnavailableError("watch: history gone")
+      body = self._parse(reply, target)
+      for event in body["events"]:
+        deleted = bool(event.get("removed"))
+        yield protocol.Event(deleted, _record(event))
+      after = max(after, body["store_revision"])
--- /dev/null
+++ b/mustardfall/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The data path: callers' HTTP in front, endpoints' HTTP behind."""
--- /dev/null
+++ b/mustardfall/proxy/calls.py
@@ -0,0 +1,93 @@
+"""Short calls with whole answers: to the store and to other routers."""
+
+from typing import NamedTuple
+
+import anyio
+
+from mustardfall import errors
+from mustardfall.proxy import exchange as exchange_lib
+from mustardfall.proxy import links as links_lib
+from mustardfall.proxy import messages
+
+_MOST_BYTES = 16_777_216
+_CONNECT_SHARE = 0.6
+"""Part of a call's time that opening a connection may take."""
+
+
+class Reply(NamedTuple):
+  """A call's answer."""
+
+  status: int
+  body: bytes
+
+
+class Caller:
+  """Makes calls over kept connections.
+
+  Args:
+    links: the connections.
+    headers: sent with each call.
+  """
+
+  def __init__(
+      self, links: links_lib.Links, headers: tuple[messages.Header, ...] = ()
+  ) -> None:
+    self._links = links
+    self._headers = headers
+    self.calls = 0
+
+  async def call(
+      self,
+      address: str,
+      method: str,
+      target: str,
+      body: bytes,
+      timeout_s: float,
+  ) -> Reply:
+    """Returns the answer to one call.
+
+    Raises:
+      errors.EndpointUnreachableError: not sent.
+      errors.BrokenAnswerError: sent, and no whole answer came in time.
+    """
+    self.calls += 1
+    deadline = anyio.current_time() + timeout_s
+    link = await self._links.acquire(address, timeout_s * _CONNECT_SHARE)
+    headers = [
+        (b"host", address.encode()),
+        (b"content-type", b"application/json"),
+        *self._headers,
+    ]
+    exchange = exchange_lib.Exchange(
+        self._links, link, method.encode(), target.encode(), headers, body
+    )
+    try:
+      with anyio.CancelScope(deadline=deadline) as scope:
+        answer = await exchange.start(_decode_answer, "")
+        content = await exchange.read_body(_MOST_BYTES)
+        return Reply(answer.status, content)
+    finally:
+      await exchange.close()
+    assert scope.cancelled_caught
+    raise errors.BrokenAnswerError(f"{target}: no answer in {timeout_s} s")
+
+
+def _decode_answer(
+    status: int, headers: list[messages.Header]
+) -> messages.Answer:
+  last_use = any(
+      name == b"connection" and b"close" in value for name, value in headers
+  )
+  return messages.Answer(
+      status=status,
+      request_id="",
+      signed=False,
+      not_run=False,
+      misdirected=False,
+      encoded=False,
+      events=False,
+      load=None,
+      idle_s=None,
+      last_use=last_use,
+      headers=(),
+  )
--- /dev/null
+++ b/mustardfall/proxy/front.py
@@ -0,0 +1,341 @@
+"""The HTTP front: callers' connections, one request at a time on each.
+
+It checks what callers may send, reads requests whole, tells the handler
+when a caller leaves, and never lets a failed answer look complete.
+"""
+
+from collections.abc import Awaitable, Callable
+import logging
+import re
+
+import anyio
+from anyio import abc
+import h11
+
+from mustardfall import errors
+from mustardfall.proxy import messages
+from mustardfall.routing import configuration
+from mustardfall.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+_READ_BYTES = 65_536
+_MOST_PIPELINED_BYTES = 262_144
+"""Bytes of later requests read while one is served. The read goes on only
+to notice that the caller has left; past this it waits, which bounds memory."""
+_LINGER_S = 0.5
+"""How long bytes are still taken after the last answer. Closing while
+unread bytes wait resets the connection, and the caller may lose the answer
+that it has not read yet."""
+_BACKLOG = 512
+_FOLDED = re.compile(rb"\n[ \t]")
+_LENGTH = re.compile(rb"\ncontent-length[ \t]*:", re.IGNORECASE)
+_CODING = re.compile(rb"\ntransfer-encoding[ \t]*:", re.IGNORECASE)
+_GONE = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+
+
+class Responder:
+  """Writes the answer to one request.
+
+  An answer that was started and not ended is cut off by closing the
+  connection, so that it never looks complete.
+  """
+
+  def __init__(self, session: "_Session") -> None:
+    self._session = session
+    self.started = False
+    self.ended = False
+
+  async def answer(
+      self, status: int, headers: list[messages.Header], body: bytes = b""
+  ) -> None:
+    """Sends a whole answer."""
+    self.started = True
+    length = (b"content-length", b"%d" % len(body))
+    head = h11.Response(
+        status_code=status, headers=[*headers, length, *self._ending()]
+    )
+    await self._session.send(head, h11.Data(data=body), h11.EndOfMessage())
+    self.ended = True
+
+  async def start(self, status: int, headers: list[messages.Header]) -> None:
+    """Sends the head of an answer whose body follows in chunks."""
+    self.started = True
+    chunked = (b"transfer-encoding", b"chunked")
+    await self._session.send(
+        h11.Response(
+            status_code=status, headers=[*headers, chunked, *self._ending()]
+        )
+    )
+
+  async def write(self, data: bytes) -> None:
+    """Sends a piece of the body."""
+    await self._session.send(h11.Data(data=data))
+
+  async def end(self) -> None:
+    """Sends the end of the body."""
+    await self._session.send(h11.EndOfMessage())
+    self.ended = True
+
+  def _ending(self) -> list[messages.Header]:
+    return [(b"connection", b"close")] if self._session.is_last else []
+
+
+Handler = Callable[[messages.Request, bytes, Responder], Awaitable[None]]
+
+
+class Front:
+  """Accepts callers' connections and hands their requests on.
+
+  Args:
+    dialect: knows the deployment's headers.
+    handler: serves one request; cancelled when its caller leaves.
+    limits: returns the limits in force.
+    clock: the time source.
+  """
+
+  def __init__(
+      self,
+      dialect: messages.Dialect,
+      handler: Handler,
+      limits: Callable[[], configuration.Limits],
+      clock: clock_lib.Clock,
+  ) -> None:
+    self.dialect = dialect
+    self.handler = handler
+    self.limits = limits
+    self.clock = clock
+    self.stopping = False
+    self.in_flight = 0
+    self._waiting: set[anyio.CancelScope] = set()
+    """Scopes of connections that wait for a request."""
+
+  async def serve(self, host: str, port: int) -> None:
+    """Serves until cancelled."""
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=port, backlog=_BACKLOG
+    )
+    async with listener:
+      await listener.serve(self._serve_connection)
+
+  async def _serve_connection(self, stream: abc.SocketStream) -> None:
+    session = _Session(self, stream)
+    try:
+      await session.run()
+    except* _GONE:
+      pass  # the caller has gone; what it asked for was cancelled
+    except* Exception:  # noqa: BLE001  one connection must not end the rest
+      logger.exception("connection failed")
+    finally:
+      with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(stream)
+
+  def wait_scope(self, timeout_s: float) -> anyio.CancelScope:
+    """Returns a scope for waiting on an idle connection."""
+    return anyio.CancelScope(deadline=anyio.current_time() + timeout_s)
+
+  def stop_idle(self) -> None:
+    """Closes idle connections; those with a request end after it."""
+    self.stopping = True
+    for scope in list(self._waiting):
+      scope.cancel()
+
+  async def finish(self, timeout_s: float) -> bool:
+    """Waits for requests in flight; returns whether all ended."""
+    with anyio.move_on_after(timeout_s):
+      while self.in_flight:
+        await anyio.sleep(0.02)
+    return not self.in_flight
+
+
+class _Session:
+  """One caller's connection."""
+
+  def __init__(self, front: Front, stream: abc.SocketStream) -> None:
+    self._front = front
+    self._stream = stream
+    self._parser = self._new_parser()
+    self._raw = bytearray()
+    """The head being read, as received."""
+    self._ended = False
+    self.is_last = False
+    """Whether the connection closes after the answer being sent."""
+
+  def _new_parser(self) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER,
+        max_incomplete_event_size=self._front.limits().header_bytes,
+    )
+
+  async def run(self) -> None:
+    """Serves requests until the connection ends."""
+    while await self._serve_one():
+      rest, _ = self._parser.trailing_data
+      # A parser per request: the limits may have changed meanwhile.
+      self._parser = self._new_parser()
+      self._raw = bytearray(rest)
+      if rest:
+        self._parser.receive_data(rest)
+    await self._linger()
+
+  async def _serve_one(self) -> bool:
+    """Serves one request; returns whether another may follow."""
+    responder = Responder(self)
+    try:
+      head = await self._read_head()
+      if head is None:
+        return False
+      request = self._decode(head)
+      body = await self._read_body()
+    except errors.BadRequestError as exc:
+      await self._refuse(responder, exc)
+      return False
+    self.is_last = self._front.stopping or _asks_close(head)
+    self._front.in_flight += 1
+    try:
+      await self._handle(request, body, responder)
+    finally:
+      self._front.in_flight -= 1
+    return responder.ended and not self.is_last and not self._ended
+
+  async def _refuse(
+      self, responder: Responder, exc: errors.BadRequestError
+  ) -> None:
+    self.is_last = True
+    logger.info("request malformed", extra={"reason": str(exc)})
+    headers = self._front.dialect.encode_refusal("", None)
+    if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+      await responder.answer(exc.status, headers, str(exc).encode())
+
+  async def _read_head(self) -> h11.Request | None:
+    """Returns the next request's head; None when there is none."""
+    limits = self._front.limits()
+    if not self._raw and not await self._wait_for_bytes(
+        limits.idle_timeout.total_seconds()
+    ):
+      return None
+    with anyio.move_on_after(limits.header_timeout.total_seconds()):
+      event = await self._next_event()
+      if isinstance(event, h11.ConnectionClosed):
+        return None
+      self._check_head()
+      return event
+    raise errors.BadRequestError("head took too long", 408)
+
+  async def _wait_for_bytes(self, timeout_s: float) -> bool:
+    """Waits for a request to begin; returns whether one did."""
+    if self._front.stopping:
+      return False
+    scope = self._front.wait_scope(timeout_s)
+    self._front._waiting.add(scope)  # noqa: SLF001
+    try:
+      with scope:
+        await self._receive()
+    finally:
+      self._front._waiting.discard(scope)  # noqa: SLF001
+    return bool(self._raw)
+
+  async def _receive(self) -> None:
+    """Reads once from the connection."""
+    try:
+      data = await self._stream.receive(_READ_BYTES)
+    except anyio.EndOfStream:
+      data = b""
+      self._ended = True
+    if self._parser.their_state is h11.IDLE:
+      self._raw += data
+    self._parser.receive_data(data)
+
+  async def _next_event(self) -> h11.Event:
+    try:
+      while (event := self._parser.next_event()) is h11.NEED_DATA:
+        if self._parser.they_are_waiting_for_100_continue:
+          await self.send(
+              h11.InformationalResponse(status_code=100, headers=[])
+          )
+        await self._receive()
+    except h11.RemoteProtocolError as exc:
+      raise errors.BadRequestError(str(exc), exc.error_status_hint) from exc
+    return event
+
+  def _check_head(self) -> None:
+    """Refuses heads that two programs might read differently.
+
+    An endpoint that sees another end of the body than this router would
+    run a request that was hidden inside it. The parser mends folded
+    lines and repeated lengths, so they are looked for in the raw bytes.
+    """
+    end = self._raw.find(b"\r\n\r\n")
+    head = bytes(self._raw if end < 0 else self._raw[: end + 2])
+    if _FOLDED.search(head):
+      raise errors.BadRequestError("folded header")
+    lengths = len(_LENGTH.findall(head))
+    if lengths > 1 or (lengths and _CODING.search(head)):
+      raise errors.BadRequestError("ambiguous body length")
+
+  def _decode(self, head: h11.Request) -> messages.Request:
+    return self._front.dialect.decode_request(
+        head.method, head.target, list(head.headers)
+    )
+
+  async def _read_body(self) -> bytes:
+    limits = self._front.limits()
+    body = bytearray()
+    while True:
+      with anyio.move_on_after(limits.idle_timeout.total_seconds()) as scope:
+        event = await self._next_event()
+      if scope.cancelled_caught:
+        raise errors.BadRequestError("body took too long", 408)
+      if isinstance(event, h11.EndOfMessage):
+        return bytes(body)
+      if not isinstance(event, h11.Data):
+        raise errors.BadRequestError("body ended early")
+      body += event.data
+      if len(body) > limits.body_bytes:
+        raise errors.BadRequestError("body too large", 413)
+
+  async def _handle(
+      self, request: messages.Request, body: bytes, responder: Responder
+  ) -> None:
+    async with anyio.create_task_group() as tg:
+      tg.start_soon(self._watch, tg.cancel_scope)
+      await self._front.handler(request, body, responder)
+      tg.cancel_scope.cancel()
+
+  async def _watch(self, scope: anyio.CancelScope) -> None:
+    """Cancels the request when its caller leaves."""
+    held = 0
+    try:
+      while held < _MOST_PIPELINED_BYTES:
+        data = await self._stream.receive(_READ_BYTES)
+        held += len(data)
+        self._parser.receive_data(data)
+    except (anyio.EndOfStream, *_GONE):
+      self._ended = True
+      scope.cancel()
+
+  async def send(self, *events: h11.Event) -> None:
+    """Sends events of an answer."""
+    data = b"".join(self._parser.send(event) or b"" for event in events)
+    if data:
+      await self._stream.send(data)
+
+  async def _linger(self) -> None:
+    """Ends the connection so that the last answer still arrives."""
+    if self._ended:
+      return
+    with anyio.move_on_after(_LINGER_S):
+      await self._stream.send_eof()
+      while True:
+        await self._stream.receive(_READ_BYTES)
+
+
+def _asks_close(head: h11.Request) -> bool:
+  for name, value in head.headers:
+    if name == b"connection" and b"close" in value.lower():
+      return True
+  return head.http_version < b"1.1"
--- /dev/null
+++ b/mustardfall/proxy/links.py
@@ -0,0 +1,127 @@
+"""Connections to endpoints, the store and other routers, kept for reuse."""
+
+import collections
+import dataclasses
+
+import anyio
+from anyio import abc
+
+from mustardfall import errors
+from mustardfall.util import clock as clock_lib
+from mustardfall.util import sockets
+
+_IDLE_S = 4.0
+"""How long an idle connection is kept when its server names no time.
+Servers close idle ones after several seconds; a request that crosses such
+a close may have run, as far as the sender can tell."""
+_IDLE_MARGIN_S = 1.0
+"""Kept this much shorter than the server says: it says whole seconds, and
+the request takes time to arrive."""
+_IDLE_PER_ADDRESS = 8
+"""Idle connections kept per address; a router seldom has more requests
+than this at one endpoint, and each costs memory on both sides."""
+
+
+@dataclasses.dataclass
+class Link:
+  """One connection, used by one request at a time."""
+
+  address: str
+  stream: abc.SocketStream
+  rest: bytes = b""
+  """Bytes received beyond the answers read so far."""
+  idle_until: float = 0.0
+  used: bool = False
+  """Whether it has carried a request before."""
+
+  async def close(self) -> None:
+    """Closes at once, so that the server sees that nobody waits."""
+    with anyio.CancelScope(shield=True):
+      await anyio.aclose_forcefully(self.stream)
+
+
+class Links:
+  """Connections by address.
+
+  Args:
+    clock: the time source.
+  """
+
+  def __init__(self, clock: clock_lib.Clock) -> None:
+    self._clock = clock
+    self._idle: dict[str, collections.deque[Link]] = {}
+    self.open: collections.Counter[str] = collections.Counter()
+    """Connections per address, idle ones included."""
+    self.opened = 0
+
+  async def acquire(
+      self, address: str, timeout_s: float, fresh: bool = False
+  ) -> Link:
+    """Returns a connection to `address` that is thought to be sound.
+
+    Args:
+      address: `HOST:PORT`.
+      timeout_s: how long a new connection may take, seconds.
+      fresh: open a new one even if an idle one is there.
+
+    Raises:
+      errors.EndpointUnreachableError: no connection could be made.
+    """
+    while not fresh and (link := self._pop(address)) is not None:
+      if self._clock.monotonic() < link.idle_until and not sockets.is_readable(
+          link.stream
+      ):
+        return link
+      # Closed by its server, past its time, or an answer that nobody
+      # asked for is waiting on it: never to be used again.
+      await self.discard(link)
+    try:
+      stream = await sockets.connect(address, timeout_s)
+    except OSError as exc:
+      raise errors.EndpointUnreachableError(f"{address}: {exc!r}") from exc
+    self.open[address] += 1
+    self.opened += 1
+    return Link(address, stream)
+
+  def _pop(self, address: str) -> Link | None:
+    idle = self._idle.get(address)
+    if not idle:
+      return None
+    link = idle.pop()
+    if not idle:
+      del self._idle[address]
+    return link
+
+  async def release(self, link: Link, idle_s: float | None) -> None:
+    """Keeps a connection whose last answer ended cleanly."""
+    keep_s = _IDLE_S if idle_s is None else idle_s - _IDLE_MARGIN_S
+    idle = self._idle.setdefault(link.address, collections.deque())
+    if keep_s <= 0 or len(idle) >= _IDLE_PER_ADDRESS:
+      await self.discard(link)
+      return
+    link.used = True
+    link.idle_until = self._clock.monotonic() + keep_s
+    idle.append(link)
+
+  async def discard(self, link: Link) -> None:
+    """Closes a connection for good."""
+    self.open[link.address] -= 1
+    if not self.open[link.address]:
+      del self.open[link.address]
+    await link.close()
+
+  async def close_idle(self, keep: frozenset[str] = frozenset()) -> None:
+    """Closes idle connections that are past their time.
+
+    Args:
+      keep: addresses still in use; those of others are closed at once.
+    """
+    now = self._clock.monotonic()
+    for address, idle in list(self._idle.items()):
+      for link in list(idle):
+        if now < link.idle_until and (not keep or address in keep):
+          continue
+        idle.remove(link)
+        await self.discard(link)
+      if not idle:
+        self._idle.pop(address, None)
--- /dev/null
+++ b/mustardfall/proxy/refusals.py
@@ -0,0 +1,84 @@
+"""The router's own final answers, and what each of them promises."""
+
+from typing import Any
+
+from mustardfall.budget import ledger
+
+
+class RefusalError(Exception):
+  """Ends a request with an answer of the router's own.
+
+  408, 421, 429 and 503 promise that the request has not run and never
+  will; they may be raised only while that is certain.
+
+  Args:
+    status: the HTTP status.
+    reason: for the caller and the log.
+    retry_after_s: when to come back; None: don't.
+    facts: what the decision was taken on, for the log.
+  """
+
+  def __init__(
+      self,
+      status: int,
+      reason: str,
+      retry_after_s: float | None = None,
+      facts: Any = None,
+  ) -> None:
+    super().__init__(reason)
+    self.status = status
+    self.reason = reason
+    self.retry_after_s = retry_after_s
+    self.facts = facts
+
+
+_START_S = 0.5
+"""A starting router knows its configuration within about this time."""
+
+
+def unknown_configuration() -> RefusalError:
+  """No configuration has been read yet."""
+  return RefusalError(503, "no configuration yet", _START_S)
+
+
+def no_route(version: int) -> RefusalError:
+  """No route matches."""
+  return RefusalError(404, "no such route", facts={"version": version})
+
+
+def unknown_key(version: int) -> RefusalError:
+  """No team holds the API key."""
+  return RefusalError(401, "unknown API key", facts={"version": version})
+
+
+def exhausted(balance: ledger.Balance) -> RefusalError:
+  """The budget cannot cover the request, whatever comes back to it."""
+  return RefusalError(402, "budget used up", facts=balance._asdict())
+
+
+def no_tokens(
+    balance: ledger.Balance | None, retry_after_s: float
+) -> RefusalError:
+  """The budget's tokens are held elsewhere, or out of reach."""
+  facts = balance._asdict() if balance else None
+  return RefusalError(429, "budget cannot cover it now", retry_after_s, facts)
+
+
+def no_endpoint(retry_after_s: float) -> RefusalError:
+  """No endpoint would take it."""
+  return RefusalError(503, "no endpoint free", retry_after_s)
+
+
+def too_late(retry_after_s: float) -> RefusalError:
+  """Its time was over before it was sent anywhere."""
+  return RefusalError(503, "not sent in time", retry_after_s)
+
+
+def timed_out() -> RefusalError:
+  """Its time was over while an endpoint was at work on it."""
+  return RefusalError(504, "no answer in time")
+
+
+def failed() -> RefusalError:
+  """It may have run, and there is no whole answer."""
+  return RefusalError(502, "answer lost")
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -8,26 +8,21 @@
 """
 
 import collections
-from collections.abc import Awaitable, Callable
 import logging
 import secrets
 
 import anyio
 import httpx
 
+from mustardfall import accounts
 from mustardfall import errors
 from mustardfall import events
 from mustardfall import idempotency
 from mustardfall import metrics
 from mustardfall import settings
-from mustardfall.budget import ledger
 from mustardfall.budget import policy
-from mustardfall.budget import pool
 from mustardfall.catalogue import store
 from mustardfall.kv import client as kv_client
-from mustardfall.kv import writer as writer_lib
-from mustardfall.membership import members as members_lib
-from mustardfall.membership import peers as peers_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import orders
 from mustardfall.routing import retries
@@ -66,32 +61,22 @@
         timeout=httpx.Timeout(60.0, connect=1.0, pool=1.0), limits=_HTTP_LIMITS
     )
     self.kv = kv_client.Client(config.kv_url, config.name, config.kv_timeout_s)
-    self.writer = writer_lib.Writer(
-        self.kv, config.writer, self.clock, self._on_value, self._lease_of
-    )
     self.catalogue = store.Follower(
         self.kv, self.bus, self.clock, config.membership.watch_idle_s
     )
-    peer = config.peer_listen
-    me = members_lib.Member(
-        name=config.name,
-        epoch=secrets.token_hex(4),
-        url=f"http://{peer.host}:{peer.port}",
-        datacentre=config.datacentre,
-        region=config.region,
-    )
-    self.members = members_lib.Members(
-        self.kv, me, config.membership, self.clock, self.bus
-    )
-    self.peers = peers_lib.Client(self.http, config.membership)
-    self.pool = pool.Pool(
+    self.accounts = accounts.Accounts(
         config,
         self.clock,
-        self.members,
-        self.peers,
-        self.writer,
+        self.kv,
+        self.bus,
+        self._post,
         self._policy_of,
+        lease_of=self._lease_of,
     )
+    self.writer = self.accounts.writer
+    self.members = self.accounts.members
+    self.peers = self.accounts.peers
+    self.pool = self.accounts.pool
     self.endpoints = endpoints.Table(config.scheduler)
     self.scheduler = scheduler.Scheduler(config, self.endpoints, self.clock)
     self._poller = endpoints.Poller(self.http, config.hosts_url)
@@ -105,7 +90,6 @@
     )
     self.retries = retries.RetryBudget()
     self._record_lease = 0
-    self.bus.connect(events.Name.LEDGER_READ, lambda e: self.pool.sweep(*e))
     self.bus.connect(
         events.Name.ENDPOINTS_CHANGED, lambda _: self.scheduler.dispatch()
     )
@@ -118,11 +102,6 @@
   def _policy_of(self, customer: str) -> policy.Policy:
     return self.catalogue.current.policy_of(customer)
 
-  def _on_value(self, key: str, value: dict) -> None:
-    if key.startswith(ledger.PREFIX):
-      name = key.removeprefix(ledger.PREFIX)
-      self.bus.emit(events.Name.LEDGER_READ, (name, value))
-
   def _lease_of(self, key: str) -> int:
     """Records of calls lapse by a lease; budgets stay for ever."""
     return self._record_lease if key.startswith(idempotency.PREFIX) else 0
@@ -180,10 +159,13 @@
       self.scheduler.tick(now - last)
       last = now
 
-  async def _settle_parts(self) -> None:
-    while True:
-      await anyio.sleep(self.config.tick_s)
-      await self.pool.settle_parts()
+  async def _post(self, url: str, body: dict, timeout_s: float) -> dict:
+    try:
+      reply = await self.http.post(url, json=body, timeout=timeout_s)
+      reply.raise_for_status()
+      return reply.json()
+    except (httpx.HTTPError, ValueError) as exc:
+      raise errors.PeerUnavailableError(repr(exc)) from exc
 
   async def _renew_record_lease(self) -> None:
     """Opens a new lease for call records now and then, never renewed."""
@@ -202,32 +184,19 @@
     """Runs the router's loops until cancelled."""
     async with anyio.create_task_group() as tg:
       for loop in (
-          self.writer.run,
+          *self.accounts.loops(),
           self.catalogue.follow,
-          self.members.register,
-          self.members.follow,
-          self.pool.refill,
           self._renew_record_lease,
           self._watch_hosts,
           self._run_systems,
-          self._settle_parts,
           self.orders.run,
       ):
-        tg.start_soon(self._supervise, loop)
-
-  async def _supervise(self, loop: Callable[[], Awaitable[None]]) -> None:
-    """Runs a loop, again whenever it breaks.
-
-    A fault in one loop must not end the process: that would cut every
-    open stream off and write this router's allotments off.
-    """
-    while True:
-      try:
-        await loop()
-      except Exception:  # noqa: BLE001  whatever it is, streams go on
-        self._count("loop_failures")
-        logger.exception("loop failed", extra={"loop": loop.__qualname__})
-      await anyio.sleep(self.config.tick_s)
+        tg.start_soon(
+            accounts.supervise,
+            loop,
+            self.config.tick_s,
+            lambda: self._count("loop_failures"),
+        )
 
   def begin_stop(self) -> None:
     """Takes the router out of the balancer; it still serves."""
@@ -235,8 +204,7 @@
 
   async def hand_back(self) -> None:
     """Hands every allotment back; called after the drain."""
-    await self.members.leave()
-    await self.pool.stop()
+    await self.accounts.hand_back()
 
   async def finish(self) -> None:
     """Writes what is left, once other routers cannot call any more."""
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -34,6 +34,8 @@
   limit: float
   """Requests this router keeps in flight there at most; steered."""
   in_flight: int = 0
+  reported: int = 0
+  """Requests there of all routers, as it last said; decays each tick."""
   failures: int = 0
   """Failures lately; decays each tick."""
   shrunk_at: float = -float("inf")
@@ -164,6 +166,7 @@
     """
     for row in self.rows.values():
       row.failures = max(0, row.failures - 1)
+      row.reported = row.reported // 2
       if row.awaiting:
         waited = now - min(row.awaiting.values())
         if waited > self._config.target_s:
--- /dev/null
+++ b/mustardfall/routing/placement.py
@@ -0,0 +1,72 @@
+"""Which endpoint a request goes to: the one that should answer soonest.
+
+The expected time is added up from what this router knows: requests at
+the endpoint, the prompt tokens it would have to read (those of shared
+parts are in its cache if it has served them before), recent failures and
+the way there. Requests that share a prompt prefix agree on an endpoint by
+rendezvous hashing, so that a part is read by one engine and not by all;
+once that one is busy enough that reading the part again elsewhere is
+quicker, the next in order takes over.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+from mustardfall.routing import endpoints
+
+_REQUEST_S = 0.015
+"""What one more request at an endpoint adds to the time to a first token:
+a step of a batch is some 4 ms, and a chunk of another's prompt now and
+then takes 30 ms (2,048 tokens at 64 a ms)."""
+_READ_S_PER_TOKEN = 1 / 55_000
+"""Prompt reading of the engines: 51 to 64 tokens a ms."""
+_FAILURE_S = 0.25
+"""What each recent failure is held to cost: as much as a try that fails."""
+_FAR_S = 0.004
+"""Another data centre: some 1 ms more each way, and its bytes cost money.
+Small, so that it decides only between endpoints that are equally busy."""
+
+
+class Prompt(NamedTuple):
+  """What places a generation: the prefix that it shares with others."""
+
+  prefix: str
+  tokens: int
+
+
+NO_PROMPT = Prompt("", 0)
+
+
+def expected_s(
+    row: endpoints.Row, rank: int, prompt: Prompt, datacentre: str
+) -> float:
+  """Returns the seconds until `row` would begin to answer.
+
+  Args:
+    row: the endpoint.
+    rank: its place in the prefix's order; 0 holds the prefix.
+    prompt: what the request shares.
+    datacentre: the router's own.
+  """
+  busy = max(row.in_flight, row.reported) * _REQUEST_S
+  read = prompt.tokens * _READ_S_PER_TOKEN if rank else 0.0
+  far = 0.0 if row.datacentre == datacentre else _FAR_S
+  return busy + read + far + row.failures * _FAILURE_S
+
+
+def choose(
+    rows: list[endpoints.Row], prompt: Prompt, datacentre: str
+) -> endpoints.Row | None:
+  """Returns the endpoint that should answer soonest; None without any."""
+  ordered = sorted(rows, key=lambda row: _weight(prompt.prefix, row.name))
+  ranks = {row.name: rank for rank, row in enumerate(ordered)}
+  return min(
+      rows,
+      key=lambda row: expected_s(row, ranks[row.name], prompt, datacentre),
+      default=None,
+  )
+
+
+def _weight(prefix: str, name: str) -> bytes:
+  """Returns an endpoint's place in a prefix's order, alike on all routers."""
+  return hashlib.blake2b(f"{prefix} {name}".encode(), digest_size=8).digest()
--- a/mustardfall/routing/retries.py
+++ b/mustardfall/routing/retries.py
@@ -12,14 +12,21 @@
 
 
 class RetryBudget:
-  """Counts what may be retried."""
+  """Counts what may be retried.
 
-  def __init__(self) -> None:
-    self._saved = _BURST
+  Args:
+    ratio: retries allowed per request, over time.
+    burst: retries that may be saved up.
+  """
+
+  def __init__(self, ratio: float = _RATIO, burst: float = _BURST) -> None:
+    self._ratio = ratio
+    self._burst = burst
+    self._saved = burst
 
   def deposit(self) -> None:
     """Counts one request."""
-    self._saved = min(_BURST, self._saved + _RATIO)
+    self._saved = min(self._burst, self._saved + self._ratio)
 
   def withdraw(self) -> bool:
     """Returns whether one retry may be made, and pays for it."""
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -96,6 +96,19 @@
   """While both wait, one in this many freed places is deferrable's."""
 
 
+class Proxy(_Base):
+  """How callers' requests are sent to endpoints."""
+
+  reserve_s: float = pydantic.Field(default=0.35, gt=0)
+  """Longest a request waits for tokens of its budget, seconds."""
+  retry_ratio: float = pydantic.Field(default=0.15, ge=0)
+  """Second sends per request and service, over time."""
+  retry_burst: float = pydantic.Field(default=4.0, ge=0)
+  """Second sends that may be saved up, per service."""
+  metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
+  """TCP port that serves the metrics as text; 0: none."""
+
+
 class Records(_Base):
   """How long outcomes of calls with an Idempotency-Key are kept."""
 
@@ -130,6 +143,7 @@
   membership: Membership = Membership()
   scheduler: Scheduler = Scheduler()
   records: Records = Records()
+  proxy: Proxy = Proxy()
   log_level: str = "INFO"
 
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -12,7 +12,7 @@
 from mustardfall.catalogue import model
 from mustardfall.catalogue import store
 from mustardfall.catalogue import table
-from mustardfall.kv import client as kv_client
+from mustardfall.kv import protocol
 from mustardfall.util import clock
 from tests import kvfake
 
@@ -183,8 +183,8 @@
   def _event(self, revision, entry, deleted=False):
     value = b"" if deleted else store._encode(entry)
     key = store.ENTRY + entry.name
-    record = kv_client.Record(key, value, revision, 1)
-    return kv_client.Event(deleted, record)
+    record = protocol.Record(key, value, revision, 1)
+    return protocol.Event(deleted, record)
 
   def test_follower_never_goes_back_a_revision(self):
     # A late watch event or stale read carries an older catalogue; the
