--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -199,6 +199,25 @@
     self.rows[gid] = Row(budget, gid, granted, now, source, source_gid)
     self.by_budget.setdefault(budget, []).append(gid)
 
+  def growing(self, budget: str) -> Row | None:
+    """Returns the row of the budget that further grants go to, if any."""
+    for gid in reversed(self.by_budget.get(budget, ())):
+      row = self.rows[gid]
+      if not row.source and not row.retiring:
+        return row
+    return None
+
+  def grow(self, gid: str, granted: int, now: float) -> None:
+    """Notes what the ledger shows as granted to a row.
+
+    A grant only grows while its holder lives, so an older sight of the
+    ledger is known by the smaller number.
+    """
+    row = self.rows.get(gid)
+    if row is not None and granted > row.granted:
+      row.granted = granted
+      row.taken_at = now
+
   def hand_on(
       self, budget: str, part: str, least: int, want: int, share: float
   ) -> tuple[int, str]:
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -95,6 +95,12 @@
   draw on too. `margin` of the limit is never given out: a cushion for
   engines that generate more than they were allowed.
 
+  `base` is what the holder knows to have been granted under `gid` before:
+  0 takes a new grant, more raises one that it holds. One grant that grows
+  keeps a holder's free tokens together; many would each keep a rest that
+  is too small for any request. A ledger that shows more than `base` has
+  taken this change already, its reply was lost.
+
   `limit`, where operators set limits by configuration, replaces the
   ledger's unless that is from a newer version: a router that has not
   heard of a reduced limit cannot bring the old one back.
@@ -106,6 +112,7 @@
   share: float
   margin: float = 0.0
   limit: Limit | None = None
+  base: int = 0
 
 
 class Settle(NamedTuple):
@@ -218,13 +225,24 @@
 @change_lib.apply.register
 def _(change: Grant, ledger: Ledger | None) -> Ledger | None:
   ledger = _limited(ledger, change.limit)
-  if ledger is None or change.gid in ledger["grants"]:
+  if ledger is None or granted(ledger, change.gid) != change.base:
     return None
   free = headroom(ledger) - int(ledger["limit"] * change.margin)
   size = min(change.want, max(change.least, int(free * change.share)), free)
   if size < change.least:
     return None
-  return {**ledger, "grants": {**ledger["grants"], change.gid: size}}
+  held = ledger["grants"].get(change.gid, 0) + size
+  return {**ledger, "grants": {**ledger["grants"], change.gid: held}}
+
+
+def granted(ledger: Ledger, gid: str) -> int:
+  """Returns all that was granted under `gid`, parts settled here included.
+
+  0 when there is no such grant, or it was written off.
+  """
+  if gid not in ledger["grants"]:
+    return 0
+  return ledger["grants"][gid] + sum(ledger["parts"].get(gid, {}).values())
 
 
 def _place(ledger: Ledger | None, gid: str) -> str | None:
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -219,9 +219,11 @@
       self, budget: str, least: int, want: int, margin: float
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
-    gid = self.table.new_gid()
+    row = self.table.growing(budget)
+    base = row.granted if row is not None else 0
+    gid = row.gid if row is not None else self.table.new_gid()
     change = ledger.Grant(
-        gid, least, want, self._share(), margin, self._limit_of(budget)
+        gid, least, want, self._share(), margin, self._limit_of(budget), base
     )
     self._asking.add(gid)
     try:
@@ -230,22 +232,35 @@
       self._counts["grant_failures"] += 1
       return None
     except errors.KvUnknownError:
-      # It may have landed: settled as unused, it goes back. Should it
-      # land later still, `sweep` finds it in the ledger.
       self._counts["grant_failures"] += 1
-      self._settler.settle_row(allotment.Row(budget, gid, 0, 0.0))
+      if row is None:
+        # It may have landed: settled as unused, it goes back. Should it
+        # land later still, `sweep` finds it in the ledger. A row that
+        # grows needs none of that: the ledger's next sight shows it.
+        self._settler.settle_row(allotment.Row(budget, gid, 0, 0.0))
       return None
     finally:
       self._asking.discard(gid)
     if after is None:
       return _NO_BUDGET
-    granted = after["grants"].get(gid, 0)
-    if granted:
-      self._counts["grants"] += 1
-      self.table.add(budget, gid, granted, self._clock.monotonic())
-      self._refusals.end(budget)
+    granted = ledger.granted(after, gid)
+    if granted > base:
+      self._note_grant(budget, gid, granted, new=row is None)
     return after
 
+  def _note_grant(
+      self, budget: str, gid: str, granted: int, new: bool
+  ) -> None:
+    self._counts["grants"] += 1
+    now = self._clock.monotonic()
+    if new:
+      self.table.add(budget, gid, granted, now)
+    else:
+      # A row that was settled meanwhile stays so: its settlement, in the
+      # same batch or a later one, gives the growth back with the rest.
+      self.table.grow(gid, granted, now)
+    self._refusals.end(budget)
+
   async def _recall(self, budget: str, found: ledger.Ledger) -> bool:
     """Calls idle tokens back from whoever holds them; whether any may be.
 
@@ -319,7 +334,10 @@
     await self._settler.settle_parts()
 
   def sweep(self, budget: str, found: ledger.Ledger) -> None:
-    """Ends grants in a ledger that nobody draws on; see `settling`."""
+    """Takes in what a ledger shows of this router's grants, and others'."""
+    now = self._clock.monotonic()
+    for gid in self.table.by_budget.get(budget, ()):
+      self.table.grow(gid, ledger.granted(found, gid), now)
     self._settler.sweep(budget, found, self._asking)
 
   def retire(self, budget: str) -> None:
--- a/mustardfall/kv/writer.py
+++ b/mustardfall/kv/writer.py
@@ -83,6 +83,8 @@
     self._last_commit = -float("inf")
     self._committing = False
     self._flushing = False
+    self._away = False
+    """Whether the writer pauses since the KV did not take a batch."""
     self.counts: collections.Counter[str] = collections.Counter()
 
   @property
@@ -100,6 +102,10 @@
       errors.KvUnavailableError: not written.
       errors.KvUnknownError: it may have been written.
     """
+    if self._away:
+      # A request waits for this. Queued behind the pause, it would be held
+      # for up to `linger_s` and then fail all the same.
+      raise errors.KvUnavailableError("the last transaction failed")
     submission = _Submission(key, change, anyio.Event())
     self._waiting.append(submission)
     self._wake.set()
@@ -126,7 +132,11 @@
       while self._waiting or self._posted:
         await self._pace()
         if not await self.commit_once():
-          await anyio.sleep(self._config.linger_s)
+          self._away = True
+          try:
+            await anyio.sleep(self._config.linger_s)
+          finally:
+            self._away = False
 
   async def _pace(self) -> None:
     """Waits as long as the pace asks before the next transaction."""
--- a/mustardfall/platform/__main__.py
+++ b/mustardfall/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+import sys
 
 import anyio
 import click
@@ -72,7 +73,7 @@
 @click.option("--log-level", default="INFO", show_default=True)
 def main(path: str, own: str | None, log_level: str) -> None:
   """Runs one router until SIGTERM."""
-  log_setup.setup("router", log_level)
+  log_setup.setup("router", log_level, sys.stdout)
   try:
     anyio.run(_run, path, own)
   except* errors.SettingsError as group:
--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -16,9 +16,10 @@
 
 _CALL_S = 0.45
 """A call takes 4 ms, and 240 ms when the store is slow sixtyfold."""
-_PAUSE_S = 0.3
-"""After a call that failed, others fail at once for this long: a request
-that needs the store must not wait for one that is away."""
+_MOST_FAILURES = 2
+"""Failures in a row after which the store is taken to be away. One lost
+answer is common; two are not. While it is away, calls that requests wait
+for fail at once, and the followers' calls find out when it is back."""
 _WATCH_MOST_S = 30.0
 _WATCH_SLACK_S = 0.6
 """How much later than asked a watch may answer before it is taken for
@@ -61,7 +62,7 @@
     self._address = address
     self._caller = caller
     self._clock = clock
-    self._paused_until = -float("inf")
+    self._failures = 0
     self._lost_at: float | None = None
 
   @property
@@ -85,10 +86,10 @@
         away_s = round(now - self._lost_at, 3)
         logger.info("store regained", extra={"away_s": away_s})
       self._lost_at = None
-      self._paused_until = -float("inf")
+      self._failures = 0
       return
-    self._paused_until = now + _PAUSE_S
-    if self._lost_at is None:
+    self._failures += 1
+    if self._lost_at is None and self._failures >= _MOST_FAILURES:
       self._lost_at = now
       logger.warning("store lost", extra={"error": error})
 
@@ -107,13 +108,13 @@
       target: path and query.
       body: sent as JSON.
       timeout_s: seconds.
-      eager: try even right after a failure; followers do.
+      eager: try even while the store is away; followers do.
 
     Raises:
       errors.KvUnavailableError: it had no effect.
       errors.KvUnknownError: it may have had.
     """
-    if not eager and self._clock.monotonic() < self._paused_until:
+    if not eager and self._lost_at is not None:
       raise errors.KvUnavailableError("store away")
     content = b"" if body is None else json.dumps(body).encode()
     try:
@@ -143,7 +144,7 @@
   async def get(self, key: str) -> protocol.Record | None:
     """Returns the record at `key`, or None when there is none."""
     target = _query("/-/kv-key", key=key)
-    reply = await self._call("GET", target, eager=True)
+    reply = await self._call("GET", target)
     if reply.status == _NOT_FOUND:
       return None
     return _record(self._parse(reply, target))
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -257,26 +257,25 @@
 
   async def _try_endpoints(self, job: _Job) -> None:
     while True:
-      row = self._choose(job)
-      if row is None:
+      place = self._choose(job)
+      if place is None:
         await self._give_up(job)
         return
       try:
-        await self._try(job, row)
+        await self._try(job, place)
         return
       except _Again as exc:
-        self._log_try(job, row, str(exc))
+        self._log_try(job, place.row, str(exc))
       if not self._may_try_again(job):
         await self._give_up(job)
         return
 
-  def _choose(self, job: _Job) -> endpoints.Row | None:
+  def _choose(self, job: _Job) -> placement.Place | None:
     rows = self._directory.endpoints.fitting(job.service.name, "")
     fresh = [row for row in rows if row.name not in job.tried]
-    chosen = placement.choose(
+    return placement.choose(
         fresh or rows, _prompt(job.request), self._config.datacentre
     )
-    return chosen
 
   def _may_try_again(self, job: _Job) -> bool:
     if job.responder.started and not job.route.resumable:
@@ -298,13 +297,14 @@
     else:
       raise refusals.no_endpoint(self._retry_after(0.25))
 
-  async def _try(self, job: _Job, row: endpoints.Row) -> None:
+  async def _try(self, job: _Job, place: placement.Place) -> None:
     """Sends the request to one endpoint and relays its answer.
 
     Raises:
       _Again: it failed, and the caller has not been answered.
       refusals.RefusalError: it failed for good.
     """
+    row = place.row
     job.tried.add(row.name)
     job.endpoint = row.name
     try:
@@ -322,15 +322,17 @@
         job.body,
     )
     row.in_flight += 1
+    reading = _Reading(row, place.reading_s)
     ran_before, job.may_have_run = job.may_have_run, True
     job.sends += 1
     try:
-      await self._relay(job, row, exchange, ran_before)
+      await self._relay(job, row, exchange, ran_before, reading)
     except errors.BrokenAnswerError as exc:
       row.failures += 1
       raise _Again(str(exc)) from exc
     finally:
       row.in_flight -= 1
+      reading.end()
       await exchange.close()
 
   def _send_of(self, job: _Job, row: endpoints.Row) -> messages.Send:
@@ -352,11 +354,14 @@
       row: endpoints.Row,
       exchange: exchange_lib.Exchange,
       ran_before: bool,
+      reading: "_Reading",
   ) -> None:
     with self._impatience(job, self._head_s(job)):
       answer = await exchange.start(self._dialect.decode_answer, job.request.id)
+    reading.end()
     if answer.load is not None:
-      row.reported = answer.load.running + answer.load.waiting
+      row.running = answer.load.running
+      row.waiting = answer.load.waiting
     if answer.not_run or answer.misdirected:
       job.may_have_run = ran_before
       if answer.misdirected:
@@ -546,6 +551,25 @@
     }
 
 
+class _Reading:
+  """A prompt that an endpoint has still to read; ends once.
+
+  Args:
+    row: the endpoint.
+    seconds: how long the reading should take.
+  """
+
+  def __init__(self, row: endpoints.Row, seconds: float) -> None:
+    self._row = row
+    self._seconds = seconds
+    row.reading_s += seconds
+
+  def end(self) -> None:
+    """Takes it off: the first token has come, or the request has gone."""
+    self._row.reading_s -= self._seconds
+    self._seconds = 0.0
+
+
 class _Waiting:
   """A reservation that is being made, and whether anybody still waits."""
 
@@ -563,5 +587,7 @@
   """
   if len(request.parts) < 2:  # noqa: PLR2004
     return placement.NO_PROMPT
-  shared = request.parts[:-1]
-  return placement.Prompt(shared[-1].id, sum(part.tokens for part in shared))
+  *shared, own = request.parts
+  return placement.Prompt(
+      shared[-1].id, sum(part.tokens for part in shared), own.tokens
+  )
--- a/mustardfall/proxy/front.py
+++ b/mustardfall/proxy/front.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+import contextlib
 import logging
 import re
 
@@ -328,7 +329,10 @@
     """Ends the connection so that the last answer still arrives."""
     if self._ended:
       return
-    with anyio.move_on_after(_LINGER_S):
+    with (
+        contextlib.suppress(anyio.EndOfStream, *_GONE),
+        anyio.move_on_after(_LINGER_S),
+    ):
       await self._stream.send_eof()
       while True:
         await self._stream.receive(_READ_BYTES)
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Awaitable, Callable
 import logging
 import secrets
 
@@ -191,12 +192,12 @@
           self._run_systems,
           self.orders.run,
       ):
-        tg.start_soon(
-            accounts.supervise,
-            loop,
-            self.config.tick_s,
-            lambda: self._count("loop_failures"),
-        )
+        tg.start_soon(self._supervise, loop)
+
+  async def _supervise(self, loop: Callable[[], Awaitable[None]]) -> None:
+    await accounts.supervise(
+        loop, self.config.tick_s, lambda: self._count("loop_failures")
+    )
 
   def begin_stop(self) -> None:
     """Takes the router out of the balancer; it still serves."""
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -19,6 +19,9 @@
 _SHRINK = 0.8
 """Factor by which a limit shrinks after a slow first token."""
 _MIN_LIMIT = 1.0
+_STALE = 0.5
+"""What is left of a reported load after a tick: engines turn over most of
+their requests in a second."""
 
 
 @dataclasses.dataclass
@@ -34,8 +37,12 @@
   limit: float
   """Requests this router keeps in flight there at most; steered."""
   in_flight: int = 0
-  reported: int = 0
-  """Requests there of all routers, as it last said; decays each tick."""
+  running: float = 0.0
+  """Requests at work there, of all routers, as it last said; decays."""
+  waiting: float = 0.0
+  """Requests that waited there, as it last said; decays."""
+  reading_s: float = 0.0
+  """Seconds of prompts it has still to read for this router."""
   failures: int = 0
   """Failures lately; decays each tick."""
   shrunk_at: float = -float("inf")
@@ -166,7 +173,8 @@
     """
     for row in self.rows.values():
       row.failures = max(0, row.failures - 1)
-      row.reported = row.reported // 2
+      row.running *= _STALE
+      row.waiting *= _STALE
       if row.awaiting:
         waited = now - min(row.awaiting.values())
         if waited > self._config.target_s:
--- a/mustardfall/routing/placement.py
+++ b/mustardfall/routing/placement.py
@@ -14,10 +14,12 @@
 
 from mustardfall.routing import endpoints
 
-_REQUEST_S = 0.015
-"""What one more request at an endpoint adds to the time to a first token:
-a step of a batch is some 4 ms, and a chunk of another's prompt now and
-then takes 30 ms (2,048 tokens at 64 a ms)."""
+_RUNNING_S = 0.01
+"""What a running request adds to the time to another's first token: a step
+of a batch is some 4 ms longer than without, and it is taken few times."""
+_WAITING_S = 0.12
+"""What a request waiting there adds: its prompt is read first. The mean of
+the uncached prompts, some 8,000 tokens at 64 a ms."""
 _READ_S_PER_TOKEN = 1 / 55_000
 """Prompt reading of the engines: 51 to 64 tokens a ms."""
 _FAILURE_S = 0.25
@@ -31,10 +33,18 @@
   """What places a generation: the prefix that it shares with others."""
 
   prefix: str
-  tokens: int
+  shared_tokens: int
+  own_tokens: int
 
 
-NO_PROMPT = Prompt("", 0)
+NO_PROMPT = Prompt("", 0, 0)
+
+
+class Place(NamedTuple):
+  """The endpoint chosen, and the time its reading of the prompt takes."""
+
+  row: endpoints.Row
+  reading_s: float
 
 
 def expected_s(
@@ -48,23 +58,33 @@
     prompt: what the request shares.
     datacentre: the router's own.
   """
-  busy = max(row.in_flight, row.reported) * _REQUEST_S
-  read = prompt.tokens * _READ_S_PER_TOKEN if rank else 0.0
+  busy = max(row.in_flight, row.running) * _RUNNING_S
+  queue = max(row.reading_s, row.waiting * _WAITING_S)
   far = 0.0 if row.datacentre == datacentre else _FAR_S
-  return busy + read + far + row.failures * _FAILURE_S
+  failed = row.failures * _FAILURE_S
+  return busy + queue + far + failed + reading_s(rank, prompt)
+
+
+def reading_s(rank: int, prompt: Prompt) -> float:
+  """Returns the seconds that reading a prompt takes an endpoint."""
+  tokens = prompt.own_tokens + (prompt.shared_tokens if rank else 0)
+  return tokens * _READ_S_PER_TOKEN
 
 
 def choose(
     rows: list[endpoints.Row], prompt: Prompt, datacentre: str
-) -> endpoints.Row | None:
+) -> Place | None:
   """Returns the endpoint that should answer soonest; None without any."""
   ordered = sorted(rows, key=lambda row: _weight(prompt.prefix, row.name))
-  ranks = {row.name: rank for rank, row in enumerate(ordered)}
-  return min(
-      rows,
-      key=lambda row: expected_s(row, ranks[row.name], prompt, datacentre),
+  best = min(
+      enumerate(ordered),
+      key=lambda ranked: expected_s(ranked[1], ranked[0], prompt, datacentre),
       default=None,
   )
+  if best is None:
+    return None
+  rank, row = best
+  return Place(row, reading_s(rank, prompt))
 
 
 def _weight(prefix: str, name: str) -> bytes:
