--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -44,6 +44,8 @@
   """That router's grant, to settle in the ledger when it has gone."""
   own: int = 0
   """Tokens reserved by own requests in flight plus those they used."""
+  used: int = 0
+  """Tokens that own requests which have ended used."""
   in_flight: int = 0
   parts: dict[str, Part] = dataclasses.field(default_factory=dict)
   parts_used: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -58,6 +60,11 @@
     """Tokens not yet set aside."""
     return self.granted - self.own - self.handed_on
 
+  @property
+  def may_return(self) -> int:
+    """Tokens not used for certain: free, reserved or handed on."""
+    return self.granted - self.used - sum(self.parts_used.values())
+
   @property
   def idle(self) -> bool:
     """Whether nothing in flight, here or at other routers, draws on it."""
@@ -179,6 +186,7 @@
     """
     row = self.rows[reservation.gid]
     row.own += used - reservation.tokens
+    row.used += used
     row.in_flight -= 1
     self._note_draw(reservation.budget, used - reservation.tokens)
     return Settled(used, max(0, used - reservation.tokens))
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -69,10 +69,6 @@
   at: float
   """When the ledger was seen, monotonic seconds."""
 
-  def exhausts(self, tokens: int, limit: int) -> bool:
-    """Whether `tokens` cannot fit under `limit`, whoever holds what."""
-    return self.spent + tokens > max(limit, self.limit)
-
 
 class Create(NamedTuple):
   """Creates the budget with `tokens`, unless it exists."""
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -13,6 +13,7 @@
 
 import collections
 from collections.abc import Callable
+import logging
 
 import anyio
 
@@ -28,6 +29,8 @@
 from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
 
+logger = logging.getLogger(__name__)
+
 _NO_BUDGET = ledger.Ledger(
     limit=0, spent=0, grants={}, lost={}, lost_before=0, parts={}, ops=[]
 )
@@ -36,6 +39,11 @@
 """How long an owner's refusal is repeated from memory."""
 _WAIT_STEP_S = 0.05
 """Pause between two looks at a budget that ran out."""
+_EXHAUSTED_S = 0.5
+"""How long a budget that was found used up is believed to be."""
+_REFILL_PAUSE_S = 1.0
+"""Pause after a refill that the budget could not give; requests that need
+tokens still ask at once."""
 _STOP_ROUNDS = 3
 """Rounds in which a stopping router hands its parts back."""
 
@@ -84,6 +92,12 @@
     self._low: dict[str, str] = {}
     """Budgets that run low, and their customers."""
     self._low_event = anyio.Event()
+    self._seen: dict[str, ledger.Ledger] = {}
+    """Ledgers as last seen."""
+    self._exhausted: dict[str, tuple[int, float]] = {}
+    """Budgets found used up: for how many tokens, and until when."""
+    self._refill_at: dict[str, float] = {}
+    """When a budget that could not give may be refilled again."""
     self._stopping = False
 
   @property
@@ -108,6 +122,33 @@
       self._low_event.set()
     return found
 
+  def is_exhausted(self, budget: str, tokens: int) -> bool:
+    """Whether the budget was just found unable to cover `tokens`.
+
+    Then no waiting helps: not even all that is reserved or held would
+    cover them, should it come back unused.
+    """
+    least, until = self._exhausted.get(budget, (0, -float("inf")))
+    return tokens >= least and self._clock.monotonic() < until
+
+  def _note_exhausted(self, budget: str, tokens: int) -> None:
+    until = self._clock.monotonic() + _EXHAUSTED_S
+    self._exhausted[budget] = (tokens, until)
+
+  def _most_left(self, budget: str) -> int | None:
+    """Returns the most tokens that the budget could still give, if known."""
+    found = self._seen.get(budget)
+    if found is None:
+      return None
+    left = ledger.headroom(found)
+    limit = self._limit_of(budget)
+    if limit is not None and limit.version > found.get("limit_version", 0):
+      left += limit.tokens - found["limit"]
+    for gid, tokens in found["grants"].items():
+      row = self.table.rows.get(gid)
+      left += tokens if row is None else max(row.may_return, 0)
+    return left
+
   async def _wait(
       self, budget: str, tokens: int, customer: str
   ) -> allotment.Reservation | None:
@@ -124,6 +165,7 @@
           return found
         now = self._clock.monotonic()
         hopeless = self._refusals.lasts_s(budget) > patience_s
+        hopeless = hopeless or self.is_exhausted(budget, tokens)
         if now >= deadline or hopeless or self._stopping:
           return None
         await anyio.sleep(_WAIT_STEP_S)
@@ -185,6 +227,8 @@
     elif not answer.unsure:
       # Short: the owner knows best, and answers from its own memory.
       self._refusals.note(budget, least, _OWNER_REFUSAL_TTL_S)
+      if answer.exhausted:
+        self._note_exhausted(budget, least)
     return not answer.unsure
 
   async def _take_grant(
@@ -202,6 +246,9 @@
       await self._grant_once(budget, least, want, policy.margin)
     if not self.table.has_room(budget, least):
       self._refusals.note(budget, least, self._config.refusal_ttl_s)
+      left = self._most_left(budget)
+      if left is not None and left < least:
+        self._note_exhausted(budget, least)
     return True
 
   def _share(self) -> float:
@@ -219,12 +266,13 @@
       self, budget: str, least: int, want: int, margin: float
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
+    limit = self._limit_of(budget)
+    if limit is not None:
+      want = max(want, int(limit.tokens * self._config.least_share))
     row = self.table.growing(budget)
     base = row.granted if row is not None else 0
     gid = row.gid if row is not None else self.table.new_gid()
-    change = ledger.Grant(
-        gid, least, want, self._share(), margin, self._limit_of(budget), base
-    )
+    change = ledger.Grant(gid, least, want, self._share(), margin, limit, base)
     self._asking.add(gid)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
@@ -244,13 +292,24 @@
     if after is None:
       return _NO_BUDGET
     granted = ledger.granted(after, gid)
+    logger.info(
+        "grant asked",
+        extra={
+            "budget": budget,
+            "gid": gid,
+            "least": least,
+            "want": want,
+            "before": base,
+            "granted": granted,
+            "limit": after["limit"],
+            "headroom": ledger.headroom(after),
+        },
+    )
     if granted > base:
       self._note_grant(budget, gid, granted, new=row is None)
     return after
 
-  def _note_grant(
-      self, budget: str, gid: str, granted: int, new: bool
-  ) -> None:
+  def _note_grant(self, budget: str, gid: str, granted: int, new: bool) -> None:
     self._counts["grants"] += 1
     now = self._clock.monotonic()
     if new:
@@ -312,7 +371,10 @@
               ask.budget, ask.least, want, ask.customer
           )
     handed = self._hand_on(ask)
-    return handed._replace(unsure=not answered and not handed.tokens)
+    if handed.tokens:
+      return handed
+    exhausted = self.is_exhausted(ask.budget, ask.least)
+    return handed._replace(unsure=not answered, exhausted=exhausted)
 
   def _hand_on(self, ask: peers_lib.Ask) -> peers_lib.Handed:
     share = self._config.part_share
@@ -336,6 +398,7 @@
   def sweep(self, budget: str, found: ledger.Ledger) -> None:
     """Takes in what a ledger shows of this router's grants, and others'."""
     now = self._clock.monotonic()
+    self._seen[budget] = found
     for gid in self.table.by_budget.get(budget, ()):
       self.table.grow(gid, ledger.granted(found, gid), now)
     self._settler.sweep(budget, found, self._asking)
@@ -375,9 +438,15 @@
   def _forget(self, before: float) -> None:
     """Drops what was noted of budgets that are quiet since `before`."""
     self._refusals.forget(before)
-    for budget, at in list(self._recalled_at.items()):
-      if at < before:
-        del self._recalled_at[budget]
+    for noted in (self._recalled_at, self._refill_at):
+      for budget, at in list(noted.items()):
+        if at < before:
+          del noted[budget]
+    for budget, (_, until) in list(self._exhausted.items()):
+      if until < before:
+        del self._exhausted[budget]
+    for budget in self._seen.keys() - self.table.rate.keys():
+      del self._seen[budget]
     for budget, lock in list(self._locks.items()):
       if not lock.locked() and budget not in self.table.by_budget:
         del self._locks[budget]
@@ -395,12 +464,15 @@
 
   async def _refill_one(self, budget: str, customer: str) -> None:
     async with self._locks.setdefault(budget, anyio.Lock()):
+      now = self._clock.monotonic()
       if not self.table.running_low(budget) or self._stopping:
         return
+      if now < self._refill_at.get(budget, -float("inf")):
+        return
       owner = self._owner(budget)
       size = self.table.want if owner is None else self.table.want_part
       want = size(budget, 1)
-      least = max(1, want // 4)
+      least = max(1, want // 4) if owner is not None else 1
       if self._refusals.repeat(budget, least):
         return
       if owner is not None:
@@ -408,8 +480,8 @@
         return
       margin = self._policy_of(customer).margin
       await self._grant_once(budget, least, want, margin)
-      if not self.table.has_room(budget, least):
-        self._refusals.note(budget, least, self._config.refusal_ttl_s)
+      if self.table.running_low(budget):
+        self._refill_at[budget] = now + _REFILL_PAUSE_S
 
   async def stop(self) -> None:
     """Hands everything back; called after the last request has ended.
--- a/mustardfall/membership/peers.py
+++ b/mustardfall/membership/peers.py
@@ -41,12 +41,14 @@
   """The owner's answer: a part of its grant `gid`, or 0 tokens.
 
   `unsure` says that the owner could not reach the KV: its answer is no
-  refusal, and the asker may try the KV itself.
+  refusal, and the asker may try the KV itself. `exhausted` says that the
+  budget cannot cover the tokens, whatever comes back to it.
   """
 
   tokens: int
   gid: str
   unsure: bool = False
+  exhausted: bool = False
 
 
 class Ended(NamedTuple):
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -77,6 +77,9 @@
   sends: int = 0
   connects: int = 0
   may_have_run: bool = False
+  reserved_after_s: float = 0.0
+  """How long it waited for tokens."""
+  billed: int = 0
   tried: set[str] = dataclasses.field(default_factory=set)
   endpoint: str = ""
   first_at: float | None = None
@@ -222,11 +225,13 @@
     if usage is None or job.team is None or job.team.prepaid is None:
       return
     budget = job.team.name
+    began = self._clock.monotonic()
     job.reservation = await self._reserve_soon(budget, usage.most)
+    job.reserved_after_s = self._clock.monotonic() - began
     if job.reservation is not None:
       return
     known = self._accounts.balance(budget)
-    if known is not None and known.exhausts(usage.most, job.team.prepaid):
+    if self._accounts.pool.is_exhausted(budget, usage.most):
       raise refusals.exhausted(known)
     raise refusals.no_tokens(known, self._retry_after(1.0))
 
@@ -473,6 +478,7 @@
       output = job.joiner.passed * job.events_per_answer
       used = usage.prompt_tokens + min(usage.most_output_tokens, output)
     self._accounts.pool.settle(job.reservation, used)
+    job.billed = used
     self._instruments.tokens.record(used, self._attributes(job))
 
   def _retry_after(self, most_s: float) -> float:
@@ -492,6 +498,8 @@
             "request": request.id,
             "status": refusal.status,
             "reason": refusal.reason,
+            "team": job.team.name if job and job.team else "",
+            "most_tokens": request.usage.most if request.usage else 0,
             "facts": refusal.facts,
             "sends": job.sends if job else 0,
             "endpoint": job.endpoint if job else "",
@@ -534,6 +542,8 @@
             "sends": job.sends,
             "first_ms": None if first_s is None else round(first_s * 1000),
             "total_ms": round((now - job.arrived) * 1000),
+            "reserve_ms": round(job.reserved_after_s * 1000),
+            "most_tokens": job.request.usage.most if job.request.usage else 0,
             "events": job.joiner.passed,
         },
     )
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -51,9 +51,10 @@
   return RefusalError(401, "unknown API key", facts={"version": version})
 
 
-def exhausted(balance: ledger.Balance) -> RefusalError:
+def exhausted(balance: ledger.Balance | None) -> RefusalError:
   """The budget cannot cover the request, whatever comes back to it."""
-  return RefusalError(402, "budget used up", facts=balance._asdict())
+  facts = balance._asdict() if balance else None
+  return RefusalError(402, "budget used up", facts=facts)
 
 
 def no_tokens(
