--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -13,8 +13,9 @@
 
 from mustardfall import settings
 
-_RATE_WEIGHT = 0.3
-"""Weight of the newest tick in each budget's draw-rate average."""
+_RATE_WEIGHT = 0.15
+"""Weight of the newest tick in each budget's draw-rate average. Requests
+are lumps of up to a tenth of a small budget; over some 3 s they average."""
 _RATE_FLOOR = 0.5
 """Tokens a second below which a budget's rate is forgotten."""
 _PARTS_REMEMBERED = 20_000
@@ -141,13 +142,21 @@
     rate = self.rate.get(budget, 0.0)
     return max(tokens, int(rate * self._config.part_horizon_s))
 
-  def running_low(self, budget: str) -> bool:
-    """Whether the budget's free tokens here are under the low mark."""
+  def free(self, budget: str) -> int:
+    """Returns the budget's free tokens in live rows here."""
     rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
-    live = [r for r in rows if not r.retiring]
-    free = sum(r.free for r in live)
-    granted = sum(r.granted for r in live)
-    return free < granted * self._config.low_mark
+    return sum(row.free for row in rows if not row.retiring)
+
+  def running_low(self, budget: str) -> bool:
+    """Whether the budget's free tokens here are under the low mark.
+
+    A share of what a grant or part should cover, not of what was granted:
+    a grant that grows has long been used for the most part.
+    """
+    gids = self.by_budget.get(budget, ())
+    owned = any(not self.rows[gid].source for gid in gids)
+    size = self.want(budget, 0) if owned else self.want_part(budget, 0)
+    return self.free(budget) < size * self._config.low_mark
 
   def reserve(self, budget: str, tokens: int) -> Reservation | None:
     """Sets `tokens` aside from a row of the budget that has room."""
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -57,6 +57,8 @@
   lost_before: int
   parts: dict[str, dict[str, int]]
   ops: list[str]
+  billed: typing.NotRequired[dict[str, int]]
+  """Grant to the tokens of it that its holder has reported as used."""
 
 
 class Balance(NamedTuple):
@@ -128,6 +130,18 @@
   lost: Mapping[str, int] = {}
 
 
+class Bill(NamedTuple):
+  """Reports what was used of `gid` so far, while its holder goes on.
+
+  What is reported moves from the grant to what is spent, so that less is
+  written off when the holder dies. `used` and `parts` are as in `Settle`.
+  """
+
+  gid: str
+  used: int
+  parts: Mapping[str, int] = {}
+
+
 class Reduce(NamedTuple):
   """Ends a stopping holder's own use of `gid`.
 
@@ -238,7 +252,13 @@
   """
   if gid not in ledger["grants"]:
     return 0
-  return ledger["grants"][gid] + sum(ledger["parts"].get(gid, {}).values())
+  settled_here = sum(ledger["parts"].get(gid, {}).values())
+  return ledger["grants"][gid] + settled_here + billed(ledger, gid)
+
+
+def billed(ledger: Ledger, gid: str) -> int:
+  """Returns what the holder of `gid` has reported as used."""
+  return ledger.get("billed", {}).get(gid, 0)
 
 
 def _place(ledger: Ledger | None, gid: str) -> str | None:
@@ -253,7 +273,25 @@
   return {g: v for g, v in table.items() if g != gid}
 
 
-def _used(change: Settle | Reduce, ledger: Ledger) -> int:
+@change_lib.apply.register
+def _(change: Bill, ledger: Ledger | None) -> Ledger | None:
+  place = _place(ledger, change.gid)
+  if place is None or _has_stopped(ledger, change.gid):
+    return None
+  used = _used(change, ledger)
+  more = used - billed(ledger, change.gid)
+  if more <= 0:
+    return None
+  left = ledger[place][change.gid] - more
+  return {
+      **ledger,
+      place: {**ledger[place], change.gid: left},
+      "spent": ledger["spent"] + more,
+      "billed": {**ledger.get("billed", {}), change.gid: used},
+  }
+
+
+def _used(change: Settle | Bill | Reduce, ledger: Ledger) -> int:
   """Returns the tokens to bill: all but the parts settled here before."""
   here = ledger["parts"].get(change.gid, {})
   return change.used + sum(
@@ -269,11 +307,11 @@
   after = {
       **ledger,
       place: _without(ledger[place], change.gid),
-      "spent": ledger["spent"] + _used(change, ledger),
+      "spent": ledger["spent"] + _unbilled(change, ledger),
   }
   after = _lose(after, _not_here(change, ledger))
   after["parts"] = _without(after["parts"], change.gid)
-  return after
+  return _forget_billed(after, change.gid)
 
 
 @change_lib.apply.register
@@ -287,9 +325,10 @@
   after = {
       **ledger,
       place: {**ledger[place], change.gid: sum(kept.values())},
-      "spent": ledger["spent"] + _used(change, ledger),
+      "spent": ledger["spent"] + _unbilled(change, ledger),
       "parts": {**ledger["parts"], change.gid: marks},
   }
+  after = _forget_billed(after, change.gid)
   after = _drop_if_done(after, place, change.gid)
   return _lose(after, _not_here(change, ledger))
 
@@ -317,6 +356,18 @@
   return _drop_if_done(after, place, change.gid)
 
 
+def _unbilled(change: Settle | Reduce, ledger: Ledger) -> int:
+  """Returns the tokens to bill that were not reported before."""
+  return _used(change, ledger) - billed(ledger, change.gid)
+
+
+def _forget_billed(ledger: Ledger, gid: str) -> Ledger:
+  """Returns `ledger` without the reports on a grant that has ended."""
+  if "billed" not in ledger:
+    return ledger
+  return {**ledger, "billed": _without(ledger["billed"], gid)}
+
+
 def _has_stopped(ledger: Ledger, gid: str) -> bool:
   """Whether the holder of `gid` has ended its own use of it."""
   return _STOPPED in ledger["parts"].get(gid, {})
@@ -357,6 +408,7 @@
     oldest = next(iter(written_off))
     before += written_off.pop(oldest)
     parts.pop(oldest, None)
+    ledger = _forget_billed(ledger, oldest)
   return {**ledger, "lost": written_off, "lost_before": before, "parts": parts}
 
 
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -41,6 +41,9 @@
 """Pause between two looks at a budget that ran out."""
 _EXHAUSTED_S = 0.5
 """How long a budget that was found used up is believed to be."""
+_BILL_S = 1.5
+"""Between two reports of what grants have used. A dead router's grants are
+written off but for what it reported; each report costs a write."""
 _REFILL_PAUSE_S = 1.0
 """Pause after a refill that the budget could not give; requests that need
 tokens still ask at once."""
@@ -98,6 +101,7 @@
     """Budgets found used up: for how many tokens, and until when."""
     self._refill_at: dict[str, float] = {}
     """When a budget that could not give may be refilled again."""
+    self._billed_at = -float("inf")
     self._stopping = False
 
   @property
@@ -147,7 +151,8 @@
     for gid, tokens in found["grants"].items():
       row = self.table.rows.get(gid)
       left += tokens if row is None else max(row.may_return, 0)
-    return left
+    # Written off, and yet not known to be spent: never called used up.
+    return left + ledger.lost(found)
 
   async def _wait(
       self, budget: str, tokens: int, customer: str
@@ -269,6 +274,7 @@
     limit = self._limit_of(budget)
     if limit is not None:
       want = max(want, int(limit.tokens * self._config.least_share))
+    want = max(least, want - self.table.free(budget))
     row = self.table.growing(budget)
     base = row.granted if row is not None else 0
     gid = row.gid if row is not None else self.table.new_gid()
@@ -423,6 +429,10 @@
     now = self._clock.monotonic()
     for row in self.table.tick(now, elapsed_s):
       self._settler.settle_row(row)
+    if now - self._billed_at >= _BILL_S and self._config.reports:
+      self._billed_at = now
+      for row in self.table.rows.values():
+        self._settler.bill(row)
     self._write_off_parts()
     self._forget(now - self._config.term_s)
 
--- a/mustardfall/budget/settling.py
+++ b/mustardfall/budget/settling.py
@@ -41,6 +41,8 @@
     self.counts: collections.Counter[str] = collections.Counter()
     self._settling: dict[str, set[str]] = {}
     """Grants with a settlement on its way, by budget."""
+    self._billed: dict[str, int] = {}
+    """What was reported of grants, or is about to be."""
     self._ended: dict[str, list[tuple[peers_lib.Ended, allotment.Row]]] = {}
     """Parts to settle, by the life of the owner that handed them on."""
 
@@ -49,9 +51,19 @@
     if row.source:
       self.queue_ended(row)
       return
+    self._billed.pop(row.gid, None)
     self._settling.setdefault(row.budget, set()).add(row.gid)
     self._writer.post(ledger.key(row.budget), _settlement(row))
 
+  def bill(self, row: allotment.Row) -> None:
+    """Reports what a row has used so far, some time soon."""
+    total = row.used + sum(row.parts_used.values())
+    if row.source or total <= self._billed.get(row.gid, 0):
+      return
+    self._billed[row.gid] = total
+    change = ledger.Bill(row.gid, row.used, dict(row.parts_used))
+    self._writer.post(ledger.key(row.budget), change)
+
   async def settle_now(self, row: allotment.Row) -> None:
     """Settles a row and waits for it, or leaves it to be tried again."""
     if row.source:
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -40,6 +40,8 @@
   """Unused tokens go back to the budget after this many seconds."""
   least_share: float = pydantic.Field(default=0.0, ge=0, le=1)
   """A grant asked for is at least this share of the budget's limit."""
+  reports: bool = False
+  """Report what grants have used while they are held."""
   low_mark: float = pydantic.Field(default=0.25, ge=0, lt=1)
   """Refilled in the background when less than this share is free."""
   part_horizon_s: float = pydantic.Field(default=1.0, gt=0)
