Emulated platform and whole-path tests; a stopping writer ends its waiters

The event loop was idle: a grant waited under a shield for a writer that had been cancelled, so a stopping process could not exit before its SIGKILL. Ruled out: a busy loop (the stack showed select), the emulator's watch.

--- /dev/null
+++ b/mustardfall/emulator/store.py
@@ -0,0 +1,237 @@
+"""The platform's store: revisions, conditions, leases, watches, faults."""
+
+import asyncio
+import base64
+import dataclasses
+import itertools
+import json
+from typing import Any
+import urllib.parse
+
+import anyio
+
+from mustardfall.proxy import front
+from mustardfall.proxy import internal
+from mustardfall.proxy import messages
+from mustardfall.routing import configuration
+from mustardfall.util import clock as clock_lib
+
+_PAGE = 50
+"""Items in one answer; small, so that tests read several pages."""
+_WATCH_STEP_S = 0.01
+
+
+@dataclasses.dataclass
+class Item:
+  """One key."""
+
+  value: str
+  """Base64 text, as on the wire."""
+  rev: int
+  created: int
+  lease: int = 0
+
+
+@dataclasses.dataclass
+class Faults:
+  """What goes wrong, set by tests."""
+
+  down: str = ""
+  """`silent`, `busy` (503) or `reset`; empty: up."""
+  lose_answers: int = 0
+  """Writes yet to be done without an answer."""
+  late_s: float = 0.0
+  """The lost writes are done only this much later."""
+
+
+class Store:
+  """The state and its calls; `serve` puts them on the network."""
+
+  def __init__(self, clock: clock_lib.Clock | None = None) -> None:
+    self._clock = clock or clock_lib.SystemClock()
+    self.items: dict[str, Item] = {}
+    self.faults = Faults()
+    self.revision = 1
+    self.writes = 0
+    self._history: list[tuple[int, str]] = []
+    self._oldest = 0
+    self._leases: dict[int, tuple[float, float]] = {}
+    self._lease_ids = itertools.count(100)
+
+  # For tests.
+
+  def put(self, key: str, value: dict[str, Any]) -> None:
+    """Writes as the operator or a server does."""
+    self._write(key, base64.b64encode(json.dumps(value).encode()).decode(), 0)
+
+  def remove(self, key: str) -> None:
+    """Removes a key."""
+    self.revision += 1
+    self.items.pop(key, None)
+    self._history.append((self.revision, key))
+
+  def read(self, key: str) -> Any:
+    """Returns a key's JSON value, None when absent."""
+    item = self.items.get(key)
+    return None if item is None else json.loads(base64.b64decode(item.value))
+
+  def forget_history(self) -> None:
+    """Drops what watches could continue from."""
+    self._history.clear()
+    self._oldest = self.revision
+
+  # State.
+
+  def _write(self, key: str, value: str, lease: int) -> None:
+    self.revision += 1
+    old = self.items.get(key)
+    created = old.created if old else self.revision
+    self.items[key] = Item(value, self.revision, created, lease)
+    self._history.append((self.revision, key))
+
+  def _expire(self) -> None:
+    now = self._clock.monotonic()
+    for lease, (_, until) in list(self._leases.items()):
+      if until < now:
+        self._end(lease)
+
+  def _end(self, lease: int) -> None:
+    del self._leases[lease]
+    for key, item in list(self.items.items()):
+      if item.lease == lease:
+        self.remove(key)
+
+  def _show(self, key: str) -> dict[str, Any]:
+    item = self.items.get(key)
+    if item is None:
+      return {"key": key, "rev": 0}
+    return {"key": key, **dataclasses.asdict(item)}
+
+  # Calls.
+
+  async def handle(
+      self,
+      request: messages.Request,
+      body: bytes,
+      responder: front.Responder,
+  ) -> None:
+    """Answers one call, or misbehaves as `faults` says."""
+    if self.faults.down == "silent":
+      await anyio.sleep_forever()
+    if self.faults.down == "reset":
+      raise anyio.BrokenResourceError
+    if self.faults.down == "busy":
+      await responder.answer(503, [])
+      return
+    self._expire()
+    query = request.target.decode().partition("?")[2]
+    fields = dict(urllib.parse.parse_qsl(query))
+    path, _, last = request.path.rpartition("/")
+    lease = int(last) if last.isdigit() else 0
+    data = json.loads(body) if body else {}
+    if request.path == "/-/kv-txn" and self.faults.lose_answers:
+      await self._lose(data)
+    status, answer = await self._answer(
+        path if lease else request.path, fields, data, lease
+    )
+    await responder.answer(status, [], json.dumps(answer).encode())
+
+  async def _lose(self, data: dict[str, Any]) -> None:
+    self.faults.lose_answers -= 1
+    if self.faults.late_s:
+      loop = asyncio.get_running_loop()
+      loop.call_later(self.faults.late_s, self._commit, data)
+    else:
+      self._commit(data)
+    raise anyio.BrokenResourceError
+
+  async def _answer(
+      self, path: str, fields: dict[str, str], data: dict, lease: int
+  ) -> tuple[int, dict[str, Any]]:
+    if path == "/-/kv-key":
+      found = fields["key"] in self.items
+      return (200, self._show(fields["key"])) if found else (404, {})
+    if path == "/-/kv-range":
+      return 200, self._range(fields)
+    if path == "/-/kv-watch":
+      return await self._watch(fields)
+    if path == "/-/kv-txn":
+      return self._commit(data)
+    if path == "/-/kv-lease":
+      return 200, self._grant(data["ttl_ms"] / 1000)
+    if path == "/-/kv-keep":
+      return self._keep(lease)
+    if path == "/-/kv-lease-end" and lease in self._leases:
+      self._end(lease)
+      return 200, {}
+    return 404, {}
+
+  def _range(self, fields: dict[str, str]) -> dict[str, Any]:
+    prefix, after = fields["prefix"], fields.get("after", "")
+    keys = sorted(
+        key for key in self.items if key.startswith(prefix) and key > after
+    )
+    return {
+        "items": [self._show(key) for key in keys[:_PAGE]],
+        "has_more": len(keys) > _PAGE,
+        "store_revision": self.revision,
+    }
+
+  async def _watch(self, fields: dict[str, str]) -> tuple[int, dict]:
+    after = int(fields["after"])
+    until = self._clock.monotonic() + int(fields["wait_ms"]) / 1000
+    while True:
+      if after < self._oldest:
+        return 410, {}
+      events = [
+          self._event(rev, key)
+          for rev, key in self._history
+          if rev > after and key.startswith(fields["prefix"])
+      ]
+      if events or self._clock.monotonic() >= until:
+        return 200, {"events": events, "store_revision": self.revision}
+      await anyio.sleep(_WATCH_STEP_S)
+
+  def _event(self, rev: int, key: str) -> dict[str, Any]:
+    if key not in self.items:
+      return {"key": key, "rev": rev, "removed": True}
+    return self._show(key)
+
+  def _commit(self, data: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    self.writes += 1
+    rows = data.get("precondition", [])
+    for row in rows:
+      item = self.items.get(row["key"])
+      if (item.rev if item else 0) != row["rev"]:
+        return 412, {"items": [self._show(r["key"]) for r in rows]}
+    for put in data.get("set_keys", []):
+      lease = put.get("lease", 0)
+      if lease and lease not in self._leases:
+        return 404, {}
+    for put in data.get("set_keys", []):
+      self._write(put["key"], put["value"], put.get("lease", 0))
+    for key in data.get("delete", []):
+      self.remove(key)
+    return 200, {"rev": self.revision}
+
+  def _grant(self, ttl_s: float) -> dict[str, Any]:
+    lease = next(self._lease_ids)
+    self._leases[lease] = (ttl_s, self._clock.monotonic() + ttl_s)
+    return {"lease": lease, "ttl_ms": int(ttl_s * 1000)}
+
+  def _keep(self, lease: int) -> tuple[int, dict[str, Any]]:
+    if lease not in self._leases:
+      return 404, {}
+    ttl_s, _ = self._leases[lease]
+    self._leases[lease] = (ttl_s, self._clock.monotonic() + ttl_s)
+    return 200, {"ttl_ms": int(ttl_s * 1000)}
+
+  async def serve(self, port: int) -> None:
+    """Serves on loopback until cancelled."""
+    served = front.Front(
+        internal.Dialect(),
+        self.handle,
+        lambda: configuration.DEFAULT_LIMITS,
+        clock_lib.SystemClock(),
+    )
+    await served.serve("127.0.0.1", port)
--- a/mustardfall/kv/writer.py
+++ b/mustardfall/kv/writer.py
@@ -83,6 +83,7 @@
     self._last_commit = -float("inf")
     self._committing = False
     self._flushing = False
+    self._ended = False
     self._away = False
     """Whether the writer pauses since the KV did not take a batch."""
     self.counts: collections.Counter[str] = collections.Counter()
@@ -102,6 +103,8 @@
       errors.KvUnavailableError: not written.
       errors.KvUnknownError: it may have been written.
     """
+    if self._ended:
+      raise errors.KvUnavailableError("the writer has ended")
     if self._away:
       # A request waits for this. Queued behind the pause, it would be held
       # for up to `linger_s` and then fail all the same.
@@ -126,6 +129,19 @@
 
   async def run(self) -> None:
     """Commits batches until cancelled."""
+    self._ended = False
+    try:
+      await self._run()
+    finally:
+      # Grants are waited for under a shield. Left waiting for a writer that
+      # has ended, they would keep a stopping process from ever exiting.
+      self._ended = True
+      for submission in self._waiting:
+        submission.error = errors.KvUnavailableError("the writer has ended")
+        submission.done.set()
+      self._waiting.clear()
+
+  async def _run(self) -> None:
     while True:
       await self._wake.wait()
       self._wake = anyio.Event()
--- a/mustardfall/proxy/front.py
+++ b/mustardfall/proxy/front.py
@@ -272,6 +272,8 @@
     """
     end = self._raw.find(b"\r\n\r\n")
     head = bytes(self._raw if end < 0 else self._raw[: end + 2])
+    if len(head) > self._front.limits().header_bytes:
+      raise errors.BadRequestError("head too large", 431)
     if _FOLDED.search(head):
       raise errors.BadRequestError("folded header")
     lengths = len(_LENGTH.findall(head))
--- /dev/null
+++ b/tests/platformcase.py
@@ -0,0 +1,222 @@
+"""A gateway before the emulated platform, all in one process on loopback."""
+
+import contextlib
+import dataclasses
+from typing import Any
+
+import anyio
+import h11
+
+from mustardfall import gateway as gateway_lib
+from mustardfall.bench import fleet
+from mustardfall.emulator import server as server_lib
+from mustardfall.emulator import store as store_lib
+from mustardfall.platform import followers as followers_lib
+from mustardfall.platform import headers
+from mustardfall.platform import site as site_lib
+from mustardfall.platform import store as client_lib
+from mustardfall.util import clock as clock_lib
+
+HOST = "shop.example"
+KEY = "key-of-acme"
+TUNED = {
+    "tick_s": 0.05,
+    "writer": {"interval_s": 0.0, "linger_s": 0.02, "max_keys": 12},
+    "membership": {"ttl_s": 5, "grace_s": 1, "watch_idle_s": 0.5},
+    "allotment": {"least_share": 0.2, "headroom_share": 0.4, "reports": True},
+}
+
+
+def route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
+  """Returns a route as the operator writes it."""
+  return {
+      "name": name,
+      "host": HOST,
+      "prefix": prefix,
+      "kind": kind,
+      "timeout_ms": 2000,
+      "slo_ms": 300,
+      "priority": 1,
+      "service": "pool",
+      "max_attempts": 2,
+      "public": False,
+      "resumable": False,
+      **more,
+  }
+
+
+def configuration(version: int = 1, prepaid: int = 100_000) -> dict[str, Any]:
+  """Returns a configuration with a route of each kind."""
+  return {
+      "version": version,
+      "routes": [
+          route("look", "/look/", "safe"),
+          route("book", "/book/", "unsafe"),
+          route("text", "/text/", "streaming", resumable=True),
+          route("once", "/once/", "streaming"),
+      ],
+      "services": [{"name": "pool", "max_conns": 50, "engine": {"stride": 4}}],
+      "limits": {
+          "max_header_bytes": 8192,
+          "max_body_bytes": 65536,
+          "header_timeout_ms": 1000,
+          "idle_timeout_ms": 3000,
+      },
+      "tenants": [{"name": "acme", "api_keys": [KEY], "prepaid": prepaid}],
+  }
+
+
+@dataclasses.dataclass
+class Answer:
+  """What a caller got; `whole` is whether the answer came to its end."""
+
+  status: int
+  headers: dict[str, str]
+  body: bytes
+  whole: bool
+
+
+class Caller:
+  """One connection of a caller."""
+
+  def __init__(self, stream) -> None:
+    self.stream = stream
+    self.parser = h11.Connection(h11.CLIENT)
+
+  async def send(
+      self, path: str, id_: str, body: bytes = b"", **more: str
+  ) -> None:
+    """Sends a request; `more` are headers, with `_` for `-`."""
+    named = {"host": HOST, "request-id": id_, "credential": KEY}
+    named |= {"deadline-ms": "2000"}
+    named |= {k.replace("_", "-"): v for k, v in more.items()}
+    named["content-length"] = str(len(body))
+    request = h11.Request(method="POST", target=path, headers=[*named.items()])
+    data = self.parser.send(request)
+    if body:
+      data += self.parser.send(h11.Data(data=body))
+    await self.stream.send(data + self.parser.send(h11.EndOfMessage()))
+
+  async def receive(self) -> Answer:
+    """Returns the next answer."""
+    head, body = None, bytearray()
+    while True:
+      try:
+        event = self.parser.next_event()
+      except h11.RemoteProtocolError:
+        return Answer(0 if head is None else head.status_code, {}, body, False)
+      if event is h11.NEED_DATA:
+        try:
+          self.parser.receive_data(await self.stream.receive())
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+          self.parser.receive_data(b"")
+      elif isinstance(event, h11.Response):
+        head = event
+      elif isinstance(event, h11.Data):
+        body += event.data
+      elif isinstance(event, h11.EndOfMessage):
+        headers_ = {k.decode(): v.decode() for k, v in head.headers}
+        if self.parser.our_state is h11.DONE:
+          self.parser.start_next_cycle()
+        return Answer(head.status_code, headers_, bytes(body), True)
+      else:
+        return Answer(0, {}, bytes(body), False)
+
+
+class World:
+  """The store, servers and one gateway."""
+
+  def __init__(self, clock: clock_lib.Clock) -> None:
+    self.store = store_lib.Store(clock)
+    self.servers: dict[str, server_lib.Server] = {}
+    self.gateway: gateway_lib.Gateway | None = None
+    self.stop = anyio.Event()
+    self.port = 0
+    self._tasks = None
+
+  def configure(self, **fields: Any) -> None:
+    """Writes the operator's configuration."""
+    self.store.put("op/config", configuration(**fields))
+
+  def list_server(self, id_: str, port: int, state: str = "ready") -> None:
+    """Writes a server's entry."""
+    entry = {"service": "pool", "address": f"127.0.0.1:{port}", "zone": "dc"}
+    self.store.put(f"servers/{id_}", {**entry, "state": state, "slots": 8})
+
+  def add_server(self, id_: str) -> server_lib.Server:
+    """Starts and lists a server."""
+    server = server_lib.Server(id_)
+    port = fleet.free_port()
+    self.servers[id_] = server
+    self._tasks.start_soon(server.serve, port)
+    self.list_server(id_, port)
+    return server
+
+  async def call(self, path: str, id_: str, **more: Any) -> Answer:
+    """Makes one request on a connection of its own."""
+    async with self.caller() as caller:
+      await caller.send(path, id_, **more)
+      return await caller.receive()
+
+  @contextlib.asynccontextmanager
+  async def caller(self):
+    """Yields a caller's connection."""
+    async with await anyio.connect_tcp("127.0.0.1", self.port) as stream:
+      yield Caller(stream)
+
+  async def until(self, condition, timeout_s: float = 5.0) -> None:
+    """Waits until `condition()` holds."""
+    with anyio.fail_after(timeout_s):
+      while not condition():
+        await anyio.sleep(0.01)
+
+
+def site(store_port: int, name: str = "front-1") -> site_lib.Site:
+  """Returns the settings that the platform would give a host."""
+  given = {
+      "node": name,
+      "ip": "127.0.0.1",
+      "zone": "dc",
+      "region": "region",
+      "listen": {
+          role: f"127.0.0.1:{fleet.free_port()}"
+          for role in ("front", "ready", "control")
+      },
+      "bounds": {"retry_ratio": 0.2, "retry_slack": 58, "grace_s": 3},
+      "platform": {"address": f"127.0.0.1:{store_port}"},
+  }
+  return site_lib.decode(given, TUNED)
+
+
+@contextlib.asynccontextmanager
+async def running(servers: tuple[str, ...] = ("i-1",), **fields: Any):
+  """Runs the platform and a gateway; yields the `World`."""
+  clock = clock_lib.SystemClock()
+  world = World(clock)
+  store_port = fleet.free_port()
+  async with anyio.create_task_group() as tg:
+    world._tasks = tg
+    tg.start_soon(world.store.serve, store_port)
+    world.configure(**fields)
+    for id_ in servers:
+      world.add_server(id_)
+    found = site(store_port)
+    world.port = found.router.listen.port
+    world.gateway = gateway_lib.Gateway(
+        found.router,
+        clock,
+        headers.Dialect(),
+        lambda caller: client_lib.Store(found.store_address, caller, clock),
+    )
+    followers = followers_lib.Followers(world.gateway, world.gateway.kv)
+    tg.start_soon(
+        world.gateway.run,
+        [followers.follow_configuration, followers.follow_servers],
+        found.ready,
+        world.stop,
+        2.0,
+    )
+    rows = world.gateway.directory.endpoints.rows
+    await world.until(lambda: world.gateway.ready and len(rows) >= len(servers))
+    yield world
+    tg.cancel_scope.cancel()
