Routers that the store turns away learn configuration and servers from others

Cause: the store may refuse some hosts for seconds while the operator revokes keys and servers leave; a refused router acted on old news. Change: membership/relay.py; a restarted router's earlier life counts as gone at once. Tests: RelayTest fails without the relay (the version stays 1).

--- a/mustardfall/emulator/store.py
+++ b/mustardfall/emulator/store.py
@@ -16,6 +16,8 @@
 from mustardfall.routing import configuration
 from mustardfall.util import clock as clock_lib
 
+HOST_HEADER = b"x-host"
+"""Names the calling host, since all share one address here."""
 _PAGE = 50
 """Items in one answer; small, so that tests read several pages."""
 _WATCH_STEP_S = 0.01
@@ -42,6 +44,8 @@
   """Writes yet to be done without an answer."""
   late_s: float = 0.0
   """The lost writes are done only this much later."""
+  refused: set[str] = dataclasses.field(default_factory=set)
+  """Hosts that get 503, as they name themselves in `HOST_HEADER`."""
 
 
 class Store:
@@ -120,7 +124,8 @@
       await anyio.sleep_forever()
     if self.faults.down == "reset":
       raise anyio.BrokenResourceError
-    if self.faults.down == "busy":
+    host = dict(request.headers).get(HOST_HEADER, b"").decode()
+    if self.faults.down == "busy" or host in self.faults.refused:
       await responder.answer(503, [])
       return
     self._expire()
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -21,6 +21,7 @@
 from mustardfall.budget import ledger
 from mustardfall.budget import policy
 from mustardfall.kv import protocol
+from mustardfall.membership import relay as relay_lib
 from mustardfall.proxy import calls
 from mustardfall.proxy import forwarder as forwarder_lib
 from mustardfall.proxy import front
@@ -53,6 +54,7 @@
     clock: the time source.
     dialect: the deployment's headers.
     make_store: makes the store's client from a caller.
+    store_headers: sent with each call to the store.
   """
 
   def __init__(
@@ -61,13 +63,14 @@
       clock: clock_lib.Clock,
       dialect: messages.Dialect,
       make_store: Callable[[calls.Caller], protocol.Store],
+      store_headers: tuple[messages.Header, ...] = (),
   ) -> None:
     self.config = config
     self.clock = clock
     self.bus = events.Bus()
     self.instruments = metrics.Instruments(config.name)
     self.links = links_lib.Links(clock)
-    self.kv = make_store(calls.Caller(self.links))
+    self.kv = make_store(calls.Caller(self.links, store_headers))
     self._peer_caller = calls.Caller(self.links)
     self.directory = directory_lib.Directory(config.scheduler, clock)
     self.accounts = accounts_lib.Accounts(
@@ -79,6 +82,7 @@
         lambda customer: _POLICY,
         self._limit_of,
     )
+    self.relay = relay_lib.Relay(self.accounts.members, self._post, clock)
     self._dialect = dialect
     self.stopping = False
     self.front: front.Front | None = None
@@ -193,7 +197,9 @@
   ) -> None:
     """Serves other routers, the balancer's question and the metrics."""
     peer = self.config.peer_listen
-    handler = internal.Handler(self.accounts, {})
+    handler = internal.Handler(
+        self.accounts, {relay_lib.PATH: self.relay.serve}
+    )
     pages = [
         (handler.handle, peer.host, peer.port),
         (
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -128,9 +128,19 @@
     self._suspected[life] = self._clock.monotonic() + _SUSPECT_S
 
   def has_gone(self, life: str) -> bool:
-    """Whether `life` has been absent for the whole grace time."""
+    """Whether `life` has been absent for the whole grace time.
+
+    A host runs one router: once a later life of the same router has
+    registered, the earlier one is dead, and nothing is left to wait for.
+    """
+    if self._is_replaced(life):
+      return True
     return self.absent_s(life) >= self._config.grace_s
 
+  def _is_replaced(self, life: str) -> bool:
+    successor = self._by_name.get(life.rpartition(":")[0])
+    return successor is not None and successor.life != life
+
   def absent_s(self, life: str) -> float:
     """Returns for how long `life` has been absent, seconds; else -1.
 
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -1,5 +1,6 @@
 """Loops that bring the platform's documents into the gateway."""
 
+import json
 import logging
 
 import anyio
@@ -7,6 +8,7 @@
 from mustardfall import errors
 from mustardfall import gateway as gateway_lib
 from mustardfall.kv import protocol
+from mustardfall.membership import relay as relay_lib
 from mustardfall.platform import documents
 
 logger = logging.getLogger(__name__)
@@ -36,6 +38,9 @@
   def __init__(self, gateway: gateway_lib.Gateway, kv: protocol.Store) -> None:
     self._gateway = gateway
     self._kv = kv
+    self._relay = gateway.relay
+    self._configuration = ""
+    """The configuration's text, as last read from the store."""
 
   async def follow_configuration(self) -> None:
     """Keeps the configuration current until cancelled."""
@@ -50,20 +55,29 @@
           self._take(event.record)
       except _STORE_ERRORS as exc:
         logger.debug("configuration watch broke: %s", exc)
+        text = await self._relay.fetch(documents.CONFIGURATION_KEY)
+        if text is not None:
+          self._put_in_force(text.encode(), "another router")
       await anyio.sleep(_PAUSE_S)
 
   def _take(self, record: protocol.Record) -> None:
     if record.key != documents.CONFIGURATION_KEY or not record.value:
       return
+    if self._put_in_force(record.value, f"revision {record.mod_revision}"):
+      self._configuration = record.value.decode()
+
+  def _put_in_force(self, raw: bytes, source: str) -> bool:
+    """Decodes a configuration; returns whether it could be."""
     try:
-      new = documents.decode_configuration(record.value)
+      new = documents.decode_configuration(raw)
     except (KeyError, TypeError, ValueError) as exc:
       logger.error(
           "configuration unreadable",
-          extra={"revision": record.mod_revision, "error": repr(exc)},
+          extra={"source": source, "error": repr(exc)},
       )
-      return
+      return False
     self._gateway.take_configuration(new)
+    return True
 
   async def follow_servers(self) -> None:
     """Keeps the endpoints current until cancelled."""
@@ -73,9 +87,23 @@
         _, records = await self._kv.get_prefix(documents.SERVERS_PREFIX)
         hosts = [documents.decode_endpoint(record) for record in records]
         self._gateway.directory.take_endpoints(hosts)
+        self._share(hosts)
       except _STORE_ERRORS as exc:
         logger.debug("server list not read: %s", exc)
         pause_s = _PAUSE_S
+        text = await self._relay.fetch(documents.SERVERS_PREFIX)
+        if text is not None:
+          self._gateway.directory.take_endpoints(json.loads(text))
       except (KeyError, TypeError, ValueError) as exc:
         logger.error("server list unreadable", extra={"error": repr(exc)})
       await anyio.sleep(pause_s)
+
+  def _share(self, hosts: list[dict]) -> None:
+    """Lets the other routers know what was read.
+
+    The configuration goes with each list: its watch says nothing while it
+    stays as it is, and only what was read lately is passed on.
+    """
+    self._relay.note(documents.SERVERS_PREFIX, relay_lib.encode(hosts))
+    if self._configuration:
+      self._relay.note(documents.CONFIGURATION_KEY, self._configuration)
--- a/mustardfall/proxy/internal.py
+++ b/mustardfall/proxy/internal.py
@@ -26,8 +26,7 @@
   def decode_request(
       self, method: bytes, target: bytes, headers: list[messages.Header]
   ) -> messages.Request:
-    """Returns the request; only its path matters."""
-    del headers
+    """Returns the request; only its path and headers matter."""
     return messages.Request(
         id="",
         method=method,
@@ -39,7 +38,7 @@
         usage=None,
         parts=(),
         last_event=None,
-        headers=(),
+        headers=tuple(headers),
     )
 
   def encode_refusal(
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -132,6 +132,7 @@
     self.gateway: gateway_lib.Gateway | None = None
     self.stop = anyio.Event()
     self.port = 0
+    self.store_port = 0
     self._tasks = None
 
   def configure(self, **fields: Any) -> None:
@@ -152,6 +153,30 @@
     self.list_server(id_, port)
     return server
 
+  async def add_gateway(
+      self, name: str, stop: anyio.Event | None = None
+  ) -> gateway_lib.Gateway:
+    """Starts a gateway on a host of its own."""
+    found = site(self.store_port, name)
+    clock = clock_lib.SystemClock()
+    gateway = gateway_lib.Gateway(
+        found.router,
+        clock,
+        headers.Dialect(),
+        lambda caller: client_lib.Store(found.store_address, caller, clock),
+        ((b"x-host", name.encode()),),
+    )
+    followers = followers_lib.Followers(gateway, gateway.kv)
+    self._tasks.start_soon(
+        gateway.run,
+        [followers.follow_configuration, followers.follow_servers],
+        found.ready,
+        stop or anyio.Event(),
+        2.0,
+    )
+    await self.until(lambda: gateway.ready)
+    return gateway
+
   async def call(self, path: str, id_: str, **more: Any) -> Answer:
     """Makes one request on a connection of its own."""
     async with self.caller() as caller:
@@ -200,22 +225,9 @@
     world.configure(**fields)
     for id_ in servers:
       world.add_server(id_)
-    found = site(store_port)
-    world.port = found.router.listen.port
-    world.gateway = gateway_lib.Gateway(
-        found.router,
-        clock,
-        headers.Dialect(),
-        lambda caller: client_lib.Store(found.store_address, caller, clock),
-    )
-    followers = followers_lib.Followers(world.gateway, world.gateway.kv)
-    tg.start_soon(
-        world.gateway.run,
-        [followers.follow_configuration, followers.follow_servers],
-        found.ready,
-        world.stop,
-        2.0,
-    )
+    world.store_port = store_port
+    world.gateway = await world.add_gateway("front-1", world.stop)
+    world.port = world.gateway.config.listen.port
     rows = world.gateway.directory.endpoints.rows
     await world.until(lambda: world.gateway.ready and len(rows) >= len(servers))
     yield world
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -371,3 +371,30 @@
       self.assertFalse(world.gateway.ready)
       answer = await caller.receive()
     self.assertEqual((200, True), (answer.status, answer.whole))
+
+
+class RelayTest(testtools.TestCase):
+
+  def test_configuration_and_servers_reach_a_router_that_the_store_refuses(
+      self,
+  ):
+    # The store refuses one host and serves the others. A key is revoked
+    # and a server leaves meanwhile. Through another router the refused one
+    # knows both within a second or two, and acts on them.
+    async def go():
+      async with platformcase.running(servers=("i-1", "i-2")) as world:
+        other = await world.add_gateway("front-2")
+        await world.until(lambda: len(other.accounts.members.lives) == 2)
+        world.store.faults.refused.add("front-2")
+        await anyio.sleep(0.6)
+        world.configure(version=7, prepaid=5)
+        world.store.remove("servers/i-2")
+        known = other.directory
+        await world.until(lambda: known.configuration.version == 7)
+        await world.until(lambda: "i-2" not in known.endpoints.rows)
+
+    async def bounded():
+      with anyio.fail_after(20):
+        await go()
+
+    anyio.run(bounded)
