--- a/mustardfall/routing/placement.py
+++ b/mustardfall/routing/placement.py
@@ -22,6 +22,9 @@
 the uncached prompts, some 8,000 tokens at 64 a ms."""
 _READ_S_PER_TOKEN = 1 / 55_000
 """Prompt reading of the engines: 51 to 64 tokens a ms."""
+_READ_AGAIN = 1.5
+"""Weight of reading a shared part where it is not cached: it also holds up
+the requests behind it, and pushes other parts out of that cache."""
 _FAILURE_S = 0.25
 """What each recent failure is held to cost: as much as a try that fails."""
 _FAR_S = 0.004
@@ -62,7 +65,8 @@
   queue = max(row.reading_s, row.waiting * _WAITING_S)
   far = 0.0 if row.datacentre == datacentre else _FAR_S
   failed = row.failures * _FAILURE_S
-  return busy + queue + far + failed + reading_s(rank, prompt)
+  again = _READ_AGAIN if rank else 1.0
+  return busy + queue + far + failed + again * reading_s(rank, prompt)
 
 
 def reading_s(rank: int, prompt: Prompt) -> float:
