Callers of the own interface: four answers made right

Cause, from driving the router as an outside client: NaN in a body broke the send to the engine (500 without a verdict); a request larger than the whole budget was invited to come back; a used Idempotency-Key with another body got the honest repeat's 409; the demo ended by itself.

--- a/mustardfall/api/bookings.py
+++ b/mustardfall/api/bookings.py
@@ -48,7 +48,7 @@
     call: calls.Call, idem_key: str, body: dict
 ) -> responses.Response:
   """Claims the call, sends it, and records what came of it."""
-  earlier = await call.claim_key(idem_key)
+  earlier = await call.claim_key(idem_key, body)
   if isinstance(earlier, verdict.Verdict):
     return replies.answer(earlier)
   if earlier is not None:
--- a/mustardfall/api/calls.py
+++ b/mustardfall/api/calls.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 import contextlib
 import enum
+from typing import Any
 
 from mustardfall import errors
 from mustardfall import idempotency
@@ -52,6 +53,14 @@
   reservation = await router.pool.reserve(entry.name, tokens, entry.customer)
   if reservation is None:
     count(router, entry, End.REFUSED)
+    known = router.accounts.balance(entry.name)
+    if known is not None and tokens > known.limit:
+      # Come back, and it would be refused for ever.
+      return verdict.refuse(
+          f"needs {tokens} tokens, the whole budget has {known.limit}",
+          None,
+          402,
+      )
     return verdict.refuse(
         "budget cannot cover this request now", router.config.retry_after_s
     )
@@ -176,18 +185,19 @@
     return settled.billed
 
   async def claim_key(
-      self, idem_key: str
+      self, idem_key: str, body: dict[str, Any]
   ) -> idempotency.Record | verdict.Verdict | None:
-    """Claims the caller's Idempotency-Key.
+    """Claims the caller's Idempotency-Key for a call with `body`.
 
     Returns:
       None when the call is this one's to send. Else the call is settled,
       and the record of an earlier try or a refusal says why.
     """
     claim = self.router.new_claim()
+    print_ = idempotency.fingerprint(body)
     try:
       earlier = await idempotency.claim(
-          self.router.writer, self.entry.name, idem_key, claim
+          self.router.writer, self.entry.name, idem_key, claim, print_
       )
     except errors.KvUnavailableError:
       self.settle(0, End.NOT_RUN)
@@ -195,8 +205,12 @@
       return verdict.refuse("cannot record the call", retry_after_s, 503)
     if earlier is None:
       self._idem_key, self._claim = idem_key, claim
-    else:
-      self.settle(0, End.REPLAYED)
+      return None
+    self.settle(0, End.REPLAYED)
+    if earlier.get("fingerprint", print_) != print_:
+      return verdict.refuse(
+          "this Idempotency-Key was used for another request", None, 422
+      )
     return earlier
 
   async def record(
--- a/mustardfall/api/chat.py
+++ b/mustardfall/api/chat.py
@@ -137,7 +137,7 @@
     The engine's open answer, or the final answer to the caller.
   """
   if ask.idem_key:
-    earlier = await call.claim_key(ask.idem_key)
+    earlier = await call.claim_key(ask.idem_key, ask.body)
     if isinstance(earlier, verdict.Verdict):
       return replies.answer(earlier)
     if earlier is not None:
--- a/mustardfall/api/replies.py
+++ b/mustardfall/api/replies.py
@@ -1,5 +1,6 @@
 """What the handlers share: whose call it is, and verdicts as answers."""
 
+import json
 from typing import Any
 
 from starlette import requests
@@ -36,7 +37,12 @@
 async def read_object(request: requests.Request) -> dict[str, Any] | None:
   """Returns the body's JSON object, or None when it is none."""
   try:
-    body = await request.json()
+    body = json.loads(await request.body(), parse_constant=_refuse_constant)
   except ValueError:
     return None
   return body if isinstance(body, dict) else None
+
+
+def _refuse_constant(name: str) -> None:
+  """Refuses NaN and infinities: they are not JSON, and cannot be sent on."""
+  raise ValueError(f"{name} is not JSON")
--- a/mustardfall/bench/demo.py
+++ b/mustardfall/bench/demo.py
@@ -9,7 +9,9 @@
 """
 
 import collections
+from collections.abc import Callable
 import random
+import signal
 import statistics
 import time
 import uuid
@@ -211,8 +213,32 @@
   }
 
 
-async def run(count: int = 240, seed: int = 7) -> dict:
-  """Runs the whole demo; returns the summary."""
+def describe(routers: list[str]) -> str:
+  """Returns what a newcomer needs to try a request."""
+  key = sample.catalogue().entries[0].api_key
+  body = '{"messages": [{"role": "user", "content": "hi"}], "max_tokens": 5}'
+  lines = [f"router: {url}" for url in routers]
+  lines += [f"API key: {key}", "try:"]
+  lines += [
+      f"  curl -H 'Authorization: Bearer {key}' -H 'content-type:"
+      f" application/json' -d '{body}' {routers[0]}/v1/chat/completions"
+  ]
+  return "\n".join([*lines, "Ctrl-C ends the fleet."])
+
+
+async def run(
+    count: int = 240,
+    seed: int = 7,
+    keep: Callable[[str], None] | None = None,
+) -> dict:
+  """Runs the whole demo; returns the summary.
+
+  Args:
+    count: requests.
+    seed: of the load.
+    keep: when given, it is told how to try a request once the load is
+      done, and the fleet stays up until the process is interrupted.
+  """
   with fleet_lib.Fleet() as fleet:
     urls = await anyio.to_thread.run_sync(fleet_lib.start_platform, fleet)
     await _apply(urls["kv"])
@@ -220,6 +246,11 @@
     await anyio.to_thread.run_sync(fleet.wait_ready)
     await anyio.sleep(0.6)  # routers see the host list's first answer
     tally = await drive(routers, count, seed)
+    if keep is not None:
+      keep(describe(routers))
+      with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as got:
+        async for _ in got:
+          break
     for name in [n for n in fleet.procs if n.startswith("router")]:
       fleet.signal(name, 15)
     for name in [n for n in fleet.procs if n.startswith("router")]:
--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -177,12 +177,15 @@
 @main.command()
 @click.option("--requests", "count", default=240, show_default=True)
 @click.option("--seed", default=7, show_default=True)
-def demo(count: int, seed: int) -> None:
+@click.option(
+    "--keep", is_flag=True, help="Leave the fleet up until Ctrl-C, for trying."
+)
+def demo(count: int, seed: int, keep: bool) -> None:
   """Starts a small fleet on loopback, drives a mixed load, prints a summary."""
   from mustardfall.bench import demo as demo_lib  # noqa: PLC0415
 
   log_setup.setup("demo", "WARNING")
-  summary = anyio.run(demo_lib.run, count, seed)
+  summary = anyio.run(demo_lib.run, count, seed, click.echo if keep else None)
   click.echo(json.dumps(summary))
   sys.exit(0 if summary["overspend_tokens"] == 0 else 1)
 
--- a/mustardfall/idempotency.py
+++ b/mustardfall/idempotency.py
@@ -13,7 +13,9 @@
 """
 
 import enum
-from typing import Any, NamedTuple, TypedDict
+import hashlib
+import json
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 import anyio
 
@@ -46,12 +48,15 @@
   claim: str
   status: int
   answer: Any
+  fingerprint: NotRequired[str]
+  """Of the request that claimed the key; another's must not get its answer."""
 
 
 class Claim(NamedTuple):
   """Claims the call for claim id `claim`, unless it was sent before."""
 
   claim: str
+  fingerprint: str = ""
 
 
 class Finish(NamedTuple):
@@ -67,7 +72,13 @@
 def _(change: Claim, record: Record | None) -> Record | None:
   if record is not None and record["state"] != State.NOT_RUN:
     return None
-  return Record(state=State.STARTED, claim=change.claim, status=0, answer=None)
+  return Record(
+      state=State.STARTED,
+      claim=change.claim,
+      status=0,
+      answer=None,
+      fingerprint=change.fingerprint,
+  )
 
 
 @change_lib.apply.register
@@ -80,6 +91,7 @@
       claim=change.claim,
       status=change.status,
       answer=change.answer,
+      fingerprint=record.get("fingerprint", ""),
   )
 
 
@@ -88,8 +100,18 @@
   return f"{PREFIX}{entry}/{idem_key}"
 
 
+def fingerprint(body: dict[str, Any]) -> str:
+  """Returns what tells one request's body from another's."""
+  text = json.dumps(body, sort_keys=True, separators=(",", ":"))
+  return hashlib.blake2b(text.encode(), digest_size=12).hexdigest()
+
+
 async def claim(
-    writer: writer_lib.Writer, entry: str, idem_key: str, claim_id: str
+    writer: writer_lib.Writer,
+    entry: str,
+    idem_key: str,
+    claim_id: str,
+    fingerprint_: str = "",
 ) -> Record | None:
   """Claims a call.
 
@@ -98,6 +120,7 @@
     entry: the caller's catalogue entry.
     idem_key: the caller's Idempotency-Key.
     claim_id: unique to this try.
+    fingerprint_: the request's `fingerprint`.
 
   Returns:
     None when the call is this try's to send; else the record of the
@@ -109,7 +132,7 @@
   """
   k = key(entry, idem_key)
   try:
-    record = await writer.submit(k, Claim(claim_id))
+    record = await writer.submit(k, Claim(claim_id, fingerprint_))
   except errors.KvUnknownError as exc:
     # The claim may stand, and would tell retries "may have run" of a
     # call that is never sent. So it is taken back when the KV answers.
