--- /dev/null
+++ b/mustardfall/emulator/__main__.py
@@ -0,0 +1,159 @@
+"""Runs a router before the emulated platform: `python -m mustardfall.emulator`.
+
+It starts the store and servers in this process and one router as a process
+of its own, drives some requests, prints a JSON summary, and leaves all up
+with `--keep`.
+"""
+
+import contextlib
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import anyio
+import click
+import httpx
+
+from mustardfall.bench import fleet
+from mustardfall.emulator import server as server_lib
+from mustardfall.emulator import store as store_lib
+
+_HOST = "shop.example"
+_KEY = "key-of-acme"
+_SERVERS = 3
+_EVENTS = 10
+_START_S = 20.0
+_STOP_S = 15.0
+
+
+def _configuration() -> dict[str, Any]:
+  """Returns what the operator would write: a stream and a plain route."""
+  route = {
+      "host": _HOST,
+      "timeout_ms": 5000,
+      "slo_ms": 500,
+      "priority": 1,
+      "service": "pool",
+      "max_attempts": 2,
+      "public": False,
+      "resumable": True,
+  }
+  return {
+      "version": 1,
+      "routes": [
+          {**route, "name": "text", "prefix": "/text/", "kind": "streaming"},
+          {**route, "name": "look", "prefix": "/look/", "kind": "safe"},
+      ],
+      "services": [{"name": "pool", "max_conns": 50, "engine": {"stride": 4}}],
+      "tenants": [{"name": "acme", "api_keys": [_KEY], "prepaid": 100_000}],
+  }
+
+
+def _settings(store_port: int) -> dict[str, Any]:
+  """Returns the platform's settings file of one host."""
+  listen = {
+      role: f"127.0.0.1:{fleet.free_port()}"
+      for role in ("front", "ready", "control")
+  }
+  return {
+      "node": "front-1",
+      "ip": "127.0.0.1",
+      "zone": "dc",
+      "region": "region",
+      "listen": listen,
+      "bounds": {"retry_ratio": 0.2, "retry_slack": 58, "grace_s": 8},
+      "platform": {"address": f"127.0.0.1:{store_port}"},
+  }
+
+
+@contextlib.asynccontextmanager
+async def _router(settings: dict[str, Any]):
+  """Runs the router process until the block ends."""
+  with tempfile.TemporaryDirectory() as folder:
+    path = pathlib.Path(folder) / "local.json"
+    path.write_text(json.dumps(settings))
+    command = [sys.executable, "-m", "mustardfall.platform"]
+    process = subprocess.Popen(
+        [*command, "--settings", str(path), "--log-level", "WARNING"]
+    )
+    try:
+      yield
+    finally:
+      process.terminate()
+      # In a thread: the router hands its budgets back to the store, which
+      # runs in this process.
+      with anyio.CancelScope(shield=True):
+        await anyio.to_thread.run_sync(process.wait, _STOP_S)
+
+
+async def _wait_ready(http: httpx.AsyncClient, address: str) -> None:
+  with anyio.fail_after(_START_S):
+    while True:
+      with contextlib.suppress(httpx.HTTPError):
+        if (await http.get(f"http://{address}/")).status_code == 200:  # noqa: PLR2004
+          return
+      await anyio.sleep(0.05)
+
+
+async def _drive(http: httpx.AsyncClient, front: str, count: int) -> dict:
+  """Makes requests in turn on both routes; returns what came back."""
+  statuses: dict[int, int] = {}
+  events = 0
+  for number in range(count):
+    path = ("/text/", "/look/")[number % 2]
+    headers = {"host": _HOST, "credential": _KEY, "deadline-ms": "4000"}
+    headers["request-id"] = f"demo-{number}"
+    if path == "/text/":
+      headers["token-usage"] = "200,60"
+    reply = await http.post(f"http://{front}{path}a", headers=headers)
+    statuses[reply.status_code] = statuses.get(reply.status_code, 0) + 1
+    events += reply.text.count("data:")
+  return {"requests": count, "statuses": statuses, "events": events}
+
+
+async def _run(count: int, keep: bool) -> None:
+  store = store_lib.Store()
+  store_port = fleet.free_port()
+  store.put("op/config", _configuration())
+  settings = _settings(store_port)
+  front = settings["listen"]["front"]
+  async with anyio.create_task_group() as tg:
+    tg.start_soon(store.serve, store_port)
+    for number in range(_SERVERS):
+      server = server_lib.Server(f"i-{number}")
+      server.behaviour.events = _EVENTS
+      server.behaviour.gap_s = 0.01
+      port = fleet.free_port()
+      tg.start_soon(server.serve, port)
+      entry = {"service": "pool", "address": f"127.0.0.1:{port}"}
+      entry |= {"zone": "dc", "state": "ready", "slots": 8}
+      store.put(f"servers/i-{number}", entry)
+    async with _router(settings):
+      async with httpx.AsyncClient(timeout=10) as http:
+        await _wait_ready(http, settings["listen"]["ready"])
+        summary = await _drive(http, front, count)
+      click.echo(json.dumps(summary))
+      if keep:
+        click.echo(
+            f"try: curl -N -H 'Host: {_HOST}' -H 'Credential: {_KEY}' -H"
+            " 'Request-Id: 1' -H 'Token-Usage: 200,60' -d x"
+            f" http://{front}/text/a\nCtrl-C ends it."
+        )
+        await anyio.sleep_forever()
+    tg.cancel_scope.cancel()
+
+
+@click.command()
+@click.option("--requests", "count", default=40, show_default=True)
+@click.option("--keep", is_flag=True, help="Leave all up until Ctrl-C.")
+def main(count: int, keep: bool) -> None:
+  """Runs a router before the emulated platform."""
+  with contextlib.suppress(KeyboardInterrupt):
+    anyio.run(_run, count, keep)
+
+
+if __name__ == "__main__":
+  main()
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -132,6 +132,7 @@
     self.gateway: gateway_lib.Gateway | None = None
     self.stop = anyio.Event()
     self.port = 0
+    self.ended = False
     self.store_port = 0
     self._tasks = None
 
@@ -167,13 +168,13 @@
         ((b"x-host", name.encode()),),
     )
     followers = followers_lib.Followers(gateway, gateway.kv)
-    self._tasks.start_soon(
-        gateway.run,
-        [followers.follow_configuration, followers.follow_servers],
-        found.ready,
-        stop or anyio.Event(),
-        2.0,
-    )
+    loops = [followers.follow_configuration, followers.follow_servers]
+
+    async def _run():
+      await gateway.run(loops, found.ready, stop or anyio.Event(), 2.0)
+      self.ended = True
+
+    self._tasks.start_soon(_run)
     await self.until(lambda: gateway.ready)
     return gateway
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -373,6 +373,22 @@
     self.assertEqual((200, True), (answer.status, answer.whole))
 
 
+class StopTest(testtools.TestCase):
+
+  @in_world()
+  async def test_stop_ends_in_time_while_the_store_is_silent(self, world):
+    # The store answers nothing and the platform stops the process. Budgets
+    # cannot be handed back, and the process must not wait for that until
+    # it is killed: its callers' connections would be cut with it.
+    world.servers["i-1"].behaviour.events = 5
+    await world.call("/once/a", "r1", **StreamTest.USAGE)
+    world.store.faults.down = "silent"
+    started = anyio.current_time()
+    world.stop.set()
+    await world.until(lambda: world.ended, 6.0)
+    self.assertTrue(anyio.current_time() - started < 3.0)
+
+
 class RelayTest(testtools.TestCase):
 
   def test_configuration_and_servers_reach_a_router_that_the_store_refuses(
