A stand-in for an owner takes what it needs; ready once callers can connect

Change: a stand-in takes what the request needs; the margin is not counted. Also: readiness could be told before the callers' port was open. A test of ours met it once (connection refused); ReadyTest makes it sure.

--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -139,12 +139,12 @@
     until = self._clock.monotonic() + _EXHAUSTED_S
     self._exhausted[budget] = (tokens, until)
 
-  def _most_left(self, budget: str) -> int | None:
+  def _most_left(self, budget: str, margin: float) -> int | None:
     """Returns the most tokens that the budget could still give, if known."""
     found = self._seen.get(budget)
     if found is None:
       return None
-    left = ledger.headroom(found)
+    left = ledger.headroom(found) - int(found["limit"] * margin)
     limit = self._limit_of(budget)
     if limit is not None and limit.version > found.get("limit_version", 0):
       left += limit.tokens - found["limit"]
@@ -193,8 +193,10 @@
           want = self.table.want_part(budget, demand)
           if await self._ask_owner(owner, budget, tokens, want, customer):
             return
-        want = self.table.want(budget, demand)
-        await self._take_grant(budget, tokens, want, customer)
+        # In an owner's place only what is needed now: a store of tokens
+        # here would lie idle once the owner answers again.
+        want = demand if owner else self.table.want(budget, demand)
+        await self._take_grant(budget, tokens, want, customer, owner is None)
 
   def _owner(self, budget: str) -> members_lib.Member | None:
     """Returns the other router to draw through; None: the KV itself."""
@@ -236,21 +238,26 @@
     return not answer.unsure
 
   async def _take_grant(
-      self, budget: str, least: int, want: int, customer: str
+      self,
+      budget: str,
+      least: int,
+      want: int,
+      customer: str,
+      owns: bool = True,
   ) -> bool:
     """Takes a grant from the KV; returns whether the KV answered."""
-    policy = self._policy_of(customer)
-    found = await self._grant_once(budget, least, want, policy.margin)
+    margin = self._policy_of(customer).margin
+    found = await self._grant_once(budget, least, want, margin, owns)
     if found is None:
       return False
     if self.table.has_room(budget, least):
       return True
     called_back = await self._recall(budget, found)
     if called_back and not self.table.has_room(budget, least):
-      await self._grant_once(budget, least, want, policy.margin)
+      await self._grant_once(budget, least, want, margin, owns)
     if not self.table.has_room(budget, least):
       self._refusals.note(budget, least, self._config.refusal_ttl_s)
-      left = self._most_left(budget)
+      left = self._most_left(budget, margin)
       if left is not None and left < least:
         self._note_exhausted(budget, least)
     return True
@@ -267,11 +274,17 @@
     return self._config.headroom_share
 
   async def _grant_once(
-      self, budget: str, least: int, want: int, margin: float
+      self,
+      budget: str,
+      least: int,
+      want: int,
+      margin: float,
+      owns: bool = True,
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
     limit = self._limit_of(budget)
-    want = max(least, self._hold(budget, want, limit))
+    if owns:
+      want = max(least, self._hold(budget, want, limit))
     row = self.table.growing(budget)
     base = row.granted if row is not None else 0
     gid = row.gid if row is not None else self.table.new_gid()
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -173,6 +173,10 @@
           lambda: self.directory.limits,
           self.clock,
       )
+      # Before the followers: once the configuration is known the balancer
+      # is told to send callers, who must find the port open.
+      listen = self.config.listen
+      await tasks.start(self.front.serve, listen.host, listen.port)
       for loop in (
           *adapter_loops,
           *self.accounts.loops(),
@@ -187,8 +191,6 @@
             ),
         )
       self._serve_internal(tasks, ready)
-      listen = self.config.listen
-      tasks.start_soon(self.front.serve, listen.host, listen.port)
       logger.info("started", extra={"listen": listen.port})
       await stop.wait()
       await self._stop(self.front, stop_s)
--- a/mustardfall/proxy/front.py
+++ b/mustardfall/proxy/front.py
@@ -115,12 +115,19 @@
     self._waiting: set[anyio.CancelScope] = set()
     """Scopes of connections that wait for a request."""
 
-  async def serve(self, host: str, port: int) -> None:
-    """Serves until cancelled."""
+  async def serve(
+      self,
+      host: str,
+      port: int,
+      *,
+      task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+  ) -> None:
+    """Serves until cancelled; has started once it accepts connections."""
     listener = await anyio.create_tcp_listener(
         local_host=host, local_port=port, backlog=_BACKLOG
     )
     async with listener:
+      task_status.started()
       await listener.serve(self._serve_connection)
 
   async def _serve_connection(self, stream: abc.SocketStream) -> None:
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -155,7 +155,7 @@
     return server
 
   async def add_gateway(
-      self, name: str, stop: anyio.Event | None = None
+      self, name: str, stop: anyio.Event | None = None, started=None
   ) -> gateway_lib.Gateway:
     """Starts a gateway on a host of its own."""
     found = site(self.store_port, name)
@@ -167,6 +167,8 @@
         lambda caller: client_lib.Store(found.store_address, caller, clock),
         ((b"x-host", name.encode()),),
     )
+    if started is not None:
+      started(gateway)
     followers = followers_lib.Followers(gateway, gateway.kv)
     loops = [followers.follow_configuration, followers.follow_servers]
 
@@ -215,7 +217,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(servers: tuple[str, ...] = ("i-1",), **fields: Any):
+async def running(
+    servers: tuple[str, ...] = ("i-1",), started=None, **fields: Any
+):
   """Runs the platform and a gateway; yields the `World`."""
   clock = clock_lib.SystemClock()
   world = World(clock)
@@ -227,7 +231,7 @@
     for id_ in servers:
       world.add_server(id_)
     world.store_port = store_port
-    world.gateway = await world.add_gateway("front-1", world.stop)
+    world.gateway = await world.add_gateway("front-1", world.stop, started)
     world.port = world.gateway.config.listen.port
     rows = world.gateway.directory.endpoints.rows
     await world.until(lambda: world.gateway.ready and len(rows) >= len(servers))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import h11
 import testtools
 
+from mustardfall import errors
 from mustardfall.budget import ledger
 from tests import platformcase
 
@@ -414,3 +415,67 @@
         await go()
 
     anyio.run(bounded)
+
+
+class OwnerTest(testtools.TestCase):
+
+  def test_stand_in_for_an_owner_takes_only_what_it_needs(self):
+    # The router that owns a budget does not answer, and another takes a
+    # grant in its place. A whole store of tokens there would lie idle once
+    # the owner is back: idle tokens in the wrong place are false refusals.
+    async def go():
+      with anyio.fail_after(20):
+        async with platformcase.running(servers=("i-1",)) as world:
+          world.servers["i-1"].behaviour.events = 5
+          other = await world.add_gateway("front-2")
+          gateways = (world.gateway, other)
+          await world.until(
+              lambda: all(len(g.accounts.members.lives) == 2 for g in gateways)
+          )
+          owner = world.gateway.accounts.members.owner("acme").life
+          asker = [g for g in gateways if g.accounts.members.me.life != owner]
+          asker[0].accounts.peers._send = _no_answer
+          pool = asker[0].accounts.pool
+          found = await pool.reserve("acme", 1100, "acme")
+          self.assertIsNotNone(found)
+          rows = pool.table.rows.values()
+          self.assertEqual([1100], [row.granted for row in rows])
+
+    anyio.run(go)
+
+
+async def _no_answer(url, body, timeout_s):
+  raise errors.PeerUnavailableError("no answer")
+
+
+class ReadyTest(testtools.TestCase):
+
+  def test_not_ready_before_callers_can_connect(self):
+    # The balancer asks, is told that the router is ready, and sends a
+    # caller whose connection is refused: the configuration was known
+    # before the callers' port was open.
+    async def go():
+      seen = []
+      listen = anyio.create_tcp_listener
+
+      async def _slow(**kwargs):
+        if world_port and kwargs["local_port"] == world_port[0]:
+          await anyio.sleep(0.5)
+          seen.append(gateways[0].ready)
+        return await listen(**kwargs)
+
+      world_port, gateways = [], []
+      anyio.create_tcp_listener = _slow
+      try:
+        async with platformcase.running(
+            started=lambda g: (
+                gateways.append(g),
+                world_port.append(g.config.listen.port),
+            )
+        ):
+          pass
+      finally:
+        anyio.create_tcp_listener = listen
+      self.assertEqual([False], seen)
+
+    anyio.run(go)
