--- /dev/null
+++ b/mustardfall/proxy/job.py
@@ -0,0 +1,78 @@
+"""A request on its way through the router."""
+
+import dataclasses
+
+from mustardfall.budget import allotment
+from mustardfall.proxy import front
+from mustardfall.proxy import messages
+from mustardfall.proxy import streams
+from mustardfall.routing import configuration
+from mustardfall.routing import endpoints
+from mustardfall.routing import placement
+
+
+@dataclasses.dataclass
+class Job:
+  """A request on its way, and what is known of its sends."""
+
+  request: messages.Request
+  body: bytes
+  responder: front.Responder
+  route: configuration.Route
+  service: configuration.Service
+  team: configuration.Team | None
+  arrived: float
+  deadline: float
+  """When the router answers at the latest, monotonic seconds."""
+  joiner: streams.Joiner
+  reservation: allotment.Reservation | None = None
+  sends: int = 0
+  connects: int = 0
+  may_have_run: bool = False
+  reserved_after_s: float = 0.0
+  """How long it waited for tokens."""
+  tried: set[str] = dataclasses.field(default_factory=set)
+  endpoint: str = ""
+  first_at: float | None = None
+  """When the first event or the answer came."""
+  failure: tuple[messages.Answer, bytes] | None = None
+  """An endpoint's own failure, passed on if no other try does better."""
+
+  @property
+  def tokens_per_event(self) -> int:
+    """Most tokens in one event."""
+    engine = self.service.engine
+    return engine.tokens_per_event if engine else 1
+
+
+class Reading:
+  """A prompt that an endpoint has still to read; ends once.
+
+  Args:
+    row: the endpoint.
+    seconds: how long the reading should take.
+  """
+
+  def __init__(self, row: endpoints.Row, seconds: float) -> None:
+    self._row = row
+    self._seconds = seconds
+    row.reading_s += seconds
+
+  def end(self) -> None:
+    """Takes it off: the first token has come, or the request has gone."""
+    self._row.reading_s -= self._seconds
+    self._seconds = 0.0
+
+
+def prompt_of(request: messages.Request) -> placement.Prompt:
+  """Returns the prefix that the request shares with others.
+
+  The last part is the request's own, so the one before it names the
+  longest prefix that others may have brought into a cache.
+  """
+  if len(request.parts) < 2:  # noqa: PLR2004
+    return placement.NO_PROMPT
+  *shared, own = request.parts
+  return placement.Prompt(
+      shared[-1].id, sum(part.tokens for part in shared), own.tokens
+  )
