--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -39,6 +39,12 @@
 """How long an owner's refusal is repeated from memory."""
 _WAIT_STEP_S = 0.05
 """Pause between two looks at a budget that ran out."""
+_CAUTION = 4.0
+"""How strongly a loss makes holders careful: one loss of a usual store, some
+16 in 100 of a budget, brings the next to a third of its size."""
+_LEAST_BOLDNESS = 0.2
+"""Holders never go below this: the largest requests take a tenth of a
+small budget, and a grant for each would cost a write a request."""
 _EXHAUSTED_S = 0.5
 """How long a budget that was found used up is believed to be."""
 _BILL_S = 1.5
@@ -51,6 +57,17 @@
 """Rounds in which a stopping router hands its parts back."""
 
 
+def _boldness(found: ledger.Ledger) -> float:
+  """Returns what part of the usual store of tokens to hold, 0.2 to 1.
+
+  Where routers have died with a part of a budget they may die again, and
+  each death takes what is held: three losses of all routers in a day left
+  a budget with nothing, and every request after the third was refused.
+  """
+  lost = ledger.lost(found) / max(found["limit"], 1)
+  return max(_LEAST_BOLDNESS, 1.0 - _CAUTION * lost)
+
+
 class Pool:
   """A router's share of the budgets.
 
@@ -335,11 +352,13 @@
     if limit is None:
       return want
     held = self.table.free(budget)
-    want = max(want, int(limit.tokens * self._config.least_share))
     found = self._seen.get(budget)
+    boldness = 1.0 if found is None else _boldness(found)
+    least = self._config.least_share * boldness
+    want = max(want, int(limit.tokens * least))
     if found is not None:
       left = ledger.headroom(found) + held
-      want = min(want, int(left * self._config.headroom_share))
+      want = min(want, int(left * self._config.headroom_share * boldness))
     return want - held
 
   def _note_grant(self, budget: str, gid: str, granted: int, new: bool) -> None:
