--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -147,6 +147,15 @@
     rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
     return sum(row.free for row in rows if not row.retiring)
 
+  def at_risk(self, budget: str) -> int:
+    """Returns what would be lost if this router died now.
+
+    Free tokens, parts that others hold, and what requests in flight have
+    reserved: only what was used for certain is not lost.
+    """
+    rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
+    return sum(max(row.may_return, 0) for row in rows if not row.source)
+
   def running_low(self, budget: str) -> bool:
     """Whether the budget's free tokens here are under the low mark.
 
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -351,9 +351,9 @@
     """
     if limit is None:
       return want
-    held = self.table.free(budget)
+    held = self.table.at_risk(budget)
     found = self._seen.get(budget)
-    boldness = 1.0 if found is None else _boldness(found)
+    boldness = _LEAST_BOLDNESS if found is None else _boldness(found)
     least = self._config.least_share * boldness
     want = max(want, int(limit.tokens * least))
     if found is not None:
