--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -39,15 +39,15 @@
 """How long an owner's refusal is repeated from memory."""
 _WAIT_STEP_S = 0.05
 """Pause between two looks at a budget that ran out."""
-_CAUTION = 4.0
+_CAUTION = 6.0
 """How strongly a loss makes holders careful: one loss of a usual store, some
-16 in 100 of a budget, brings the next to a third of its size."""
-_LEAST_BOLDNESS = 0.2
+a tenth of a budget, brings the next to two fifths of its size."""
+_LEAST_BOLDNESS = 0.1
 """Holders never go below this: the largest requests take a tenth of a
 small budget, and a grant for each would cost a write a request."""
 _EXHAUSTED_S = 0.5
 """How long a budget that was found used up is believed to be."""
-_BILL_S = 1.5
+_BILL_S = 1.0
 """Between two reports of what grants have used. A dead router's grants are
 written off but for what it reported; each report costs a write."""
 _REFILL_PAUSE_S = 1.0
@@ -58,7 +58,7 @@
 
 
 def _boldness(found: ledger.Ledger) -> float:
-  """Returns what part of the usual store of tokens to hold, 0.2 to 1.
+  """Returns what part of the usual store of tokens to hold, 0.1 to 1.
 
   Where routers have died with a part of a budget they may die again, and
   each death takes what is held: three losses of all routers in a day left
