A first grant taken blind is filled up at once; names said plainly

Cause: a router that does not know a budget's ledger takes little; its first request left too little for a second, and the filling up waited for that one, which may come when the store is away (test_requests_go_on_while_the_store_is_silent failed three times of three). Change: filled up in the background at once. Also renames, an unused logger and argument, routes whose weights are all zero.

--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -39,10 +39,10 @@
 """How long an owner's refusal is repeated from memory."""
 _WAIT_STEP_S = 0.05
 """Pause between two looks at a budget that ran out."""
-_CAUTION = 6.0
+_LOSS_WEIGHT = 6.0
 """How strongly a loss makes holders careful: one loss of a usual store, some
 a tenth of a budget, brings the next to two fifths of its size."""
-_LEAST_BOLDNESS = 0.1
+_LEAST_SCALE = 0.1
 """Holders never go below this: the largest requests take a tenth of a
 small budget, and a grant for each would cost a write a request."""
 _EXHAUSTED_S = 0.5
@@ -57,7 +57,7 @@
 """Rounds in which a stopping router hands its parts back."""
 
 
-def _boldness(found: ledger.Ledger) -> float:
+def _hold_scale(found: ledger.Ledger) -> float:
   """Returns what part of the usual store of tokens to hold, 0.1 to 1.
 
   Where routers have died with a part of a budget they may die again, and
@@ -65,7 +65,7 @@
   a budget with nothing, and every request after the third was refused.
   """
   lost = ledger.lost(found) / max(found["limit"], 1)
-  return max(_LEAST_BOLDNESS, 1.0 - _CAUTION * lost)
+  return max(_LEAST_SCALE, 1.0 - _LOSS_WEIGHT * lost)
 
 
 class Pool:
@@ -118,6 +118,8 @@
     """Budgets found used up: for how many tokens, and until when."""
     self._refill_at: dict[str, float] = {}
     """When a budget that could not give may be refilled again."""
+    self._blind: set[str] = set()
+    """Budgets whose first grant was taken without knowing their ledger."""
     self._billed_at = -float("inf")
     self._stopping = False
 
@@ -139,10 +141,14 @@
     if found is None:
       return await self._wait(budget, tokens, customer)
     if self.table.running_low(budget):
-      self._low[budget] = customer
-      self._low_event.set()
+      self._note_low(budget, customer)
     return found
 
+  def _note_low(self, budget: str, customer: str) -> None:
+    """Has the budget refilled in the background."""
+    self._low[budget] = customer
+    self._low_event.set()
+
   def is_exhausted(self, budget: str, tokens: int) -> bool:
     """Whether the budget was just found unable to cover `tokens`.
 
@@ -264,10 +270,16 @@
   ) -> bool:
     """Takes a grant from the KV; returns whether the KV answered."""
     margin = self._policy_of(customer).margin
+    blind = budget not in self._seen
     found = await self._grant_once(budget, least, want, margin, owns)
     if found is None:
       return False
     if self.table.has_room(budget, least):
+      if owns and blind:
+        # Taken before the ledger was known, so small: filled up now, not
+        # with the next request, which may come when the store is away.
+        self._blind.add(budget)
+        self._note_low(budget, customer)
       return True
     called_back = await self._recall(budget, found)
     if called_back and not self.table.has_room(budget, least):
@@ -353,12 +365,12 @@
       return want
     held = self.table.at_risk(budget)
     found = self._seen.get(budget)
-    boldness = _LEAST_BOLDNESS if found is None else _boldness(found)
-    least = self._config.least_share * boldness
+    scale = _LEAST_SCALE if found is None else _hold_scale(found)
+    least = self._config.least_share * scale
     want = max(want, int(limit.tokens * least))
     if found is not None:
       left = ledger.headroom(found) + held
-      want = min(want, int(left * self._config.headroom_share * boldness))
+      want = min(want, int(left * self._config.headroom_share * scale))
     return want - held
 
   def _note_grant(self, budget: str, gid: str, granted: int, new: bool) -> None:
@@ -521,7 +533,9 @@
   async def _refill_one(self, budget: str, customer: str) -> None:
     async with self._locks.setdefault(budget, anyio.Lock()):
       now = self._clock.monotonic()
-      if not self.table.running_low(budget) or self._stopping:
+      blind = budget in self._blind
+      self._blind.discard(budget)
+      if self._stopping or not (blind or self.table.running_low(budget)):
         return
       if now < self._refill_at.get(budget, -float("inf")):
         return
--- a/mustardfall/platform/documents.py
+++ b/mustardfall/platform/documents.py
@@ -38,7 +38,8 @@
 
 
 def _route(data: dict[str, Any]) -> configuration.Route:
-  split = data.get("split") or [{"service": data["service"], "weight": 1}]
+  split = [share for share in data.get("split") or [] if share["weight"] > 0]
+  split = split or [{"service": data["service"], "weight": 1}]
   return configuration.Route(
       name=data["name"],
       authority=data["host"].lower(),
@@ -50,7 +51,6 @@
       split=tuple(
           configuration.Share(share["service"], float(share["weight"]))
           for share in split
-          if share["weight"] > 0
       ),
       max_attempts=int(data.get("max_attempts") or 1),
       public=bool(data.get("public")),
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -7,7 +7,6 @@
 
 from collections.abc import AsyncIterator, Iterator
 import contextlib
-import logging
 import math
 
 import anyio
@@ -33,8 +32,6 @@
 from mustardfall.routing import retries
 from mustardfall.util import clock as clock_lib
 
-logger = logging.getLogger(__name__)
-
 _OK = 200
 _SERVER_ERROR = 500
 _MOST_BODY_BYTES = 8_388_608
--- a/mustardfall/proxy/front.py
+++ b/mustardfall/proxy/front.py
@@ -112,7 +112,7 @@
     self.clock = clock
     self.stopping = False
     self.in_flight = 0
-    self._waiting: set[anyio.CancelScope] = set()
+    self.waiting: set[anyio.CancelScope] = set()
     """Scopes of connections that wait for a request."""
 
   async def serve(
@@ -149,7 +149,7 @@
   def stop_idle(self) -> None:
     """Closes idle connections; those with a request end after it."""
     self.stopping = True
-    for scope in list(self._waiting):
+    for scope in list(self.waiting):
       scope.cancel()
 
   async def finish(self, timeout_s: float) -> bool:
@@ -239,12 +239,12 @@
     if self._front.stopping:
       return False
     scope = self._front.wait_scope(timeout_s)
-    self._front._waiting.add(scope)  # noqa: SLF001
+    self._front.waiting.add(scope)
     try:
       with scope:
         await self._receive()
     finally:
-      self._front._waiting.discard(scope)  # noqa: SLF001
+      self._front.waiting.discard(scope)
     return bool(self._raw)
 
   async def _receive(self) -> None:
--- a/mustardfall/proxy/links.py
+++ b/mustardfall/proxy/links.py
@@ -110,18 +110,13 @@
       del self.open[link.address]
     await link.close()
 
-  async def close_idle(self, keep: frozenset[str] = frozenset()) -> None:
-    """Closes idle connections that are past their time.
-
-    Args:
-      keep: addresses still in use; those of others are closed at once.
-    """
+  async def close_idle(self) -> None:
+    """Closes idle connections that are past their time."""
     now = self._clock.monotonic()
     for address, idle in list(self._idle.items()):
       for link in list(idle):
-        if now < link.idle_until and (not keep or address in keep):
-          continue
-        idle.remove(link)
-        await self.discard(link)
+        if now >= link.idle_until:
+          idle.remove(link)
+          await self.discard(link)
       if not idle:
         self._idle.pop(address, None)
