--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -19,6 +19,7 @@
 from mustardfall.kv import change
 from mustardfall.kv import protocol
 from mustardfall.kv import writer as writer_lib
+from mustardfall.membership import clockcheck
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
@@ -69,6 +70,9 @@
     )
     self.members = members_lib.Members(kv, me, config.membership, clock, bus)
     self.peers = peers_lib.Client(post, config.membership)
+    self.clock_check = clockcheck.ClockCheck(
+        config.membership, self.members, post, clock
+    )
     self.pool = pool_lib.Pool(
         config,
         clock,
@@ -77,6 +81,7 @@
         self.writer,
         policy_of,
         limit_of,
+        self.clock_check,
     )
     bus.connect(events.Name.LEDGER_READ, lambda e: self.pool.sweep(*e))
 
@@ -107,6 +112,8 @@
         self.members.register,
         self.members.follow,
         self.pool.refill,
+        self.pool.review,
+        self.clock_check.run,
         self._settle_parts,
     )
 
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -9,15 +9,24 @@
 
 import dataclasses
 import itertools
+import math
 from typing import NamedTuple
 
 from mustardfall import settings
+from mustardfall.budget import ceilings as ceilings_lib
+from mustardfall.util import clock as clock_lib
 
 _RATE_WEIGHT = 0.15
 """Weight of the newest tick in each budget's draw-rate average. Requests
 are lumps of up to a tenth of a small budget; over some 3 s they average."""
 _RATE_FLOOR = 0.5
 """Tokens a second below which a budget's rate is forgotten."""
+_SLACK_LOW = 0.4
+"""A promise is renewed ahead of time when this part of its slack is left."""
+_LEAST_RATE = 0.003
+"""Part of a budget's limit that a holder out of touch may draw a second at
+least. Small: a budget that has been quiet reports seldom, and all that its
+holder might have drawn since is lost with it."""
 _PARTS_REMEMBERED = 20_000
 """Ended parts remembered, to know a late or repeated message by."""
 
@@ -31,6 +40,14 @@
   """The life (`name:epoch`) of the router that holds it."""
 
 
+class Promise(NamedTuple):
+  """A ceiling that the ledger holds, or may hold, for a row."""
+
+  ceiling: ceilings_lib.Ceiling
+  at: float
+  """When it was issued, monotonic seconds."""
+
+
 @dataclasses.dataclass
 class Row:
   """One allotment held by this router."""
@@ -55,11 +72,35 @@
   handed_on: int = 0
   """Tokens of open and lost parts plus those that ended parts used."""
   retiring: bool = False
+  promises: list[Promise] = dataclasses.field(default_factory=list)
+  """Ceilings that may be in force: the one that the ledger was last seen
+  with, and later ones whose fate is not known yet."""
+  ceiling: float = math.inf
+  """Tokens that may be in use by these promises, as of the last look."""
+
+  @property
+  def drawn(self) -> int:
+    """Tokens in use: reserved, used or handed on."""
+    return self.own + self.handed_on
+
+  @property
+  def undrawn(self) -> int:
+    """Tokens not yet set aside, whether or not they may be now."""
+    return self.granted - self.drawn
 
   @property
   def free(self) -> int:
-    """Tokens not yet set aside."""
-    return self.granted - self.own - self.handed_on
+    """Tokens that may be set aside now."""
+    return int(min(self.granted, self.ceiling)) - self.drawn
+
+  def look(self, now: float) -> None:
+    """Takes note of what the promises allow by now.
+
+    All that may be in force must be kept: a report whose answer was lost
+    may stand in the ledger, or the one before it.
+    """
+    allowed = (p.ceiling.after(now - p.at) for p in self.promises)
+    self.ceiling = min(allowed, default=math.inf)
 
   @property
   def may_return(self) -> int:
@@ -142,6 +183,11 @@
     rate = self.rate.get(budget, 0.0)
     return max(tokens, int(rate * self._config.part_horizon_s))
 
+  def look(self, budget: str, now: float) -> None:
+    """Takes note of what promises allow of the budget's rows by now."""
+    for gid in self.by_budget.get(budget, ()):
+      self.rows[gid].look(now)
+
   def free(self, budget: str) -> int:
     """Returns the budget's free tokens in live rows here."""
     rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
@@ -157,15 +203,81 @@
     return sum(max(row.may_return, 0) for row in rows if not row.source)
 
   def running_low(self, budget: str) -> bool:
-    """Whether the budget's free tokens here are under the low mark.
+    """Whether the budget's tokens here are under the low mark.
 
     A share of what a grant or part should cover, not of what was granted:
     a grant that grows has long been used for the most part.
     """
-    gids = self.by_budget.get(budget, ())
-    owned = any(not self.rows[gid].source for gid in gids)
+    rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
+    owned = any(not row.source for row in rows)
     size = self.want(budget, 0) if owned else self.want_part(budget, 0)
-    return self.free(budget) < size * self._config.low_mark
+    undrawn = sum(row.undrawn for row in rows if not row.retiring)
+    return undrawn < size * self._config.low_mark
+
+  def nears_ceiling(self, budget: str) -> bool:
+    """Whether the budget's grant is about to be stopped by its promise."""
+    row = self.growing(budget)
+    if row is None or row.ceiling >= row.granted:
+      return False
+    slack = row.promises[-1].ceiling.tokens - row.drawn
+    return slack < self._slack(budget) * _SLACK_LOW
+
+  def _slack(self, budget: str) -> float:
+    return self.rate.get(budget, 0.0) * self._config.slack_s
+
+  def promise(
+      self,
+      budget: str,
+      drawn: int,
+      least: int,
+      limit: int,
+      issued: clock_lib.Moment,
+  ) -> ceilings_lib.Ceiling:
+    """Returns what this router promises of a grant from now on.
+
+    Args:
+      budget: the budget.
+      drawn: tokens of the grant that are in use.
+      least: tokens that are about to be drawn.
+      limit: the budget's limit.
+      issued: the present moment.
+    """
+    config = self._config
+    rate = max(self.rate.get(budget, 0.0), limit * _LEAST_RATE)
+    slack = max(self._slack(budget), limit * config.slack_share)
+    return ceilings_lib.Ceiling(
+        tokens=drawn + max(least, int(slack)),
+        grace_s=config.ceiling_grace_s,
+        rate=round(rate * config.ceiling_rate, 1),
+        issued=issued,
+    )
+
+  def issue(self, gid: str, ceiling: ceilings_lib.Ceiling, now: float) -> None:
+    """Notes a promise that is about to be sent."""
+    row = self.rows.get(gid)
+    if row is not None:
+      row.promises.append(Promise(ceiling, now))
+      row.look(now)
+
+  def withdraw(
+      self, gid: str, ceiling: ceilings_lib.Ceiling, now: float
+  ) -> None:
+    """Forgets a promise that was not written."""
+    row = self.rows.get(gid)
+    if row is not None:
+      row.promises = [p for p in row.promises if p.ceiling != ceiling]
+      row.look(now)
+
+  def confirm(
+      self, gid: str, ceiling: ceilings_lib.Ceiling, now: float
+  ) -> None:
+    """Notes which promise a ledger was seen with; earlier ones are over."""
+    row = self.rows.get(gid)
+    if row is not None:
+      row.promises = [
+          p for p in row.promises if p.ceiling.issued >= ceiling.issued
+      ]
+      row.look(now)
 
   def reserve(self, budget: str, tokens: int) -> Reservation | None:
     """Sets `tokens` aside from a row of the budget that has room."""
@@ -341,6 +453,7 @@
     """
     self._update_rates(elapsed_s)
     for row in self.rows.values():
+      row.look(now)
       term_s = self._config.part_term_s if row.source else self._config.term_s
       if now - row.taken_at >= term_s:
         row.retiring = True
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -30,8 +30,10 @@
 from typing import NamedTuple, TypedDict
 
 from mustardfall import errors
+from mustardfall.budget import ceilings as ceilings_lib
 from mustardfall.kv import change as change_lib
 from mustardfall.kv import protocol
+from mustardfall.util import clock as clock_lib
 
 PREFIX = "budget/"
 _OPS_KEPT = 64
@@ -59,6 +61,8 @@
   ops: list[str]
   billed: typing.NotRequired[dict[str, int]]
   """Grant to the tokens of it that its holder has reported as used."""
+  ceilings: typing.NotRequired[dict[str, list[float]]]
+  """Grant to its holder's last promise; see `ceilings.decode`."""
 
 
 class Balance(NamedTuple):
@@ -102,6 +106,8 @@
   `limit`, where operators set limits by configuration, replaces the
   ledger's unless that is from a newer version: a router that has not
   heard of a reduced limit cannot bring the old one back.
+
+  `ceiling` is what the holder promises of the grant; see `ceilings`.
   """
 
   gid: str
@@ -111,6 +117,7 @@
   margin: float = 0.0
   limit: Limit | None = None
   base: int = 0
+  ceiling: ceilings_lib.Ceiling | None = None
 
 
 class Settle(NamedTuple):
@@ -135,11 +142,13 @@
 
   What is reported moves from the grant to what is spent, so that less is
   written off when the holder dies. `used` and `parts` are as in `Settle`.
+  `ceiling` is what the holder promises from now on.
   """
 
   gid: str
   used: int
   parts: Mapping[str, int] = {}
+  ceiling: ceilings_lib.Ceiling | None = None
 
 
 class Reduce(NamedTuple):
@@ -178,6 +187,18 @@
   gid: str
 
 
+class Reclaim(NamedTuple):
+  """Gives back what earlier lives of a router cannot have drawn.
+
+  The router life `life` runs since `started`, and no earlier life of it any
+  more: what each held above its ceiling at that moment was not drawn. The
+  rest is written off.
+  """
+
+  life: str
+  started: clock_lib.Moment
+
+
 class TopUp(NamedTuple):
   """Adds `tokens` once; `op` names this top-up in the ledger."""
 
@@ -242,7 +263,8 @@
   if size < change.least:
     return None
   held = ledger["grants"].get(change.gid, 0) + size
-  return {**ledger, "grants": {**ledger["grants"], change.gid: held}}
+  after = {**ledger, "grants": {**ledger["grants"], change.gid: held}}
+  return _promise(after, change)
 
 
 def granted(ledger: Ledger, gid: str) -> int:
@@ -250,10 +272,44 @@
 
   0 when there is no such grant, or it was written off.
   """
-  if gid not in ledger["grants"]:
-    return 0
+  return _granted(ledger, "grants", gid) if gid in ledger["grants"] else 0
+
+
+def _granted(ledger: Ledger, place: str, gid: str) -> int:
   settled_here = sum(ledger["parts"].get(gid, {}).values())
-  return ledger["grants"][gid] + settled_here + billed(ledger, gid)
+  return ledger[place][gid] + settled_here + billed(ledger, gid)
+
+
+def ceiling(ledger: Ledger, gid: str) -> ceilings_lib.Ceiling | None:
+  """Returns what the holder of `gid` has promised last, if anything."""
+  raw = ledger.get("ceilings", {}).get(gid)
+  return None if raw is None else ceilings_lib.decode(raw)
+
+
+def _promise(ledger: Ledger, change: Grant | Bill) -> Ledger:
+  """Returns `ledger` with a holder's promise, unless a later one is there.
+
+  A report that waited for the KV may land after a later change of the same
+  holder; it then knows nothing of what the holder has drawn since.
+  """
+  new, old = change.ceiling, ceiling(ledger, change.gid)
+  if new is None or (old is not None and old.issued > new.issued):
+    return ledger
+  raw = ceilings_lib.encode(new)
+  return {
+      **ledger,
+      "ceilings": {**ledger.get("ceilings", {}), change.gid: raw},
+  }
+
+
+def predecessors(ledger: Ledger, life: str) -> list[str]:
+  """Returns the grants with a promise that earlier lives of `life` held."""
+  name = life.rpartition(":")[0]
+  return [
+      gid
+      for gid in ledger.get("ceilings", {})
+      if holder(gid) != life and holder(gid).rpartition(":")[0] == name
+  ]
 
 
 def billed(ledger: Ledger, gid: str) -> int:
@@ -280,11 +336,12 @@
     return None
   used = _used(change, ledger)
   more = used - billed(ledger, change.gid)
+  after = _promise(ledger, change)
   if more <= 0:
-    return None
+    return None if after is ledger else after
   left = ledger[place][change.gid] - more
   return {
-      **ledger,
+      **after,
       place: {**ledger[place], change.gid: left},
       "spent": ledger["spent"] + more,
       "billed": {**ledger.get("billed", {}), change.gid: used},
@@ -311,7 +368,7 @@
   }
   after = _lose(after, _not_here(change, ledger))
   after["parts"] = _without(after["parts"], change.gid)
-  return _forget_billed(after, change.gid)
+  return _forget_reports(after, change.gid)
 
 
 @change_lib.apply.register
@@ -328,7 +385,7 @@
       "spent": ledger["spent"] + _unbilled(change, ledger),
       "parts": {**ledger["parts"], change.gid: marks},
   }
-  after = _forget_billed(after, change.gid)
+  after = _forget_reports(after, change.gid)
   after = _drop_if_done(after, place, change.gid)
   return _lose(after, _not_here(change, ledger))
 
@@ -361,11 +418,14 @@
   return _used(change, ledger) - billed(ledger, change.gid)
 
 
-def _forget_billed(ledger: Ledger, gid: str) -> Ledger:
+def _forget_reports(ledger: Ledger, gid: str) -> Ledger:
   """Returns `ledger` without the reports on a grant that has ended."""
-  if "billed" not in ledger:
-    return ledger
-  return {**ledger, "billed": _without(ledger["billed"], gid)}
+  kept = {
+      table: _without(ledger[table], gid)
+      for table in ("billed", "ceilings")
+      if table in ledger
+  }
+  return {**ledger, **kept}
 
 
 def _has_stopped(ledger: Ledger, gid: str) -> bool:
@@ -393,6 +453,31 @@
   return _lose({**ledger, "grants": grants}, {change.gid: tokens})
 
 
+@change_lib.apply.register
+def _(change: Reclaim, ledger: Ledger | None) -> Ledger | None:
+  if ledger is None:
+    return None
+  after = ledger
+  for gid in predecessors(ledger, change.life):
+    after = _reclaim(after, gid, change.started)
+  return None if after is ledger else after
+
+
+def _reclaim(ledger: Ledger, gid: str, started: clock_lib.Moment) -> Ledger:
+  """Returns `ledger` with a dead holder's grant down to its ceiling."""
+  promise = ceiling(ledger, gid)
+  place = _place(ledger, gid)
+  elapsed_s = ceilings_lib.most_elapsed_s(promise.issued, started)
+  ledger = {**ledger, "ceilings": _without(ledger["ceilings"], gid)}
+  if place is None:
+    return ledger
+  left = ledger[place][gid]
+  if elapsed_s is not None:
+    undrawn = _granted(ledger, place, gid) - promise.after(elapsed_s)
+    left -= max(0, min(left, undrawn))
+  return _lose({**ledger, place: _without(ledger[place], gid)}, {gid: left})
+
+
 def _not_here(change: Settle | Reduce, ledger: Ledger) -> dict[str, int]:
   """Returns the lost parts that were not settled here meanwhile."""
   here = ledger["parts"].get(change.gid, {})
@@ -408,7 +493,7 @@
     oldest = next(iter(written_off))
     before += written_off.pop(oldest)
     parts.pop(oldest, None)
-    ledger = _forget_billed(ledger, oldest)
+    ledger = _forget_reports(ledger, oldest)
   return {**ledger, "lost": written_off, "lost_before": before, "parts": parts}
 
 
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -20,11 +20,13 @@
 from mustardfall import errors
 from mustardfall import settings
 from mustardfall.budget import allotment
+from mustardfall.budget import ceilings as ceilings_lib
 from mustardfall.budget import ledger
 from mustardfall.budget import policy as policy_lib
 from mustardfall.budget import refusals
 from mustardfall.budget import settling
 from mustardfall.kv import writer as writer_lib
+from mustardfall.membership import clockcheck
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
@@ -50,6 +52,15 @@
 _BILL_S = 1.0
 """Between two reports of what grants have used. A dead router's grants are
 written off but for what it reported; each report costs a write."""
+_REVIEW_PAUSE_S = 0.05
+"""Between two rounds of reviews."""
+_CLOCK_WAIT_S = 1.5
+"""How long a review waits for the clocks to be compared. Routers that lost
+power together are back within a second of each other; what the clocks do
+not tell by then is written off for good."""
+_REVIEW_AGAIN_S = 1.0
+"""A review is asked for again after this. A router that has just started
+may not be reached at once; each sight of the ledger asks again."""
 _REFILL_PAUSE_S = 1.0
 """Pause after a refill that the budget could not give; requests that need
 tokens still ask at once."""
@@ -80,6 +91,7 @@
     policy_of: returns a customer's policy.
     limit_of: returns a budget's limit where the configuration sets it,
       None where the ledger keeps its own.
+    clock_check: vouches for the wall clock, if anything does.
   """
 
   def __init__(
@@ -91,6 +103,7 @@
       writer: writer_lib.Writer,
       policy_of: Callable[[str], policy_lib.Policy],
       limit_of: Callable[[str], ledger.Limit | None] = lambda budget: None,
+      clock_check: clockcheck.ClockCheck | None = None,
   ) -> None:
     self._config = config.allotment
     self._clock = clock
@@ -101,6 +114,8 @@
     self._limit_of = limit_of
     self.table = allotment.Table(members.me.life, config.allotment)
     self._settler = settling.Settler(self.table, members, peers, writer)
+    self._started = clock.moment()
+    self._clock_check = clock_check
     self._counts: collections.Counter[str] = collections.Counter()
     self._locks: dict[str, anyio.Lock] = {}
     self._demand: collections.Counter[str] = collections.Counter()
@@ -121,6 +136,11 @@
     self._blind: set[str] = set()
     """Budgets whose first grant was taken without knowing their ledger."""
     self._billed_at = -float("inf")
+    self._reviews: set[tuple[str, str]] = set()
+    """Budgets with grants of dead routers, and those routers' later lives."""
+    self._review_event = anyio.Event()
+    self._asked_reviews: dict[str, float] = {}
+    """When a review was last asked for, by grant."""
     self._stopping = False
 
   @property
@@ -140,10 +160,15 @@
     found = self.table.reserve(budget, tokens)
     if found is None:
       return await self._wait(budget, tokens, customer)
-    if self.table.running_low(budget):
-      self._note_low(budget, customer)
+    self._look_ahead(budget, customer)
     return found
 
+  def _look_ahead(self, budget: str, customer: str) -> None:
+    """Has the budget refilled if it will soon run short here."""
+    table = self.table
+    if table.running_low(budget) or table.nears_ceiling(budget):
+      self._note_low(budget, customer)
+
   def _note_low(self, budget: str, customer: str) -> None:
     """Has the budget refilled in the background."""
     self._low[budget] = customer
@@ -174,6 +199,9 @@
     for gid, tokens in found["grants"].items():
       row = self.table.rows.get(gid)
       left += tokens if row is None else max(row.may_return, 0)
+    for gid, tokens in found["lost"].items():
+      if ledger.ceiling(found, gid) is not None:
+        left += tokens  # not reviewed yet
     return left
 
   async def _wait(
@@ -204,6 +232,7 @@
   async def _fetch(self, budget: str, tokens: int, customer: str) -> None:
     """Gets an allotment of at least `tokens`, unless one is there now."""
     async with self._locks.setdefault(budget, anyio.Lock()):
+      self.table.look(budget, self._clock.monotonic())
       done = self.table.has_room(budget, tokens)
       if done or self._stopping or self._refusals.repeat(budget, tokens):
         return
@@ -269,6 +298,9 @@
       owns: bool = True,
   ) -> bool:
     """Takes a grant from the KV; returns whether the KV answered."""
+    raised = await self._raise_ceiling(budget, least)
+    if raised is not None:
+      return raised
     margin = self._policy_of(customer).margin
     blind = budget not in self._seen
     found = await self._grant_once(budget, least, want, margin, owns)
@@ -291,6 +323,46 @@
         self._note_exhausted(budget, least)
     return True
 
+  async def _raise_ceiling(self, budget: str, least: int) -> bool | None:
+    """Promises anew, so that `least` tokens of what is granted may be drawn.
+
+    Returns:
+      Whether the KV answered; None: this grant has not so many left.
+    """
+    row = self.table.growing(budget)
+    if row is None or not row.promises or row.undrawn < least:
+      return None
+    ceiling = self._promise(budget, row, least)
+    if ceiling is None:
+      return None
+    try:
+      await self._settler.report_now(row, ceiling)
+    except errors.KvUnavailableError:
+      self.table.withdraw(row.gid, ceiling, self._clock.monotonic())
+      return False
+    except errors.KvUnknownError:
+      return False
+    self._counts["ceilings_raised"] += 1
+    return True
+
+  def _promise(
+      self, budget: str, row: allotment.Row | None, least: int
+  ) -> ceilings_lib.Ceiling | None:
+    """Returns a new promise for a row, noted there as sent."""
+    limit = self._limit_of(budget)
+    if limit is None or not self._config.reports:
+      return None
+    ceiling = self.table.promise(
+        budget,
+        0 if row is None else row.drawn,
+        least,
+        limit.tokens,
+        self._vouch(self._clock.moment()),
+    )
+    if row is not None:
+      self.table.issue(row.gid, ceiling, self._clock.monotonic())
+    return ceiling
+
   def _share(self) -> float:
     """Returns the part of a budget's headroom that a grant may take.
 
@@ -317,12 +389,18 @@
     row = self.table.growing(budget)
     base = row.granted if row is not None else 0
     gid = row.gid if row is not None else self.table.new_gid()
-    change = ledger.Grant(gid, least, want, self._share(), margin, limit, base)
+    asked_at = self._clock.monotonic()
+    ceiling = self._promise(budget, row, least)
+    change = ledger.Grant(
+        gid, least, want, self._share(), margin, limit, base, ceiling
+    )
     self._asking.add(gid)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
     except errors.KvUnavailableError:
       self._counts["grant_failures"] += 1
+      if ceiling is not None:
+        self.table.withdraw(gid, ceiling, self._clock.monotonic())
       return None
     except errors.KvUnknownError:
       self._counts["grant_failures"] += 1
@@ -352,8 +430,26 @@
     )
     if granted > base:
       self._note_grant(budget, gid, granted, new=row is None)
+    if ceiling is not None:
+      self._note_promise(gid, after, ceiling, asked_at, new=row is None)
     return after
 
+  def _note_promise(
+      self,
+      gid: str,
+      after: ledger.Ledger,
+      ceiling: ceilings_lib.Ceiling,
+      asked_at: float,
+      new: bool,
+  ) -> None:
+    """Notes what became of a promise that went with a grant."""
+    now = self._clock.monotonic()
+    stands = ledger.ceiling(after, gid)
+    if stands is None or stands.issued < ceiling.issued:
+      self.table.withdraw(gid, ceiling, now)
+    elif new:
+      self.table.issue(gid, ceiling, asked_at)
+
   def _hold(self, budget: str, want: int, limit: ledger.Limit | None) -> int:
     """Returns how much to ask for, given what is held and what is left.
 
@@ -404,11 +500,14 @@
         for life in lives - {me}
         if life in self._members.lives
     ]
+    reviews = self._find_reviews(budget, found)
     self._counts["recalls"] += len(holders)
     async with anyio.create_task_group() as tg:
       for holder in holders:
         tg.start_soon(self._peers.recall, holder, budget)
-    return bool(holders)
+      for life, _ in reviews:
+        tg.start_soon(self._review_one, life, budget)
+    return bool(holders or reviews)
 
   def settle(
       self, reservation: allotment.Reservation, used: int
@@ -422,12 +521,15 @@
   async def serve_ask(self, ask: peers_lib.Ask) -> peers_lib.Handed:
     """Hands a part of an owned budget on to another router."""
     handed = self._hand_on(ask)
+    if handed.tokens:
+      self._look_ahead(ask.budget, ask.customer)
     if handed.tokens or self._stopping:
       return handed._replace(unsure=not handed.tokens)
     if self._refusals.repeat(ask.budget, ask.least):
       return handed
     answered = True
     async with self._locks.setdefault(ask.budget, anyio.Lock()):
+      self.table.look(ask.budget, self._clock.monotonic())
       if not self.table.has_room(ask.budget, ask.least):
         want = max(self.table.want(ask.budget, ask.least), ask.want)
         with anyio.CancelScope(shield=True):
@@ -465,7 +567,103 @@
     self._seen[budget] = found
     for gid in self.table.by_budget.get(budget, ()):
       self.table.grow(gid, ledger.granted(found, gid), now)
+      ceiling = ledger.ceiling(found, gid)
+      if ceiling is not None:
+        self.table.confirm(gid, ceiling, now)
+        self._settler.confirm(gid, ceiling)
+      if gid in found["lost"]:
+        # Taken for dead while it was cut off. A grant that is written off
+        # cannot grow: left in use, every refill would be refused.
+        self.table.rows[gid].retiring = True
     self._settler.sweep(budget, found, self._asking)
+    reviews = self._find_reviews(budget, found)
+    if reviews:
+      self._reviews |= reviews
+      self._review_event.set()
+
+  def _find_reviews(
+      self, budget: str, found: ledger.Ledger
+  ) -> set[tuple[str, str]]:
+    """Returns who can give back what dead routers held of a budget."""
+    reviews = set()
+    now = self._clock.monotonic()
+    for gid in found.get("ceilings", {}):
+      member = self._members.successor(ledger.holder(gid))
+      asked_at = self._asked_reviews.get(gid, -float("inf"))
+      if member is not None and now - asked_at >= _REVIEW_AGAIN_S:
+        self._asked_reviews[gid] = now
+        reviews.add((member.life, budget))
+    return reviews
+
+  async def review(self) -> None:
+    """Has what dead routers held of budgets given back, until cancelled."""
+    while True:
+      await self._review_event.wait()
+      self._review_event = anyio.Event()
+      await self.review_noted()
+      await anyio.sleep(_REVIEW_PAUSE_S)
+
+  async def review_noted(self) -> None:
+    """Has the grants of dead routers reviewed that were seen so far."""
+    reviews, self._reviews = self._reviews, set()
+    async with anyio.create_task_group() as tg:
+      for life, budget in reviews:
+        tg.start_soon(self._review_one, life, budget)
+
+  async def _review_one(self, life: str, budget: str) -> None:
+    if life == self._members.me.life:
+      await self._review_own(budget)
+      return
+    member = self._members.lives.get(life)
+    if member is not None:
+      await self._peers.review(member, budget)
+
+  def _vouch(self, moment: clock_lib.Moment) -> clock_lib.Moment:
+    check = self._clock_check
+    return moment if check is None else check.vouch(moment)
+
+  async def serve_review(self, budget: str) -> None:
+    """Gives back what earlier lives of this router did not draw.
+
+    At once, or soon when the clocks have not been compared yet: a caller
+    does not wait for that.
+    """
+    if self._clock_check is None or self._clock_check.agrees:
+      await self._review_own(budget)
+      return
+    self._reviews.add((self._members.me.life, budget))
+    self._review_event.set()
+
+  async def _review_own(self, budget: str) -> None:
+    if self._clock_check is not None:
+      await self._clock_check.wait(_CLOCK_WAIT_S)
+    me = self._members.me.life
+    started = self._vouch(self._started)
+    change = ledger.Reclaim(me, started)
+    before = self._seen.get(budget)
+    try:
+      after = await self._writer.submit(ledger.key(budget), change)
+    except (errors.KvUnavailableError, errors.KvUnknownError) as exc:
+      logger.info(
+          "grants not reviewed", extra={"budget": budget, "error": str(exc)}
+      )
+      return
+    self._counts["reviews"] += 1
+    for gid in ledger.predecessors(before, me) if before and after else ():
+      promise = ledger.ceiling(before, gid)
+      logger.info(
+          "grant of an earlier life reviewed",
+          extra={
+              "budget": budget,
+              "gid": gid,
+              "held": before["grants"].get(gid) or before["lost"].get(gid),
+              "billed": ledger.billed(before, gid),
+              "promise": promise[:-1],
+              "elapsed_s": ceilings_lib.most_elapsed_s(promise.issued, started),
+              "lost": after["lost"].get(gid),
+              "headroom": ledger.headroom(after),
+          },
+      )
 
   def retire(self, budget: str) -> None:
     """Gives the budget's idle tokens back, soon; the rest as they end."""
@@ -490,10 +688,25 @@
     if now - self._billed_at >= _BILL_S and self._config.reports:
       self._billed_at = now
       for row in self.table.rows.values():
-        self._settler.bill(row)
+        if self._settler.owes_report(row):
+          self._settler.report(row, self._promise(row.budget, row, 0))
+    self._return_unowned()
     self._write_off_parts()
     self._forget(now - self._config.term_s)
 
+  def _return_unowned(self) -> None:
+    """Retires grants of budgets that another router owns by now.
+
+    Owners change when routers come and go. The next owner takes a grant of
+    its own; what stayed here would lie idle, out of its reach. While the
+    KV is away nothing can be given back, and idle tokens may be needed.
+    """
+    if not self._config.owned or self._writer.away:
+      return
+    for row in self.table.rows.values():
+      if not row.source and self._owner(row.budget) is not None:
+        row.retiring = True
+
   def _write_off_parts(self) -> None:
     rows = self.table.rows.values()
     for life in {p.holder for r in rows for p in r.parts.values()}:
@@ -506,7 +719,7 @@
   def _forget(self, before: float) -> None:
     """Drops what was noted of budgets that are quiet since `before`."""
     self._refusals.forget(before)
-    for noted in (self._recalled_at, self._refill_at):
+    for noted in (self._recalled_at, self._refill_at, self._asked_reviews):
       for budget, at in list(noted.items()):
         if at < before:
           del noted[budget]
@@ -535,6 +748,8 @@
       now = self._clock.monotonic()
       blind = budget in self._blind
       self._blind.discard(budget)
+      if self.table.nears_ceiling(budget) and not self._stopping:
+        await self._raise_ceiling(budget, 0)
       if self._stopping or not (blind or self.table.running_low(budget)):
         return
       if now < self._refill_at.get(budget, -float("inf")):
--- a/mustardfall/budget/settling.py
+++ b/mustardfall/budget/settling.py
@@ -8,6 +8,7 @@
 
 from mustardfall import errors
 from mustardfall.budget import allotment
+from mustardfall.budget import ceilings as ceilings_lib
 from mustardfall.budget import ledger
 from mustardfall.kv import writer as writer_lib
 from mustardfall.membership import members as members_lib
@@ -43,6 +44,8 @@
     """Grants with a settlement on its way, by budget."""
     self._billed: dict[str, int] = {}
     """What was reported of grants, or is about to be."""
+    self._reporting: dict[str, ceilings_lib.Ceiling | None] = {}
+    """Reports on their way, by grant, with what they promise."""
     self._ended: dict[str, list[tuple[peers_lib.Ended, allotment.Row]]] = {}
     """Parts to settle, by the life of the owner that handed them on."""
 
@@ -52,17 +55,46 @@
       self.queue_ended(row)
       return
     self._billed.pop(row.gid, None)
+    self._reporting.pop(row.gid, None)
     self._settling.setdefault(row.budget, set()).add(row.gid)
     self._writer.post(ledger.key(row.budget), _settlement(row))
 
-  def bill(self, row: allotment.Row) -> None:
+  def owes_report(self, row: allotment.Row) -> bool:
+    """Whether a row has used more than was reported, and none is under way.
+
+    While the KV is away one report waits; more would only queue behind it.
+    """
+    if row.source or row.gid in self._reporting:
+      return False
+    return _used(row) > self._billed.get(row.gid, 0)
+
+  def report(
+      self, row: allotment.Row, ceiling: ceilings_lib.Ceiling | None
+  ) -> None:
     """Reports what a row has used so far, some time soon."""
-    total = row.used + sum(row.parts_used.values())
-    if row.source or total <= self._billed.get(row.gid, 0):
-      return
+    self._billed[row.gid] = _used(row)
+    if ceiling is not None:
+      self._reporting[row.gid] = ceiling
+    self._writer.post(ledger.key(row.budget), _bill(row, ceiling))
+
+  async def report_now(
+      self, row: allotment.Row, ceiling: ceilings_lib.Ceiling
+  ) -> None:
+    """Reports at once, for the sake of the promise that comes with it.
+
+    Raises:
+      errors.KvUnavailableError: not written.
+      errors.KvUnknownError: it may have been written.
+    """
+    total = _used(row)
+    await self._writer.submit(ledger.key(row.budget), _bill(row, ceiling))
     self._billed[row.gid] = total
-    change = ledger.Bill(row.gid, row.used, dict(row.parts_used))
-    self._writer.post(ledger.key(row.budget), change)
+
+  def confirm(self, gid: str, ceiling: ceilings_lib.Ceiling) -> None:
+    """Notes the promise that a ledger was seen with."""
+    waiting = self._reporting.get(gid)
+    if waiting is not None and waiting.issued <= ceiling.issued:
+      del self._reporting[gid]
 
   async def settle_now(self, row: allotment.Row) -> None:
     """Settles a row and waits for it, or leaves it to be tried again."""
@@ -138,7 +170,8 @@
 
     A grant whose reply was lost may land after this router gave it up:
     it is its own, unknown to it and unused, so it is settled with
-    nothing used. A grant of a router that has gone is written off.
+    nothing used. A grant of a router that has gone is written off, unless
+    a later life of that router is there to say what was not drawn of it.
     """
     settling = self._settling.get(budget, set())
     settling &= found["grants"].keys()
@@ -151,10 +184,26 @@
         if not known and gid not in settling:
           self.counts["stray_grants"] += 1
           self.settle_row(allotment.Row(budget, gid, 0, 0.0))
-      elif self._members.has_gone(life):
+      elif self._members.has_gone(life) and not self._reviewed(found, gid):
         self.counts["grants_written_off"] += 1
         self._writer.post(ledger.key(budget), ledger.WriteOff(gid))
 
+  def _reviewed(self, found: ledger.Ledger, gid: str) -> bool:
+    """Whether a later life of the grant's holder will review it."""
+    promised = ledger.ceiling(found, gid) is not None
+    return promised and bool(self._members.successor(ledger.holder(gid)))
+
+
+def _used(row: allotment.Row) -> int:
+  """Returns the tokens of a row that were used for certain."""
+  return row.used + sum(row.parts_used.values())
+
+
+def _bill(
+    row: allotment.Row, ceiling: ceilings_lib.Ceiling | None
+) -> ledger.Bill:
+  return ledger.Bill(row.gid, row.used, dict(row.parts_used), ceiling)
+
 
 def _settlement(row: allotment.Row) -> ledger.Settle | ledger.Reduce:
   """Returns the ledger change that ends `row`."""
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -21,6 +21,7 @@
 from mustardfall.budget import ledger
 from mustardfall.budget import policy
 from mustardfall.kv import protocol
+from mustardfall.membership import clockcheck
 from mustardfall.membership import relay as relay_lib
 from mustardfall.proxy import calls
 from mustardfall.proxy import forwarder as forwarder_lib
@@ -202,7 +203,11 @@
     """Serves other routers, the balancer's question and the metrics."""
     peer = self.config.peer_listen
     handler = internal.Handler(
-        self.accounts, {relay_lib.PATH: self.relay.serve}
+        self.accounts,
+        {
+            relay_lib.PATH: self.relay.serve,
+            clockcheck.PATH: self.accounts.clock_check.serve,
+        },
     )
     pages = [
         (handler.handle, peer.host, peer.port),
--- a/mustardfall/kv/writer.py
+++ b/mustardfall/kv/writer.py
@@ -88,6 +88,11 @@
     """Whether the writer pauses since the KV did not take a batch."""
     self.counts: collections.Counter[str] = collections.Counter()
 
+  @property
+  def away(self) -> bool:
+    """Whether the KV did not take the last batch."""
+    return self._away
+
   @property
   def backlog(self) -> int:
     """Posted changes not yet written."""
--- /dev/null
+++ b/mustardfall/membership/clockcheck.py
@@ -0,0 +1,122 @@
+"""Whether this host's wall clock agrees with those of most routers.
+
+A later life of a router reads off the wall clock how long ago its host lost
+power, for the boot clock has started anew. Wall clocks may be stepped by
+seconds, on some hosts at once. One that agrees with most others when it is
+read has not been.
+"""
+
+from collections.abc import Iterable
+import logging
+
+import anyio
+
+from mustardfall import errors
+from mustardfall import settings
+from mustardfall.membership import members as members_lib
+from mustardfall.membership import peers as peers_lib
+from mustardfall.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+PATH = "/peer/clock"
+_AGREE_S = 0.25
+"""How far two clocks may differ and still agree. Clocks of one data centre
+are within some ms, a step is two seconds or more."""
+_PAUSE_S = 0.1
+"""Between two rounds while clocks do not agree yet: routers that start
+together answer one after the other."""
+_WATCH_S = 1.0
+"""Between two looks whether the own clock has been stepped."""
+
+
+class ClockCheck:
+  """Compares wall clocks with the other routers.
+
+  Args:
+    config: how many routers must agree; 0 compares nothing.
+    members: the routers that are up.
+    post: makes calls to them.
+    clock: this host's clocks.
+  """
+
+  def __init__(
+      self,
+      config: settings.Membership,
+      members: members_lib.Members,
+      post: peers_lib.Post,
+      clock: clock_lib.Clock,
+  ) -> None:
+    self._config = config
+    self._members = members
+    self._post = post
+    self._clock = clock
+    self._offset_s: float | None = None
+    """Wall clock less boot clock when it last agreed; a step changes it."""
+    self._agreed = anyio.Event()
+
+  def vouch(self, moment: clock_lib.Moment) -> clock_lib.Moment:
+    """Returns a moment of this process, marked if its clock agreed then."""
+    if self._offset_s is None:
+      return moment
+    stepped_s = moment.wall_s - moment.boot_s - self._offset_s
+    return moment._replace(agreed=abs(stepped_s) <= _AGREE_S)
+
+  @property
+  def agrees(self) -> bool:
+    """Whether the clock agrees now."""
+    return self.vouch(self._clock.moment()).agreed
+
+  async def wait(self, timeout_s: float) -> None:
+    """Waits until the clock has agreed once, or for `timeout_s`."""
+    if self._config.clock_quorum and not self._agreed.is_set():
+      with anyio.move_on_after(timeout_s):
+        await self._agreed.wait()
+
+  async def run(self) -> None:
+    """Compares until the clocks agree, and after each step again."""
+    while self._config.clock_quorum:
+      if self.agrees:
+        await anyio.sleep(_WATCH_S)
+        continue
+      others = self._members.lives.values()
+      await self._compare(m for m in others if m != self._members.me)
+      await anyio.sleep(_PAUSE_S)
+    await anyio.sleep_forever()
+
+  async def _compare(self, others: Iterable[members_lib.Member]) -> None:
+    differences: list[float | None] = []
+
+    async def _ask(member: members_lib.Member) -> None:
+      differences.append(await self._difference_s(member))
+
+    async with anyio.create_task_group() as tg:
+      for member in others:
+        tg.start_soon(_ask, member)
+    near = [d for d in differences if d is not None and abs(d) <= _AGREE_S]
+    agreeing = 1 + len(near)
+    most = 2 * agreeing > 1 + len(differences)
+    if not most or agreeing < self._config.clock_quorum:
+      return
+    moment = self._clock.moment()
+    self._offset_s = moment.wall_s - moment.boot_s
+    self._agreed.set()
+    logger.info(
+        "wall clock agrees",
+        extra={"agreeing": agreeing, "asked": len(differences)},
+    )
+
+  async def _difference_s(self, member: members_lib.Member) -> float | None:
+    """Returns how far another router's clock is ahead, None: no answer."""
+    timeout_s = _AGREE_S  # an older answer would say too little
+    try:
+      answer = await self._post(member.url + PATH, {}, timeout_s)
+    except errors.PeerUnavailableError as exc:
+      logger.debug("clock not compared: %s", exc)
+      return None
+    return float(answer["wall_s"]) - self._clock.moment().wall_s
+
+  async def serve(self, body: dict) -> dict:
+    """Tells another router this host's wall clock."""
+    del body
+    return {"wall_s": self._clock.moment().wall_s}
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -6,6 +6,7 @@
 that its holder settles later. Both cost efficiency, never an overspend.
 """
 
+import collections
 import functools
 import hashlib
 import json
@@ -25,6 +26,8 @@
 
 PREFIX = "member/"
 _OWNERS_CACHED = 100_000
+_REPLACED_REMEMBERED = 4_000
+"""Earlier lives remembered: two days of restarts in the largest fleet."""
 _RETRY_S = 0.5
 _SUSPECT_S = 2.0
 """How long a router that did not answer is passed over."""
@@ -75,6 +78,9 @@
     self._suspected: dict[str, float] = {}
     """Routers that did not answer, and until when they are passed over."""
     self._absent_since: dict[str, float] = {}
+    self._replaced: collections.OrderedDict[str, None]
+    self._replaced = collections.OrderedDict()
+    """Lives that were seen before a later life of the same router."""
     self._in_touch_since: float | None = None
     self._lease = 0
     self._near: list[str] = []
@@ -132,14 +138,17 @@
 
     A host runs one router: once a later life of the same router has
     registered, the earlier one is dead, and nothing is left to wait for.
+    A life that was never seen may be the later one, just started, while
+    the list still shows the one before it.
     """
-    if self._is_replaced(life):
+    if life in self._replaced and life not in self._lives:
       return True
     return self.absent_s(life) >= self._config.grace_s
 
-  def _is_replaced(self, life: str) -> bool:
-    successor = self._by_name.get(life.rpartition(":")[0])
-    return successor is not None and successor.life != life
+  def successor(self, life: str) -> Member | None:
+    """Returns the other life of the same router that is up, if any."""
+    found = self._by_name.get(life.rpartition(":")[0])
+    return None if found is None or found.life == life else found
 
   def absent_s(self, life: str) -> float:
     """Returns for how long `life` has been absent, seconds; else -1.
@@ -212,7 +221,11 @@
     for life in self._lives.keys() - lives.keys():
       self._absent_since[life] = self._clock.monotonic()
       self._suspected.pop(life, None)
+      if life.rpartition(":")[0] in by_name:
+        self._replaced[life] = None
       logger.info("router gone", extra={"life": life})
+    while len(self._replaced) > _REPLACED_REMEMBERED:
+      self._replaced.popitem(last=False)
     for life in lives.keys() - self._lives.keys():
       self._absent_since.pop(life, None)
     self._by_name, self._lives = by_name, lives
--- a/mustardfall/membership/peers.py
+++ b/mustardfall/membership/peers.py
@@ -18,6 +18,7 @@
 RESERVE_PATH = "/peer/reserve"
 SETTLE_PATH = "/peer/settle"
 RECALL_PATH = "/peer/recall"
+REVIEW_PATH = "/peer/review"
 
 
 Post = Callable[[str, dict[str, Any], float], Awaitable[dict[str, Any]]]
@@ -99,3 +100,8 @@
     """Asks a holder to give idle tokens of `budget` back now."""
     body = {"budget": budget}
     return await self._post(holder, RECALL_PATH, body) is not None
+
+  async def review(self, successor: members.Member, budget: str) -> bool:
+    """Asks a router to give back what its earlier lives did not draw."""
+    body = {"budget": budget}
+    return await self._post(successor, REVIEW_PATH, body) is not None
--- a/mustardfall/proxy/internal.py
+++ b/mustardfall/proxy/internal.py
@@ -65,6 +65,7 @@
         peers.RESERVE_PATH: self._reserve,
         peers.SETTLE_PATH: self._settle,
         peers.RECALL_PATH: self._recall,
+        peers.REVIEW_PATH: self._review,
         **extra,
     }
 
@@ -103,6 +104,10 @@
     await self._accounts.pool.serve_recall(body["budget"])
     return {}
 
+  async def _review(self, body: dict[str, Any]) -> dict[str, Any]:
+    await self._accounts.pool.serve_review(body["budget"])
+    return {}
+
 
 class ReadyHandler:
   """Tells the balancer whether to send callers here.
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -42,6 +42,14 @@
   """A grant asked for is at least this share of the budget's limit."""
   reports: bool = False
   """Report what grants have used while they are held."""
+  slack_s: float = pydantic.Field(default=2.0, gt=0)
+  """A report allows for this many seconds of the budget's draw."""
+  slack_share: float = pydantic.Field(default=0.02, ge=0, le=1)
+  """A report allows for at least this share of the budget's limit."""
+  ceiling_grace_s: float = pydantic.Field(default=2.0, ge=0)
+  """What a report allows for must do for so long, seconds."""
+  ceiling_rate: float = pydantic.Field(default=1.5, ge=0)
+  """After that a holder may draw so many times its usual rate."""
   low_mark: float = pydantic.Field(default=0.25, ge=0, lt=1)
   """Refilled in the background when less than this share is free."""
   part_horizon_s: float = pydantic.Field(default=1.0, gt=0)
@@ -78,6 +86,9 @@
   """How many routers of a region own budgets; 0: all of them."""
   watch_idle_s: float = pydantic.Field(default=6.0, gt=0)
   """A watch without a word for this long is opened again."""
+  clock_quorum: int = pydantic.Field(default=0, ge=0)
+  """Routers whose wall clocks must agree, this one counted, before one is
+  trusted to tell how long a host was without power; 0: none is trusted."""
   peer_timeout_s: float = pydantic.Field(default=0.4, gt=0)
   """A call to another router is given up after this."""
 
--- a/mustardfall/util/clock.py
+++ b/mustardfall/util/clock.py
@@ -2,7 +2,18 @@
 
 import datetime
 import time
-from typing import Protocol
+from typing import NamedTuple, Protocol
+
+
+class Moment(NamedTuple):
+  """A moment on one host's clocks, to be compared with a later one there."""
+
+  boot_s: float
+  """Seconds since the host's boot; suspended time counts."""
+  wall_s: float
+  """Seconds of the wall clock, which may be stepped."""
+  agreed: bool = False
+  """Whether the wall clock agreed with most routers' then."""
 
 
 class Clock(Protocol):
@@ -14,6 +25,9 @@
   def wall(self) -> datetime.datetime:
     """Returns the wall-clock time, UTC."""
 
+  def moment(self) -> Moment:
+    """Returns the present moment, for a later process to compare with."""
+
 
 class SystemClock:
   """The machine's clocks."""
@@ -26,6 +40,10 @@
     """Returns the current UTC time."""
     return datetime.datetime.now(datetime.UTC)
 
+  def moment(self) -> Moment:
+    """Returns the present moment."""
+    return Moment(time.clock_gettime(time.CLOCK_BOOTTIME), time.time())
+
 
 class FakeClock:
   """A clock that moves only when told to; for tests."""
@@ -41,6 +59,10 @@
     """Returns the fake time as a UTC datetime."""
     return datetime.datetime.fromtimestamp(self._now, datetime.UTC)
 
+  def moment(self) -> Moment:
+    """Returns the fake time on both clocks."""
+    return Moment(self._now, self._now)
+
   def advance(self, delta: datetime.timedelta) -> None:
     """Moves the clock forward by `delta`."""
     self._now += delta.total_seconds()
--- /dev/null
+++ b/tests/test_ceilings.py
@@ -0,0 +1,196 @@
+"""What a dead router held comes back, but for what it may have drawn.
+
+Pattern: the users' days. All routers die at the end of most days, some also
+in between, and start anew within some seconds; the KV is away for 8 s twice
+a day. What bridges the outage is many times what a router draws between two
+reports. Written off whole at each death, it was a sixth to a quarter of a
+budget, and every third request after was refused.
+"""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import testtools
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import ceilings
+from mustardfall.budget import ledger
+from mustardfall.kv import change
+from mustardfall.util import clock as clock_lib
+
+_LIMIT = ledger.Limit(1_000, 1)
+
+
+def _at(boot_s: float, wall_s: float | None = None, agreed: bool = False):
+  """Returns a moment; both clocks alike unless told otherwise."""
+  return clock_lib.Moment(boot_s, boot_s if wall_s is None else wall_s, agreed)
+
+
+def _granted(ceiling, used=0, gid="a:1:1", want=600):
+  after = change.apply(
+      ledger.Grant(gid, 1, want, 1.0, 0.0, _LIMIT, 0, ceiling), None
+  )
+  if used:
+    after = change.apply(ledger.Bill(gid, used), after)
+  return after
+
+
+class ElapsedTest(testtools.TestCase):
+
+  def test_boot_clock_tells_after_a_kill(self):
+    elapsed_s = ceilings.most_elapsed_s(_at(100.0), _at(102.0))
+    self.assertTrue(2.0 <= elapsed_s <= 2.5, elapsed_s)
+
+  def test_time_of_suspension_counts(self):
+    # Steady clocks stand still while a host is suspended, these two don't.
+    elapsed_s = ceilings.most_elapsed_s(_at(100.0), _at(108.0))
+    self.assertTrue(elapsed_s >= 8.0, elapsed_s)
+
+  def test_after_power_loss_the_wall_clock_tells_with_its_error(self):
+    elapsed_s = ceilings.most_elapsed_s(_at(100.0, 50.0), _at(0.4, 52.0))
+    self.assertEqual(2.0 + ceilings._WALL_ERROR_S, elapsed_s)
+
+  def test_agreed_clocks_are_trusted_more(self):
+    issued, started = _at(100.0, 50.0, True), _at(0.4, 52.0, True)
+    self.assertEqual(2.5, ceilings.most_elapsed_s(issued, started))
+    alone = issued._replace(agreed=False)
+    self.assertEqual(7.0, ceilings.most_elapsed_s(alone, started))
+
+  def test_stepped_wall_clock_of_one_boot_is_not_believed(self):
+    # The boot clock says 2 s and the wall clock -0.4: no one boot, as far
+    # as one can tell, so the wall clock counts with its error.
+    elapsed_s = ceilings.most_elapsed_s(_at(100.0), _at(102.0, 99.6))
+    self.assertTrue(elapsed_s >= 2.0, elapsed_s)
+
+  def test_clock_far_in_the_past_tells_nothing(self):
+    self.assertIsNone(ceilings.most_elapsed_s(_at(100.0), _at(0.4, 10.0)))
+
+  @given(
+      st.floats(0, 20),
+      st.floats(-2.4, 2.4),
+      st.floats(-2.4, 2.4),
+      st.booleans(),
+  )
+  def test_never_less_than_what_has_passed(self, passed, before, after, power):
+    issued = _at(100.0, 100.0 + before)
+    boot_s = 0.4 if power else 100.0 + passed
+    started = _at(boot_s, 100.0 + passed + after)
+    elapsed_s = ceilings.most_elapsed_s(issued, started)
+    self.assertTrue(elapsed_s is None or elapsed_s >= passed - 1e-6)
+
+
+class ReclaimTest(testtools.TestCase):
+
+  def _reclaim(self, found, at_s, life="a:2"):
+    return change.apply(ledger.Reclaim(life, _at(at_s)), found)
+
+  def test_what_lies_above_the_ceiling_comes_back(self):
+    # 600 granted, 100 reported as used, at most 180 in use for 2 s: killed
+    # and back after 1.5 s, the router has lost 80 of its budget, not 500.
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    after = self._reclaim(_granted(ceiling, used=100), 51.5)
+    self.assertEqual((80, 820), (ledger.lost(after), ledger.headroom(after)))
+    self.assertEqual({}, after["ceilings"])
+
+  def test_out_of_touch_it_may_have_drawn_more(self):
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    after = self._reclaim(_granted(ceiling, used=100), 55.75)
+    self.assertEqual(80 + 30 * 4, ledger.lost(after))
+
+  def test_written_off_before_it_is_reviewed(self):
+    # Another router takes the dead one for gone before it is back.
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    found = _granted(ceiling, used=100)
+    found = change.apply(ledger.WriteOff("a:1:1"), found)
+    after = self._reclaim(found, 51.5)
+    self.assertEqual((80, 820), (ledger.lost(after), ledger.headroom(after)))
+
+  def test_only_earlier_lives_of_the_same_router_are_reviewed(self):
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    found = _granted(ceiling)
+    self.assertIsNone(self._reclaim(found, 51.0, life="b:7"))
+    self.assertIsNone(self._reclaim(found, 51.0, life="a:1"))
+
+  def test_reviewed_once(self):
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    after = self._reclaim(_granted(ceiling), 51.0)
+    self.assertIsNone(self._reclaim(after, 51.0, life="a:3"))
+
+  def test_part_of_a_dead_holder_is_settled_after_the_review(self):
+    # The dead router had handed 70 of its grant on; whoever holds them
+    # settles in the ledger, and no token comes back twice.
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    after = self._reclaim(_granted(ceiling, used=100), 51.0)
+    settle = ledger.SettlePart("a:1:1", "b:1:9", 70, 25)
+    after = change.apply(settle, after)
+    self.assertEqual((125, 55), (after["spent"], ledger.lost(after)))
+    self.assertEqual(820, ledger.headroom(after))
+
+  def test_late_report_does_not_bring_an_older_promise_back(self):
+    newer = ceilings.Ceiling(300, 2.0, 30.0, _at(52.0))
+    older = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    found = _granted(newer)
+    after = change.apply(ledger.Bill("a:1:1", 40, {}, older), found)
+    self.assertEqual(newer, ledger.ceiling(after, "a:1:1"))
+
+  def test_settled_grant_leaves_no_promise(self):
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    after = change.apply(ledger.Settle("a:1:1", 30), _granted(ceiling))
+    self.assertEqual({}, after["ceilings"])
+
+
+class PromiseTest(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    config = settings.Allotment(slack_s=2.0, ceiling_grace_s=2.0)
+    self.table = allotment.Table("a:1", config)
+    self.table.add("b", "a:1:1", 600, 0.0)
+    self.row = self.table.rows["a:1:1"]
+
+  def _issue(self, tokens, at_s, rate=30.0):
+    ceiling = ceilings.Ceiling(tokens, 2.0, rate, _at(at_s))
+    self.table.issue("a:1:1", ceiling, at_s)
+    return ceiling
+
+  def test_no_more_is_drawn_than_was_promised(self):
+    self._issue(100, 0.0)
+    self.assertIsNotNone(self.table.reserve("b", 100))
+    self.assertIsNone(self.table.reserve("b", 1))
+    self.assertEqual((0, ""), self.table.hand_on("b", "c:1:1", 1, 10, 0.5))
+
+  def test_more_may_be_drawn_the_longer_the_store_is_away(self):
+    self._issue(100, 0.0)
+    self.table.look("b", 2.0)
+    self.assertEqual(100, self.row.free)
+    self.table.look("b", 6.0)
+    self.assertEqual(220, self.row.free)
+    self.table.look("b", 1e6)
+    self.assertEqual(600, self.row.free)
+
+  def test_promise_of_unknown_fate_and_the_one_before_it_both_bind(self):
+    # The answer to the second report was lost: the ledger may hold either.
+    first = self._issue(100, 0.0)
+    second = self._issue(300, 1.0)
+    self.assertEqual(100, self.row.free)
+    self.table.confirm("a:1:1", first, 1.1)
+    self.assertEqual(100, self.row.free)
+    self.table.confirm("a:1:1", second, 1.2)
+    self.assertEqual(300, self.row.free)
+
+  def test_promise_that_was_not_written_does_not_bind(self):
+    self._issue(200, 0.0)
+    lower = self._issue(50, 1.0)
+    self.assertEqual(50, self.row.free)
+    self.table.withdraw("a:1:1", lower, 1.1)
+    self.assertEqual(200, self.row.free)
+
+  def test_renewed_before_it_runs_out(self):
+    self.table.rate["b"] = 50.0
+    ceiling = self.table.promise("b", 0, 0, 1_000, _at(0.0))
+    self.assertEqual(100, ceiling.tokens)
+    self.table.issue("a:1:1", ceiling, 0.0)
+    self.table.reserve("b", 50)
+    self.assertFalse(self.table.nears_ceiling("b"))
+    self.table.reserve("b", 20)
+    self.assertTrue(self.table.nears_ceiling("b"))
--- /dev/null
+++ b/tests/test_clockcheck.py
@@ -0,0 +1,88 @@
+"""Wall clocks are believed only where most routers' clocks agree.
+
+What the caller sees: after all routers lost power, requests that the budget
+covers are served again. A router whose clock was stepped back would count
+too little time for its dead predecessor and give back tokens that were
+used; one that trusts no clock would give back next to nothing.
+"""
+
+import anyio
+import testtools
+
+from mustardfall import errors
+from mustardfall import events
+from mustardfall import settings
+from mustardfall.membership import clockcheck
+from mustardfall.membership import members as members_lib
+from mustardfall.util import clock as clock_lib
+
+_CONFIG = settings.Membership(clock_quorum=3)
+
+
+class _Clock:
+  """A host's clocks, the wall clock stepped by `step_s`."""
+
+  def __init__(self, step_s: float = 0.0) -> None:
+    self.step_s = step_s
+
+  def moment(self) -> clock_lib.Moment:
+    return clock_lib.Moment(500.0, 1_000.0 + self.step_s)
+
+
+def _member(i: int) -> members_lib.Member:
+  return members_lib.Member(f"r{i}", "e", f"http://r{i}", "dc", "here")
+
+
+class ClockCheckTest(testtools.TestCase):
+
+  def _check(self, own_step_s, other_steps_s, config=_CONFIG):
+    """Returns a check that has asked once; None: that router is silent."""
+
+    async def _post(url, body, timeout_s):
+      step_s = other_steps_s[int(url.removeprefix("http://r")[0]) - 1]
+      if step_s is None:
+        raise errors.PeerUnavailableError(url)
+      return await clockcheck.ClockCheck(
+          config, None, None, _Clock(step_s)
+      ).serve(body)
+
+    self.clock = _Clock(own_step_s)
+    view = members_lib.Members(
+        None, _member(0), config, clock_lib.FakeClock(), events.Bus()
+    )
+    view._replace([_member(i) for i in range(len(other_steps_s) + 1)])
+    check = clockcheck.ClockCheck(config, view, _post, self.clock)
+
+    async def _run():
+      with anyio.move_on_after(0.05):
+        await check.run()
+
+    anyio.run(_run)
+    return check
+
+  def test_clock_that_agrees_with_most_is_vouched_for(self):
+    check = self._check(0.0, [0.0, 0.01, -2.4, 0.0])
+    self.assertTrue(check.agrees)
+    self.assertTrue(check.vouch(self.clock.moment()).agreed)
+
+  def test_stepped_clock_is_not(self):
+    self.assertFalse(self._check(-2.4, [0.0, 0.0, 0.0, 0.0]).agrees)
+
+  def test_few_that_were_stepped_alike_do_not_vouch_for_each_other(self):
+    check = self._check(-2.4, [-2.4, -2.4, 0.0, 0.0, 0.0, 0.0])
+    self.assertFalse(check.agrees)
+
+  def test_too_few_answers_prove_nothing(self):
+    self.assertFalse(self._check(0.0, [0.0, None, None, None]).agrees)
+
+  def test_nothing_is_compared_unless_asked_for(self):
+    check = self._check(0.0, [0.0, 0.0, 0.0], settings.Membership())
+    self.assertFalse(check.agrees)
+
+  def test_moment_before_a_step_stays_vouched_for_and_after_it_is_not(self):
+    check = self._check(0.0, [0.0, 0.0, 0.0])
+    before = self.clock.moment()
+    self.clock.step_s = 2.4
+    self.assertFalse(check.agrees)
+    self.assertTrue(check.vouch(before).agreed)
+    self.assertFalse(check.vouch(self.clock.moment()).agreed)
