--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -46,6 +46,8 @@
   ceiling: ceilings_lib.Ceiling
   at: float
   """When it was issued, monotonic seconds."""
+  slack: int
+  """Tokens that it allowed for beyond those in use then."""
 
 
 @dataclasses.dataclass
@@ -219,11 +221,9 @@
     row = self.growing(budget)
     if row is None or row.ceiling >= row.granted:
       return False
-    slack = row.promises[-1].ceiling.tokens - row.drawn
-    return slack < self._slack(budget) * _SLACK_LOW
-
-  def _slack(self, budget: str) -> float:
-    return self.rate.get(budget, 0.0) * self._config.slack_s
+    last = row.promises[-1]
+    slack = last.ceiling.tokens - row.drawn
+    return slack < last.slack * _SLACK_LOW
 
   def promise(
       self,
@@ -231,6 +231,7 @@
       drawn: int,
       least: int,
       limit: int,
+      left: int,
       issued: clock_lib.Moment,
   ) -> ceilings_lib.Ceiling:
     """Returns what this router promises of a grant from now on.
@@ -240,11 +241,16 @@
       drawn: tokens of the grant that are in use.
       least: tokens that are about to be drawn.
       limit: the budget's limit.
+      left: tokens of the budget that are not in use, as far as known.
       issued: the present moment.
     """
     config = self._config
-    rate = max(self.rate.get(budget, 0.0), limit * _LEAST_RATE)
-    slack = max(self._slack(budget), limit * config.slack_share)
+    rate = self.rate.get(budget, 0.0)
+    slack = max(rate * config.slack_s, limit * config.slack_share)
+    # Near a budget's end the usual slack is all that is left, and would be
+    # lost with this router; there it reports more often instead.
+    slack = min(slack, left * config.slack_left)
+    rate = max(rate, limit * _LEAST_RATE)
     return ceilings_lib.Ceiling(
         tokens=drawn + max(least, int(slack)),
         grace_s=config.ceiling_grace_s,
@@ -256,7 +262,8 @@
     """Notes a promise that is about to be sent."""
     row = self.rows.get(gid)
     if row is not None:
-      row.promises.append(Promise(ceiling, now))
+      slack = ceiling.tokens - row.drawn
+      row.promises.append(Promise(ceiling, now, slack))
       row.look(now)
 
   def withdraw(
@@ -273,11 +280,14 @@
   ) -> None:
     """Notes which promise a ledger was seen with; earlier ones are over."""
     row = self.rows.get(gid)
-    if row is not None:
-      row.promises = [
-          p for p in row.promises if p.ceiling.issued >= ceiling.issued
-      ]
-      row.look(now)
+    if row is None:
+      return
+    later = [p for p in row.promises if p.ceiling.issued >= ceiling.issued]
+    if any(p.ceiling == ceiling for p in later):
+      while later[0].ceiling != ceiling:
+        del later[0]  # issued in the same moment, before it
+    row.promises = later
+    row.look(now)
 
   def reserve(self, budget: str, tokens: int) -> Reservation | None:
     """Sets `tokens` aside from a row of the budget that has room."""
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -357,12 +357,21 @@
         0 if row is None else row.drawn,
         least,
         limit.tokens,
+        self._left(budget, row, limit),
         self._vouch(self._clock.moment()),
     )
     if row is not None:
       self.table.issue(row.gid, ceiling, self._clock.monotonic())
     return ceiling
 
+  def _left(
+      self, budget: str, row: allotment.Row | None, limit: ledger.Limit
+  ) -> int:
+    """Returns what is not in use of a budget, as far as this router knows."""
+    found = self._seen.get(budget)
+    free = limit.tokens if found is None else ledger.headroom(found)
+    return max(0, free) + (0 if row is None else row.undrawn)
+
   def _share(self) -> float:
     """Returns the part of a budget's headroom that a grant may take.
 
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -46,6 +46,8 @@
   """A report allows for this many seconds of the budget's draw."""
   slack_share: float = pydantic.Field(default=0.02, ge=0, le=1)
   """A report allows for at least this share of the budget's limit."""
+  slack_left: float = pydantic.Field(default=0.25, gt=0, le=1)
+  """But for at most this share of what is left of the budget."""
   ceiling_grace_s: float = pydantic.Field(default=2.0, ge=0)
   """What a report allows for must do for so long, seconds."""
   ceiling_rate: float = pydantic.Field(default=1.5, ge=0)
--- a/tests/test_ceilings.py
+++ b/tests/test_ceilings.py
@@ -185,9 +185,18 @@
     self.table.withdraw("a:1:1", lower, 1.1)
     self.assertEqual(200, self.row.free)
 
+  def test_near_the_end_of_a_budget_little_is_at_risk(self):
+    # 120 of 1,000 tokens are left and 50 a second drawn: two seconds of draw
+    # would be all but 20 of it, lost at the next death.
+    self.table.rate["b"] = 50.0
+    ceiling = self.table.promise("b", 480, 0, 1_000, 120, _at(0.0))
+    self.assertEqual(480 + 30, ceiling.tokens)
+    ceiling = self.table.promise("b", 480, 70, 1_000, 120, _at(0.0))
+    self.assertEqual(480 + 70, ceiling.tokens)
+
   def test_renewed_before_it_runs_out(self):
     self.table.rate["b"] = 50.0
-    ceiling = self.table.promise("b", 0, 0, 1_000, _at(0.0))
+    ceiling = self.table.promise("b", 0, 0, 1_000, 1_000, _at(0.0))
     self.assertEqual(100, ceiling.tokens)
     self.table.issue("a:1:1", ceiling, 0.0)
     self.table.reserve("b", 50)
