Idle connections that are due are taken off before the first is closed

Cause: closing one lets requests run, which took the next one from the list; removing it then raised and ended the loop that runs all of a router's systems.

Change: all that are due leave the table first. tests/test_links.py fails without it.

Measured: tests only.

--- a/mustardfall/proxy/links.py
+++ b/mustardfall/proxy/links.py
@@ -113,10 +113,15 @@
   async def close_idle(self) -> None:
     """Closes idle connections that are past their time."""
     now = self._clock.monotonic()
+    due = []
+    # All are taken off before the first is closed: closing lets requests run,
+    # which would take others of them meanwhile.
     for address, idle in list(self._idle.items()):
-      for link in list(idle):
-        if now >= link.idle_until:
-          idle.remove(link)
-          await self.discard(link)
-      if not idle:
-        self._idle.pop(address, None)
+      due += [link for link in idle if now >= link.idle_until]
+      kept = [link for link in idle if now < link.idle_until]
+      if kept:
+        self._idle[address] = collections.deque(kept)
+      else:
+        del self._idle[address]
+    for link in due:
+      await self.discard(link)
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,53 @@
+"""Kept connections: closed once their time is over, and no more than once."""
+
+import collections
+import datetime
+
+import anyio
+import testtools
+
+from mustardfall.proxy import links as links_lib
+from mustardfall.util import clock as clock_lib
+
+_ADDRESS = "10.0.0.1:80"
+
+
+class _Links(links_lib.Links):
+  """Connections whose closing lets a request take another one away."""
+
+  takes = True
+
+  async def discard(self, link):
+    self.discarded.append(link)
+    await anyio.lowlevel.checkpoint()
+    if self.takes:
+      self._pop(_ADDRESS)
+
+
+class CloseIdleTest(testtools.TestCase):
+
+  def _close(self, idle_until, takes=True):
+    clock = clock_lib.FakeClock(0.0)
+    links = _Links(clock)
+    links.takes = takes
+    links.discarded = []
+    all_ = [
+        links_lib.Link(_ADDRESS, None, idle_until=until) for until in idle_until
+    ]
+    links._idle[_ADDRESS] = collections.deque(all_)
+    clock.advance(datetime.timedelta(seconds=5))
+    anyio.run(links.close_idle)
+    return links, all_
+
+  def test_request_that_takes_one_while_another_closes_is_no_fault(self):
+    # After a host was frozen many connections are due at once. While one is
+    # closed a request looks at the next; the loop that closes them, and runs
+    # all the router's systems, used to end on what was gone meanwhile.
+    links, (first, second, third) = self._close([1.0, 2.0, 3.0])
+    self.assertEqual([first, second, third], links.discarded)
+    self.assertNotIn(_ADDRESS, links._idle)
+
+  def test_those_whose_time_is_not_over_are_kept(self):
+    links, (due, kept) = self._close([1.0, 9.0], takes=False)
+    self.assertEqual([due], links.discarded)
+    self.assertEqual([kept], list(links._idle[_ADDRESS]))
