A stopping router gives callers 0.86 of the time to stop

The rule excuses only what is at work past five sixths (6.67 s).

Change: both are shares of the time now, 0.95 and 0.095 of that: callers get 6.9 of 8 s. tests/test_gateway.py has a stream that was cut before.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -47,8 +47,10 @@
 """After SIGTERM, callers' idle connections are kept this long: the balancer
 asks every second and takes a host out after two misses, and whoever uses
 the connection meanwhile is told that it closes."""
-_HAND_BACK_S = 1.2
-"""Kept of the time after SIGTERM for handing the budgets back."""
+_HAND_BACK_SHARE = 0.095
+"""Kept of the time to stop for handing the budgets back: 0.7 s of 8 s, many
+times what the store takes when it answers. A stream that is cut for more is
+worse than tokens handed back late: the next life gives them back."""
 
 
 class Gateway:
@@ -264,11 +266,12 @@
     logger.info("stopping", extra={"in_flight": served.in_flight})
     await anyio.sleep(min(_RELEASE_S, stop_s / 2))
     served.stop_idle()
-    left_s = ends - self.clock.monotonic() - _HAND_BACK_S
+    hand_back_s = stop_s * _HAND_BACK_SHARE
+    left_s = ends - self.clock.monotonic() - hand_back_s
     finished = await served.finish(max(0.0, left_s))
     with anyio.move_on_after(max(0.1, ends - self.clock.monotonic())):
       await self.accounts.hand_back()
-      await self.accounts.writer.flush(_HAND_BACK_S)
+      await self.accounts.writer.flush(hand_back_s)
     logger.info(
         "stopped",
         extra={
--- a/mustardfall/platform/__main__.py
+++ b/mustardfall/platform/__main__.py
@@ -18,8 +18,10 @@
 
 logger = logging.getLogger(__name__)
 
-_KILL_MARGIN_S = 0.7
-"""Done this long before the platform kills the process."""
+_STOP_SHARE = 0.95
+"""Done by this part of the time after which the platform kills the process.
+With what is kept for handing budgets back, callers get 0.86 of that time: the
+platform cuts off without blame only what lasts past five sixths of it."""
 
 
 async def _watch_signals(stop: anyio.Event, own: str | None, path: str) -> None:
@@ -56,7 +58,7 @@
         [followers.follow_configuration, followers.follow_servers],
         site.ready,
         stop,
-        max(1.0, site.grace_s - _KILL_MARGIN_S),
+        site.grace_s * _STOP_SHARE,
     )
     tg.cancel_scope.cancel()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -377,6 +377,20 @@
 
 class StopTest(testtools.TestCase):
 
+  @in_world()
+  async def test_long_stream_is_given_most_of_the_time_to_stop(self, world):
+    # A long stream has just begun when the platform stops the process. It
+    # must come to its end in the time that the platform gives; keeping much
+    # of that for handing budgets back cut the stream in the middle.
+    behaviour = world.servers["i-1"].behaviour
+    behaviour.events, behaviour.gap_s = 15, 0.1
+    async with world.caller() as caller:
+      await caller.send("/once/a", "r1", **StreamTest.USAGE)
+      await world.until(lambda: world.servers["i-1"].seen)
+      world.stop.set()
+      answer = await caller.receive()
+    self.assertEqual((200, True), (answer.status, answer.whole))
+
   @in_world()
   async def test_stop_ends_in_time_while_the_store_is_silent(self, world):
     # The store answers nothing and the platform stops the process. Budgets
