A report waits while a higher promise of the same grant is on its way

A request's grant carries a promise that covers it; the tick's report, issued while that was on its way, promised less (the slack alone), was the later of the two and took its place in the ledger. The request was refused, and the refusal repeated for the time that refusals are kept.

Ruled out: load (it failed with nothing else running, too), time-outs of the store (the grant was answered in 5 ms).

Change: no report while a grant or a raised promise of that row is on its way. ReportTest fails without it.

--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -335,6 +335,7 @@
     ceiling = self._promise(budget, row, least)
     if ceiling is None:
       return None
+    self._asking.add(row.gid)
     try:
       await self._settler.report_now(row, ceiling)
     except errors.KvUnavailableError:
@@ -342,6 +343,8 @@
       return False
     except errors.KvUnknownError:
       return False
+    finally:
+      self._asking.discard(row.gid)
     self._counts["ceilings_raised"] += 1
     return True
 
@@ -701,7 +704,10 @@
     if now - self._billed_at >= _BILL_S and self._config.reports:
       self._billed_at = now
       for row in self.table.rows.values():
-        if self._settler.owes_report(row):
+        # Not while a higher promise is on its way: this one would be the
+        # later, take the place of that one in the ledger, and have the
+        # request refused for which that one was made.
+        if row.gid not in self._asking and self._settler.owes_report(row):
           self._settler.report(row, self._promise(row.budget, row, 0))
     self._return_unowned()
     self._write_off_parts()
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -15,6 +15,7 @@
 from hypothesis import settings as hsettings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import testtools
 
 from mustardfall import settings
 from mustardfall.budget import ledger
@@ -418,6 +419,39 @@
     self.clocks[router].step_s = step_s
 
 
+class ReportTest(testtools.TestCase):
+
+  def test_report_does_not_take_back_what_a_grant_is_asked_for(self):
+    # A request waits for its grant when the time to report comes. The report
+    # promised less, and later, so it stood: 429, the tokens being there.
+    machine = RestartedPoolMachine()
+    self.addCleanup(machine.portal_cm.__exit__, None, None, None)
+    machine.reserve("r1", 20)
+    machine.finish(1.0)
+    served = []
+
+    async def go():
+      pool_ = machine.world.pools["r1"]
+      writer = machine.writers["r1"]
+
+      async def ask():
+        served.append(await pool_.reserve("b", 120, "c"))
+
+      submit = writer.submit
+
+      async def submit_late(key, asked):
+        machine.clock.advance(clock_lib.datetime.timedelta(seconds=1.5))
+        pool_.tick(1.5)  # while the grant is on its way
+        return await submit(key, asked)
+
+      writer.submit = submit_late
+      async with anyio.create_task_group() as tg:
+        tg.start_soon(ask)
+
+    machine._do(go)
+    self.assertIsNotNone(served[0])
+
+
 PoolMachine.TestCase.settings = hsettings(
     max_examples=80, stateful_step_count=40, deadline=None, derandomize=True
 )
