The deployed program needs no HTTP client library

Cause: routing/endpoints.py held the table of endpoints and the poller of the host list, which needs httpx. Ruled out: adding httpx to the deploy file. The platform's process makes no call with it; its start would only be slower. Change: the poller stands in routing/hostlist.py.

--- a/mustardfall/emulator/__main__.py
+++ b/mustardfall/emulator/__main__.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import pathlib
+import shlex
 import subprocess
 import sys
 import tempfile
@@ -70,12 +71,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _router(settings: dict[str, Any]):
+async def _router(command: list[str], settings: dict[str, Any]):
   """Runs the router process until the block ends."""
   with tempfile.TemporaryDirectory() as folder:
     path = pathlib.Path(folder) / "local.json"
     path.write_text(json.dumps(settings))
-    command = [sys.executable, "-m", "mustardfall.platform"]
     process = subprocess.Popen(
         [*command, "--settings", str(path), "--log-level", "WARNING"]
     )
@@ -114,7 +114,7 @@
   return {"requests": count, "statuses": statuses, "events": events}
 
 
-async def _run(count: int, keep: bool) -> None:
+async def _run(count: int, keep: bool, command: list[str]) -> None:
   store = store_lib.Store()
   store_port = fleet.free_port()
   store.put("op/config", _configuration())
@@ -131,7 +131,7 @@
       entry = {"service": "pool", "address": f"127.0.0.1:{port}"}
       entry |= {"zone": "dc", "state": "ready", "slots": 8}
       store.put(f"servers/i-{number}", entry)
-    async with _router(settings):
+    async with _router(command, settings):
       async with httpx.AsyncClient(timeout=10) as http:
         await _wait_ready(http, settings["listen"]["ready"])
         summary = await _drive(http, front, count)
@@ -149,10 +149,15 @@
 @click.command()
 @click.option("--requests", "count", default=40, show_default=True)
 @click.option("--keep", is_flag=True, help="Leave all up until Ctrl-C.")
-def main(count: int, keep: bool) -> None:
+@click.option(
+    "--router",
+    default=f"{sys.executable} -m mustardfall.platform",
+    help="Command that runs the router; default: the adapter's program.",
+)
+def main(count: int, keep: bool, router: str) -> None:
   """Runs a router before the emulated platform."""
   with contextlib.suppress(KeyboardInterrupt):
-    anyio.run(_run, count, keep)
+    anyio.run(_run, count, keep, shlex.split(router))
 
 
 if __name__ == "__main__":
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -25,6 +25,7 @@
 from mustardfall.catalogue import store
 from mustardfall.kv import client as kv_client
 from mustardfall.routing import endpoints
+from mustardfall.routing import hostlist
 from mustardfall.routing import orders
 from mustardfall.routing import retries
 from mustardfall.routing import scheduler
@@ -80,7 +81,7 @@
     self.pool = self.accounts.pool
     self.endpoints = endpoints.Table(config.scheduler)
     self.scheduler = scheduler.Scheduler(config, self.endpoints, self.clock)
-    self._poller = endpoints.Poller(self.http, config.hosts_url)
+    self._poller = hostlist.Poller(self.http, config.hosts_url)
     self.orders = orders.Orders(
         config,
         self.http,
