One bad entry of the server list hides no other; a server's later life starts anew

Cause: the list was decoded in one go, so an entry of another writer (a field missing or of another type, unreadable bytes) made all of it unreadable, and nothing of it was taken in any more: on the code before, two good entries beside b'{}' gave KeyError('address'). Configuration parts and the routers' own member entries were decoded the same way. A server that starts again under its id kept the row of its life before: prefixes, speed, failures and loads of an empty cache. Ruled out: leaving such entries out silently. Change: entries and configuration parts are checked by themselves, against models with strict types. What makes no sense is listed as unusable and logged once per revision. The start of a server (born) makes a row's life; reports of loads and prefixes name lives, and idle connections to a life that has gone are closed.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import Any
 
 import anyio
 from anyio import abc
@@ -49,6 +50,23 @@
   cancelled: bool = False
 
 
+def list_entry(
+    address: str, started_ms: int = 0, state: str = "ready"
+) -> dict[str, Any]:
+  """Returns what a server writes of itself in the store's list."""
+  return {
+      "service": "pool",
+      "address": address,
+      "zone": "dc",
+      "version": "v1",
+      "slots": 8,
+      "state": state,
+      "cold_left_ms": 0,
+      "seq": 1,
+      "born": started_ms,
+  }
+
+
 class Server:
   """One server; `serve` puts it on the network.
 
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -32,6 +32,7 @@
 from mustardfall.proxy import messages
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
+from mustardfall.routing import endpoints
 from mustardfall.routing import loads as loads_lib
 from mustardfall.util import clock as clock_lib
 
@@ -153,6 +154,23 @@
         # one; they go back, and are granted anew if they do.
         self.accounts.pool.retire(name)
 
+  async def take_endpoints(self, hosts: list[endpoints.Host]) -> None:
+    """Takes a complete list of endpoints in.
+
+    Idle connections to a server that has gone, or was started again, lead
+    nowhere: a request sent on one may have run, as far as is known, and
+    one that must not run twice is lost.
+    """
+    before = self._lives_by_address()
+    self.directory.take_endpoints(hosts)
+    after = self._lives_by_address()
+    for address, life in before.items():
+      if after.get(address) != life:
+        await self.links.close_address(address)
+
+  def _lives_by_address(self) -> dict[str, str]:
+    return {row.url: row.life for row in self.directory.endpoints.rows.values()}
+
   @property
   def ready(self) -> bool:
     """Whether the balancer should send callers here."""
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -193,7 +193,8 @@
       try:
         revision, records = await self._kv.get_prefix(PREFIX)
         self._in_touch_since = self._clock.monotonic()
-        self._replace([_member(r) for r in records])
+        members = [_member(r) for r in records]
+        self._replace([m for m in members if m is not None])
         async for event in self._kv.watch(
             PREFIX, revision + 1, self._config.watch_idle_s
         ):
@@ -210,7 +211,8 @@
       members.pop(event.record.key.removeprefix(PREFIX), None)
     else:
       member = _member(event.record)
-      members[member.name] = member
+      if member is not None:
+        members[member.name] = member
     self._replace(list(members.values()))
 
   def _replace(self, members: list[Member]) -> None:
@@ -242,6 +244,14 @@
   return hashlib.blake2b(life.encode(), digest_size=8).digest()
 
 
-def _member(record: protocol.Record) -> Member:
-  data = json.loads(record.value)
-  return Member(**{field: data[field] for field in Member._fields})
+def _member(record: protocol.Record) -> Member | None:
+  """Returns who registered, None where the entry makes no sense."""
+  try:
+    data = json.loads(record.value)
+    return Member(**{field: str(data[field]) for field in Member._fields})
+  except (KeyError, TypeError, ValueError, RecursionError) as exc:
+    logger.error(
+        "member entry unreadable",
+        extra={"entry": record.key, "error": repr(exc)},
+    )
+    return None
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -10,6 +10,7 @@
 from mustardfall.kv import protocol
 from mustardfall.membership import relay as relay_lib
 from mustardfall.platform import documents
+from mustardfall.routing import endpoints
 
 logger = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
     self._relay = gateway.relay
     self._configuration = ""
     """The configuration's text, as last read from the store."""
+    self._servers = documents.ServerList()
 
   async def follow_configuration(self) -> None:
     """Keeps the configuration current until cancelled."""
@@ -70,7 +72,7 @@
     """Decodes a configuration; returns whether it could be."""
     try:
       new = documents.decode_configuration(raw)
-    except (KeyError, TypeError, ValueError) as exc:
+    except ValueError as exc:
       logger.error(
           "configuration unreadable",
           extra={"source": source, "error": repr(exc)},
@@ -82,23 +84,24 @@
   async def follow_servers(self) -> None:
     """Keeps the endpoints current until cancelled."""
     while True:
-      pause_s = _LIST_S
-      try:
-        _, records = await self._kv.get_prefix(documents.SERVERS_PREFIX)
-        hosts = [documents.decode_endpoint(record) for record in records]
-        self._gateway.directory.take_endpoints(hosts)
-        self._share(hosts)
-      except _STORE_ERRORS as exc:
-        logger.debug("server list not read: %s", exc)
-        pause_s = _PAUSE_S
-        text = await self._relay.fetch(documents.SERVERS_PREFIX)
-        if text is not None:
-          self._gateway.directory.take_endpoints(json.loads(text))
-      except (KeyError, TypeError, ValueError) as exc:
-        logger.error("server list unreadable", extra={"error": repr(exc)})
-      await anyio.sleep(pause_s)
+      await anyio.sleep(await self.read_servers())
 
-  def _share(self, hosts: list[dict]) -> None:
+  async def read_servers(self) -> float:
+    """Reads the server list once; returns when to read it again, seconds."""
+    try:
+      _, records = await self._kv.get_prefix(documents.SERVERS_PREFIX)
+    except _STORE_ERRORS as exc:
+      logger.debug("server list not read: %s", exc)
+      text = await self._relay.fetch(documents.SERVERS_PREFIX)
+      if text is not None:
+        await self._gateway.take_endpoints(json.loads(text))
+      return _PAUSE_S
+    hosts = self._servers.decode(records)
+    await self._gateway.take_endpoints(hosts)
+    self._share(hosts)
+    return _LIST_S
+
+  def _share(self, hosts: list[endpoints.Host]) -> None:
     """Lets the other routers know what was read.
 
     The configuration goes with each list: its watch says nothing while it
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -212,7 +212,7 @@
     row.in_flight += 1
     reading = job_lib.Reading(row, place.reading_s)
     prompt = job_lib.prompt_of(job.request)
-    self._load_share.note_sent(row.name, prompt.prefix)
+    self._load_share.note_sent(row.life, prompt.prefix)
     ran_before, job.may_have_run = job.may_have_run, True
     job.sends += 1
     try:
--- a/mustardfall/proxy/links.py
+++ b/mustardfall/proxy/links.py
@@ -110,6 +110,11 @@
       del self.open[link.address]
     await link.close()
 
+  async def close_address(self, address: str) -> None:
+    """Closes the idle connections to `address`."""
+    for link in self._idle.pop(address, ()):
+      await self.discard(link)
+
   async def close_idle(self) -> None:
     """Closes idle connections that are past their time."""
     now = self._clock.monotonic()
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -41,7 +41,7 @@
     self._clock = clock
     self.configuration: configuration.Configuration | None = None
     self.endpoints = endpoints.Table(config, cold)
-    self._hosts: dict[str, dict] = {}
+    self._hosts: dict[str, endpoints.Host] = {}
     self._missing_until = -float("inf")
     self._listed_at = -float("inf")
     self.in_force_since: datetime.datetime | None = None
@@ -70,7 +70,7 @@
     )
     return True
 
-  def take_endpoints(self, hosts: list[dict]) -> bool:
+  def take_endpoints(self, hosts: list[endpoints.Host]) -> bool:
     """Takes a complete list of endpoints; returns whether it changed any."""
     now = self._clock.monotonic()
     if now - self._listed_at > _AWAY_S:
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import logging
+from typing import Literal, NotRequired, TypedDict
 
 from mustardfall import settings
 
@@ -34,6 +35,24 @@
 their requests in a second."""
 
 
+State = Literal["live", "leaving", "unusable"]
+"""`unusable`: its entry in the list makes no sense."""
+
+
+class Host(TypedDict):
+  """An endpoint as a list of hosts shows it."""
+
+  name: str
+  url: str
+  datacentre: str
+  kind: str
+  models: NotRequired[list[str]]
+  state: NotRequired[State]
+  """Live when left out."""
+  started_ms: NotRequired[int | None]
+  """Unix ms at which it started, where the list tells."""
+
+
 @dataclasses.dataclass
 class Row:
   """One endpoint as this router sees it."""
@@ -43,7 +62,7 @@
   datacentre: str
   kind: str
   models: list[str]
-  state: str
+  state: State
   limit: float
   """Requests this router keeps in flight there at most; steered."""
   in_flight: int = 0
@@ -69,6 +88,15 @@
   shrunk_at: float = -float("inf")
   awaiting: dict[int, float] = dataclasses.field(default_factory=dict)
   """When each request without a first token yet was sent, by its id."""
+  started_ms: int | None = None
+  """When its process started, Unix ms, if the list tells."""
+
+  @property
+  def life(self) -> str:
+    """Names this start of it: it may start again under its name."""
+    if self.started_ms is None:
+      return self.name
+    return f"{self.name}:{self.started_ms}"
 
   @property
   def room(self) -> float:
@@ -89,41 +117,41 @@
     self.rows: dict[str, Row] = {}
     self._listed = cold
 
-  def update(self, hosts: list[dict]) -> bool:
+  def update(self, hosts: list[Host]) -> bool:
     """Takes the host list's entries; returns whether any row changed."""
     changed = False
     for host in hosts:
       row = self.rows.get(host["name"])
-      state = host.get("state", "live")
-      if row is None:
-        row = self._row(host, state)
-        row.fresh = self._listed
-        self.rows[row.name] = row
-        changed = True
-        continue
-      if (row.state, row.url) != (state, host["url"]):
-        logger.info(
-            "endpoint state", extra={"endpoint": row.name, "state": state}
-        )
-        row.state, row.url = state, host["url"]
+      if row is None or _started_again(row, host):
+        self.rows[host["name"]] = self._row(host)
+        _log("endpoint listed", self.rows[host["name"]])
         changed = True
+      else:
+        changed |= _take(row, host)
     for name in self.rows.keys() - {host["name"] for host in hosts}:
-      del self.rows[name]
+      _log("endpoint gone", self.rows.pop(name))
       changed = True
     self._listed = self._listed or bool(hosts)
     return changed
 
-  def _row(self, host: dict, state: str) -> Row:
+  def _row(self, host: Host) -> Row:
     return Row(
         name=host["name"],
         url=host["url"],
         datacentre=host["datacentre"],
         kind=host["kind"],
         models=list(host.get("models", [])),
-        state=state,
+        state=host.get("state", "live"),
         limit=self._config.initial_limit,
+        fresh=self._listed,
+        started_ms=host.get("started_ms"),
     )
 
+  def find_life(self, life: str) -> Row | None:
+    """Returns the row of an endpoint's start, None when it is not listed."""
+    row = self.rows.get(life) or self.rows.get(life.rpartition(":")[0])
+    return row if row is not None and row.life == life else None
+
   def fitting(
       self, kind: str, model: str, avoid: frozenset[str] = frozenset()
   ) -> list[Row]:
@@ -191,9 +219,9 @@
       row.limit = max(_MIN_LIMIT, row.limit * _SHRINK)
       row.shrunk_at = now
 
-  def note_prefix(self, name: str, prefix: str, now: float) -> None:
+  def note_prefix(self, life: str, prefix: str, now: float) -> None:
     """Notes that an endpoint was sent a prompt with `prefix`."""
-    row = self.rows.get(name)
+    row = self.find_life(life)
     if row is not None and prefix:
       row.prefixes.pop(prefix, None)
       row.prefixes[prefix] = now
@@ -228,3 +256,35 @@
         waited = now - min(row.awaiting.values())
         if waited > self._config.target_s:
           self.steer(row, waited, now)
+
+
+def _started_again(row: Row, host: Host) -> bool:
+  """Whether `host` is a later start of the endpoint in `row`.
+
+  It has nothing in its caches and at work then, and answers as quickly as
+  any: all that was learnt is of the start before.
+  """
+  started_ms = host.get("started_ms")
+  known = row.started_ms is not None and started_ms is not None
+  return known and row.started_ms != started_ms
+
+
+def _take(row: Row, host: Host) -> bool:
+  """Takes a host's entry into its row; returns whether that changed it."""
+  state = host.get("state", "live")
+  if state == "unusable":
+    changed = row.state != state
+    row.state = state
+  else:
+    changed = (row.state, row.url) != (state, host["url"])
+    row.state, row.url = state, host["url"]
+    row.datacentre, row.kind = host["datacentre"], host["kind"]
+    row.started_ms = host.get("started_ms", row.started_ms)
+  if changed:
+    _log("endpoint state", row)
+  return changed
+
+
+def _log(event: str, row: Row) -> None:
+  extra = {"endpoint": row.life, "state": row.state, "address": row.url}
+  logger.info(event, extra=extra)
--- a/mustardfall/routing/hostlist.py
+++ b/mustardfall/routing/hostlist.py
@@ -6,6 +6,8 @@
 
 import httpx
 
+from mustardfall.routing import endpoints
+
 
 class Poller:
   """Reads the host list, asking only for what changed.
@@ -20,7 +22,7 @@
     self._url = url.rstrip("/") + "/hosts"
     self._etag = ""
 
-  async def poll(self) -> list[dict] | None:
+  async def poll(self) -> list[endpoints.Host] | None:
     """Returns the list's entries, or None when it has not changed.
 
     Raises:
--- a/mustardfall/routing/loads.py
+++ b/mustardfall/routing/loads.py
@@ -34,9 +34,9 @@
   number: int
   """Counts up; an earlier report that arrives late is passed over."""
   loads: dict[str, Load]
-  """By the endpoint's name; those without any are left out."""
+  """By the endpoint's life; those without any are left out."""
   prefixes: dict[str, list[str]]
-  """Prompt prefixes lately sent to endpoints, by the endpoint's name."""
+  """Prompt prefixes lately sent to endpoints, by the endpoint's life."""
 
 
 def encode(report: Report) -> bytes:
@@ -104,7 +104,7 @@
     """Returns what this router has at the endpoints now."""
     self._number += 1
     loads = {
-        row.name: Load(row.in_flight, max(0.0, row.reading_s))
+        row.life: Load(row.in_flight, max(0.0, row.reading_s))
         for row in self._table.rows.values()
         if row.in_flight
     }
@@ -121,9 +121,9 @@
     if last is not None and last.report.number >= report.number:
       return
     self._heard[report.sender] = Heard(report, now)
-    for name, prefixes in report.prefixes.items():
+    for life, prefixes in report.prefixes.items():
       for prefix in prefixes:
-        self._table.note_prefix(name, prefix, now)
+        self._table.note_prefix(life, prefix, now)
     self.add_up(now)
 
   def add_up(self, now: float) -> None:
@@ -135,8 +135,8 @@
       row.others_in_flight = 0
       row.others_reading_s = 0.0
     for heard in self._heard.values():
-      for name, load in heard.report.loads.items():
-        row = self._table.rows.get(name)
+      for life, load in heard.report.loads.items():
+        row = self._table.find_life(life)
         if row is not None:
           row.others_in_flight += load.in_flight
           row.others_reading_s += load.reading_s
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -142,8 +142,8 @@
 
   def list_server(self, id_: str, port: int, state: str = "ready") -> None:
     """Writes a server's entry."""
-    entry = {"service": "pool", "address": f"127.0.0.1:{port}", "zone": "dc"}
-    self.store.put(f"servers/{id_}", {**entry, "state": state, "slots": 8})
+    entry = server_lib.list_entry(f"127.0.0.1:{port}", state=state)
+    self.store.put(f"servers/{id_}", entry)
 
   def add_server(self, id_: str) -> server_lib.Server:
     """Starts and lists a server."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,11 +1,14 @@
 """Membership: who owns a budget, and when a router counts as gone."""
 
 import datetime
+import json
 
+import anyio
 import testtools
 
 from mustardfall import events
 from mustardfall import settings
+from mustardfall.kv import protocol
 from mustardfall.membership import members
 from mustardfall.util import clock as clock_lib
 
@@ -86,3 +89,40 @@
     self.view._in_touch_since = self.clock.monotonic()
     self.clock.advance(datetime.timedelta(seconds=5))
     self.assertFalse(self.view.has_gone("r7:e"))
+
+  def test_entry_that_makes_no_sense_hides_no_other(self):
+    # Something else wrote under the routers' prefix. Were the list given up
+    # for it, each router would know of itself only and own every budget.
+    good = members.PREFIX + "r1"
+    value = json.dumps(_member(1)._asdict()).encode()
+    for raw in (b"", b"\xff", b"[]", b"{}", b"[" * 100_000):
+      store = _Store(
+          [
+              protocol.Record("member/r0", raw, 1, 0),
+              protocol.Record(good, value, 1, 0),
+          ]
+      )
+      view = members.Members(
+          store, _member(9), settings.Membership(), self.clock, events.Bus()
+      )
+      with testtools.ExpectedException(_ReadError):
+        anyio.run(view.follow)
+      self.assertEqual({"r9:e", "r1:e"}, set(view.lives))
+
+
+class _ReadError(Exception):
+  """Ends a follower after its first read."""
+
+
+class _Store:
+  """Holds the routers' entries."""
+
+  def __init__(self, records) -> None:
+    self.records = records
+
+  async def get_prefix(self, prefix):
+    return 1, self.records
+
+  async def watch(self, prefix, revision, idle_s):
+    raise _ReadError
+    yield
