Pool taken apart: drawing, granting, handing on, reviewing, recalling, holding

Cause: budget/pool.py had grown to 814 lines, one class of 50 methods; a change of policy touched all of it, and no decision could be tried alone. Ruled out: splitting the ledger and the table in the same step; behaviour shall be unchanged and shown so by the tests as they were.

--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -111,8 +111,8 @@
         self.writer.run,
         self.members.register,
         self.members.follow,
-        self.pool.refill,
-        self.pool.review,
+        self.pool.drawer.refill,
+        self.pool.reviewer.run,
         self.clock_check.run,
         self._settle_parts,
     )
--- a/mustardfall/api/peer.py
+++ b/mustardfall/api/peer.py
@@ -17,17 +17,17 @@
 
   async def _reserve(request: requests.Request) -> responses.Response:
     ask = peers.Ask(**await request.json())
-    handed = await router.pool.serve_ask(ask)
+    handed = await router.pool.owner.serve_ask(ask)
     return responses.JSONResponse(handed._asdict())
 
   async def _settle(request: requests.Request) -> responses.Response:
     body = await request.json()
-    router.pool.serve_settle([peers.Ended(**e) for e in body["ended"]])
+    router.pool.owner.serve_settle([peers.Ended(**e) for e in body["ended"]])
     return responses.JSONResponse({})
 
   async def _recall(request: requests.Request) -> responses.Response:
     body = await request.json()
-    await router.pool.serve_recall(body["budget"])
+    await router.pool.recaller.serve(body["budget"])
     return responses.JSONResponse({})
 
   async def _stats(_: requests.Request) -> responses.Response:
--- /dev/null
+++ b/mustardfall/budget/drawing.py
@@ -0,0 +1,265 @@
+"""Gets a request its tokens: from own rows, the owner, or the KV.
+
+What a request needs and what refills a budget ahead of requests take the
+same ways; only a request waits.
+"""
+
+import collections
+
+import anyio
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import granting
+from mustardfall.budget import known as known_lib
+from mustardfall.budget import recalling
+from mustardfall.budget import refusals as refusals_lib
+from mustardfall.budget import settling
+from mustardfall.membership import members as members_lib
+from mustardfall.membership import peers as peers_lib
+from mustardfall.util import clock as clock_lib
+
+_OWNER_REFUSAL_TTL_S = 0.05
+"""How long an owner's refusal is repeated from memory."""
+_WAIT_STEP_S = 0.05
+"""Pause between two looks at a budget that ran out."""
+_REFILL_PAUSE_S = 1.0
+"""Pause after a refill that the budget could not give; requests that need
+tokens still ask at once."""
+
+
+class Drawer:
+  """Reserves tokens for requests and keeps budgets filled.
+
+  Args:
+    config: how allotments are sized.
+    clock: the time source.
+    members: told of routers that do not answer.
+    peers: calls to other routers.
+    known: what is known of the budgets.
+    table: this router's allotments.
+    refusals: budgets that lately could not give.
+    granter: asks the KV.
+    recaller: asks other holders.
+    settler: settles parts whose fate is unknown.
+    counts: what happened so far.
+  """
+
+  def __init__(
+      self,
+      config: settings.Allotment,
+      clock: clock_lib.Clock,
+      members: members_lib.Members,
+      peers: peers_lib.Client,
+      known: known_lib.Known,
+      table: allotment.Table,
+      refusals: refusals_lib.Refusals,
+      granter: granting.Granter,
+      recaller: recalling.Recaller,
+      settler: settling.Settler,
+      counts: collections.Counter[str],
+  ) -> None:
+    self._config = config
+    self._clock = clock
+    self._members = members
+    self._peers = peers
+    self._known = known
+    self._table = table
+    self._refusals = refusals
+    self._granter = granter
+    self._recaller = recaller
+    self._settler = settler
+    self._counts = counts
+    self._locks: dict[str, anyio.Lock] = {}
+    self._demand: collections.Counter[str] = collections.Counter()
+    """Tokens that waiting requests need, per budget."""
+    self._low: dict[str, str] = {}
+    """Budgets that run low, and their customers."""
+    self._low_event = anyio.Event()
+    self._refill_at: dict[str, float] = {}
+    """When a budget that could not give may be refilled again."""
+    self._blind: set[str] = set()
+    """Budgets whose first grant was taken without knowing their ledger."""
+    self.stopping = False
+
+  async def reserve(
+      self, budget: str, tokens: int, customer: str
+  ) -> allotment.Reservation | None:
+    """Sets `tokens` aside for a request; see `pool.Pool.reserve`."""
+    found = self._table.reserve(budget, tokens)
+    if found is None:
+      return await self._wait(budget, tokens, customer)
+    self.look_ahead(budget, customer)
+    return found
+
+  def look_ahead(self, budget: str, customer: str) -> None:
+    """Has the budget refilled if it will soon run short here."""
+    table = self._table
+    if table.running_low(budget) or table.nears_ceiling(budget):
+      self._note_low(budget, customer)
+
+  def _note_low(self, budget: str, customer: str) -> None:
+    """Has the budget refilled in the background."""
+    self._low[budget] = customer
+    self._low_event.set()
+
+  def lock(self, budget: str) -> anyio.Lock:
+    """Returns the lock under which tokens of a budget are fetched."""
+    return self._locks.setdefault(budget, anyio.Lock())
+
+  async def _wait(
+      self, budget: str, tokens: int, customer: str
+  ) -> allotment.Reservation | None:
+    """Gets tokens, for as long as the customer's policy has patience."""
+    patience_s = self._known.policy_of(customer).patience_s
+    deadline = self._clock.monotonic() + patience_s
+    self._demand[budget] += tokens
+    try:
+      while True:
+        if not self._refusals.repeat(budget, tokens):
+          await self._fetch(budget, tokens, customer)
+        found = self._table.reserve(budget, tokens)
+        if found is not None:
+          return found
+        now = self._clock.monotonic()
+        hopeless = self._refusals.lasts_s(budget) > patience_s
+        hopeless = hopeless or self._known.is_exhausted(budget, tokens)
+        if now >= deadline or hopeless or self.stopping:
+          return None
+        await anyio.sleep(_WAIT_STEP_S)
+    finally:
+      self._demand[budget] -= tokens
+      if not self._demand[budget]:
+        del self._demand[budget]
+
+  async def _fetch(self, budget: str, tokens: int, customer: str) -> None:
+    """Gets an allotment of at least `tokens`, unless one is there now."""
+    async with self.lock(budget):
+      self._table.look(budget, self._clock.monotonic())
+      done = self._table.has_room(budget, tokens)
+      if done or self.stopping or self._refusals.repeat(budget, tokens):
+        return
+      demand = max(tokens, self._demand.get(budget, 0))
+      # Shielded: a caller that leaves now must not leave tokens behind
+      # that were granted in answer but recorded nowhere.
+      with anyio.CancelScope(shield=True):
+        owner = self._known.owner(budget)
+        if owner is not None:
+          want = self._table.want_part(budget, demand)
+          if await self._ask_owner(owner, budget, tokens, want, customer):
+            return
+        # In an owner's place only what is needed now: a store of tokens
+        # here would lie idle once the owner answers again.
+        want = demand if owner else self._table.want(budget, demand)
+        await self.take_grant(budget, tokens, want, customer, owner is None)
+
+  async def _ask_owner(
+      self,
+      owner: members_lib.Member,
+      budget: str,
+      least: int,
+      want: int,
+      customer: str,
+  ) -> bool:
+    """Asks the owner for a part; returns whether its answer is final."""
+    part = self._table.new_gid()
+    ask = peers_lib.Ask(budget, customer, part, least, want)
+    answer = await self._peers.reserve(owner, ask)
+    if answer is None:
+      # The owner may have handed the part on and its answer got lost.
+      # Settled as unused, it goes back; no request ever drew on it.
+      self._counts["owner_unreachable"] += 1
+      self._members.suspect(owner.life)
+      unused = allotment.Row(budget, part, 0, 0.0, owner.life)
+      self._settler.queue_ended(unused)
+      return False
+    if answer.tokens:
+      self._counts["parts"] += 1
+      now = self._clock.monotonic()
+      self._table.add(budget, part, answer.tokens, now, owner.life, answer.gid)
+      self._refusals.end(budget)
+    elif not answer.unsure:
+      # Short: the owner knows best, and answers from its own memory.
+      self._refusals.note(budget, least, _OWNER_REFUSAL_TTL_S)
+      if answer.exhausted:
+        self._known.note_exhausted(budget, least)
+    return not answer.unsure
+
+  async def take_grant(
+      self,
+      budget: str,
+      least: int,
+      want: int,
+      customer: str,
+      owns: bool = True,
+  ) -> bool:
+    """Takes a grant from the KV; returns whether the KV answered."""
+    raised = await self._granter.raise_ceiling(budget, least)
+    if raised is not None:
+      return raised
+    margin = self._known.policy_of(customer).margin
+    blind = budget not in self._known.ledgers
+    found = await self._granter.grant(budget, least, want, margin, owns)
+    if found is None:
+      return False
+    if self._table.has_room(budget, least):
+      if owns and blind:
+        # Taken before the ledger was known, so small: filled up now, not
+        # with the next request, which may come when the store is away.
+        self._blind.add(budget)
+        self._note_low(budget, customer)
+      return True
+    called_back = await self._recaller.recall(budget, found)
+    if called_back and not self._table.has_room(budget, least):
+      await self._granter.grant(budget, least, want, margin, owns)
+    if not self._table.has_room(budget, least):
+      self._refusals.note(budget, least, self._config.refusal_ttl_s)
+      left = self._known.most_left(budget, margin)
+      if left is not None and left < least:
+        self._known.note_exhausted(budget, least)
+    return True
+
+  async def refill(self) -> None:
+    """Refills budgets before they run out, until cancelled."""
+    while True:
+      await self._low_event.wait()
+      self._low_event = anyio.Event()
+      low, self._low = self._low, {}
+      async with anyio.create_task_group() as tg:
+        for budget, customer in low.items():
+          tg.start_soon(self._refill_one, budget, customer)
+      await anyio.sleep(_WAIT_STEP_S)
+
+  async def _refill_one(self, budget: str, customer: str) -> None:
+    async with self.lock(budget):
+      now = self._clock.monotonic()
+      blind = budget in self._blind
+      self._blind.discard(budget)
+      if self._table.nears_ceiling(budget) and not self.stopping:
+        await self._granter.raise_ceiling(budget, 0)
+      if self.stopping or not (blind or self._table.running_low(budget)):
+        return
+      if now < self._refill_at.get(budget, -float("inf")):
+        return
+      owner = self._known.owner(budget)
+      size = self._table.want if owner is None else self._table.want_part
+      want = size(budget, 1)
+      least = max(1, want // 4) if owner is not None else 1
+      if self._refusals.repeat(budget, least):
+        return
+      if owner is not None:
+        await self._ask_owner(owner, budget, least, want, customer)
+        return
+      margin = self._known.policy_of(customer).margin
+      await self._granter.grant(budget, least, want, margin)
+      if self._table.running_low(budget):
+        self._refill_at[budget] = now + _REFILL_PAUSE_S
+
+  def forget(self, before: float) -> None:
+    """Drops what was noted of budgets that are quiet since `before`."""
+    for budget, at in list(self._refill_at.items()):
+      if at < before:
+        del self._refill_at[budget]
+    for budget, lock in list(self._locks.items()):
+      if not lock.locked() and budget not in self._table.by_budget:
+        del self._locks[budget]
--- /dev/null
+++ b/mustardfall/budget/granting.py
@@ -0,0 +1,239 @@
+"""Asks the KV for grants, and promises how far they will be drawn."""
+
+import collections
+from collections.abc import Callable
+import logging
+
+from mustardfall import errors
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import ceilings as ceilings_lib
+from mustardfall.budget import holding
+from mustardfall.budget import known as known_lib
+from mustardfall.budget import ledger
+from mustardfall.budget import refusals as refusals_lib
+from mustardfall.budget import settling
+from mustardfall.kv import writer as writer_lib
+from mustardfall.membership import members as members_lib
+from mustardfall.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+_NO_BUDGET = ledger.Ledger(
+    limit=0, spent=0, grants={}, lost={}, lost_before=0, parts={}, ops=[]
+)
+"""Stands for a budget that the KV does not hold."""
+
+
+class Granter:
+  """Takes and raises this router's grants.
+
+  Args:
+    config: how grants are sized.
+    clock: the time source.
+    members: how many regions share a budget.
+    known: what is known of the budgets.
+    table: this router's allotments.
+    refusals: budgets that lately could not give.
+    settler: settles grants and reports their use.
+    writer: the batch writer to the KV.
+    vouch: marks a moment of this host as agreed, if it is.
+    counts: what happened so far.
+  """
+
+  def __init__(
+      self,
+      config: settings.Allotment,
+      clock: clock_lib.Clock,
+      members: members_lib.Members,
+      known: known_lib.Known,
+      table: allotment.Table,
+      refusals: refusals_lib.Refusals,
+      settler: settling.Settler,
+      writer: writer_lib.Writer,
+      vouch: Callable[[clock_lib.Moment], clock_lib.Moment],
+      counts: collections.Counter[str],
+  ) -> None:
+    self._config = config
+    self._clock = clock
+    self._members = members
+    self._known = known
+    self._table = table
+    self._refusals = refusals
+    self._settler = settler
+    self._writer = writer
+    self._vouch = vouch
+    self._counts = counts
+    self.asking: set[str] = set()
+    """Grants asked of the KV whose answer is still out."""
+
+  async def raise_ceiling(self, budget: str, least: int) -> bool | None:
+    """Promises anew, so that `least` tokens of what is granted may be drawn.
+
+    Returns:
+      Whether the KV answered; None: this grant has not so many left.
+    """
+    row = self._table.growing(budget)
+    if row is None or not row.promises or row.undrawn < least:
+      return None
+    ceiling = self.promise(budget, row, least)
+    if ceiling is None:
+      return None
+    self.asking.add(row.gid)
+    try:
+      await self._settler.report_now(row, ceiling)
+    except errors.KvUnavailableError:
+      self._table.withdraw(row.gid, ceiling, self._clock.monotonic())
+      return False
+    except errors.KvUnknownError:
+      return False
+    finally:
+      self.asking.discard(row.gid)
+    self._counts["ceilings_raised"] += 1
+    return True
+
+  def promise(
+      self, budget: str, row: allotment.Row | None, least: int
+  ) -> ceilings_lib.Ceiling | None:
+    """Returns a new promise for a row, noted there as sent."""
+    limit = self._known.limit_of(budget)
+    if limit is None or not self._config.reports:
+      return None
+    ceiling = self._table.promise(
+        budget,
+        0 if row is None else row.drawn,
+        least,
+        limit.tokens,
+        self._known.left(budget, row, limit),
+        self._vouch(self._clock.moment()),
+    )
+    if row is not None:
+      self._table.issue(row.gid, ceiling, self._clock.monotonic())
+    return ceiling
+
+  def report_use(self) -> None:
+    """Reports what grants have used, with a promise each."""
+    for row in self._table.rows.values():
+      # Not while a higher promise is on its way: this one would be the
+      # later, take the place of that one in the ledger, and have the
+      # request refused for which that one was made.
+      if row.gid not in self.asking and self._settler.owes_report(row):
+        self._settler.report(row, self.promise(row.budget, row, 0))
+
+  def _share(self) -> float:
+    """Returns the part of a budget's headroom that a grant may take.
+
+    An owner draws for its whole region, so it may take the region's part.
+    Grants that shrink with the headroom would leave many rows with a rest
+    too small for any request: at the edge of a budget, false refusals.
+    """
+    if self._config.owned:
+      return 1.0 / self._members.regions
+    return self._config.headroom_share
+
+  async def grant(
+      self,
+      budget: str,
+      least: int,
+      want: int,
+      margin: float,
+      owns: bool = True,
+  ) -> ledger.Ledger | None:
+    """Asks the KV for one grant; None when the KV gave no answer."""
+    limit = self._known.limit_of(budget)
+    if owns:
+      want = max(least, self._hold(budget, want, limit))
+    row = self._table.growing(budget)
+    base = row.granted if row is not None else 0
+    gid = row.gid if row is not None else self._table.new_gid()
+    asked_at = self._clock.monotonic()
+    ceiling = self.promise(budget, row, least)
+    change = ledger.Grant(
+        gid, least, want, self._share(), margin, limit, base, ceiling
+    )
+    self.asking.add(gid)
+    try:
+      after = await self._writer.submit(ledger.key(budget), change)
+    except errors.KvUnavailableError:
+      self._counts["grant_failures"] += 1
+      if ceiling is not None:
+        self._table.withdraw(gid, ceiling, self._clock.monotonic())
+      return None
+    except errors.KvUnknownError:
+      self._counts["grant_failures"] += 1
+      if row is None:
+        # It may have landed: settled as unused, it goes back. Should it
+        # land later still, `sweep` finds it in the ledger. A row that
+        # grows needs none of that: the ledger's next sight shows it.
+        self._settler.settle_row(allotment.Row(budget, gid, 0, 0.0))
+      return None
+    finally:
+      self.asking.discard(gid)
+    if after is None:
+      return _NO_BUDGET
+    granted = ledger.granted(after, gid)
+    _log_grant(budget, change, granted, after)
+    if granted > base:
+      self._note_grant(budget, gid, granted, new=row is None)
+    if ceiling is not None:
+      self._note_promise(gid, after, ceiling, asked_at, new=row is None)
+    return after
+
+  def _hold(self, budget: str, want: int, limit: ledger.Limit | None) -> int:
+    """Returns how much to ask for, given what is held and what is left."""
+    if limit is None:
+      return want
+    found = self._known.ledgers.get(budget)
+    view = holding.View(
+        limit=limit.tokens,
+        want=want,
+        held=self._table.at_risk(budget),
+        free=None if found is None else ledger.headroom(found),
+        lost=0 if found is None else ledger.lost(found),
+    )
+    return holding.ask(view, self._config)
+
+  def _note_promise(
+      self,
+      gid: str,
+      after: ledger.Ledger,
+      ceiling: ceilings_lib.Ceiling,
+      asked_at: float,
+      new: bool,
+  ) -> None:
+    """Notes what became of a promise that went with a grant."""
+    now = self._clock.monotonic()
+    stands = ledger.ceiling(after, gid)
+    if stands is None or stands.issued < ceiling.issued:
+      self._table.withdraw(gid, ceiling, now)
+    elif new:
+      self._table.issue(gid, ceiling, asked_at)
+
+  def _note_grant(self, budget: str, gid: str, granted: int, new: bool) -> None:
+    self._counts["grants"] += 1
+    now = self._clock.monotonic()
+    if new:
+      self._table.add(budget, gid, granted, now)
+    else:
+      # A row that was settled meanwhile stays so: its settlement, in the
+      # same batch or a later one, gives the growth back with the rest.
+      self._table.grow(gid, granted, now)
+    self._refusals.end(budget)
+
+
+def _log_grant(
+    budget: str, asked: ledger.Grant, granted: int, after: ledger.Ledger
+) -> None:
+  logger.info(
+      "grant asked",
+      extra={
+          "budget": budget,
+          "gid": asked.gid,
+          "least": asked.least,
+          "want": asked.want,
+          "before": asked.base,
+          "granted": granted,
+          "limit": after["limit"],
+          "headroom": ledger.headroom(after),
+      },
+  )
--- /dev/null
+++ b/mustardfall/budget/handing.py
@@ -0,0 +1,144 @@
+"""Hands parts of this router's grants on to other routers, as their owner."""
+
+import collections
+
+import anyio
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import drawing
+from mustardfall.budget import known as known_lib
+from mustardfall.budget import refusals as refusals_lib
+from mustardfall.budget import settling
+from mustardfall.kv import writer as writer_lib
+from mustardfall.membership import members as members_lib
+from mustardfall.membership import peers as peers_lib
+from mustardfall.util import clock as clock_lib
+
+_STOP_ROUNDS = 3
+"""Rounds in which a stopping router has its parts called back."""
+_STOP_PAUSE_S = 0.05
+"""Between two of these rounds; a call takes some ms."""
+
+
+class Owner:
+  """Serves other routers' asks, and takes parts back.
+
+  Args:
+    config: how parts are sized.
+    clock: the time source.
+    members: who is up and owns what.
+    peers: calls to other routers.
+    known: what is known of the budgets.
+    table: this router's allotments.
+    refusals: budgets that lately could not give.
+    drawer: gets what is handed on.
+    settler: settles parts.
+    writer: the batch writer to the KV.
+    counts: what happened so far.
+  """
+
+  def __init__(
+      self,
+      config: settings.Allotment,
+      clock: clock_lib.Clock,
+      members: members_lib.Members,
+      peers: peers_lib.Client,
+      known: known_lib.Known,
+      table: allotment.Table,
+      refusals: refusals_lib.Refusals,
+      drawer: drawing.Drawer,
+      settler: settling.Settler,
+      writer: writer_lib.Writer,
+      counts: collections.Counter[str],
+  ) -> None:
+    self._config = config
+    self._clock = clock
+    self._members = members
+    self._peers = peers
+    self._known = known
+    self._table = table
+    self._refusals = refusals
+    self._drawer = drawer
+    self._settler = settler
+    self._writer = writer
+    self._counts = counts
+
+  async def serve_ask(self, ask: peers_lib.Ask) -> peers_lib.Handed:
+    """Hands a part of an owned budget on to another router."""
+    handed = self._hand_on(ask)
+    if handed.tokens:
+      self._drawer.look_ahead(ask.budget, ask.customer)
+    if handed.tokens or self._drawer.stopping:
+      return handed._replace(unsure=not handed.tokens)
+    if self._refusals.repeat(ask.budget, ask.least):
+      return handed
+    answered = True
+    async with self._drawer.lock(ask.budget):
+      self._table.look(ask.budget, self._clock.monotonic())
+      if not self._table.has_room(ask.budget, ask.least):
+        want = max(self._table.want(ask.budget, ask.least), ask.want)
+        with anyio.CancelScope(shield=True):
+          answered = await self._drawer.take_grant(
+              ask.budget, ask.least, want, ask.customer
+          )
+    handed = self._hand_on(ask)
+    if handed.tokens:
+      return handed
+    exhausted = self._known.is_exhausted(ask.budget, ask.least)
+    return handed._replace(unsure=not answered, exhausted=exhausted)
+
+  def _hand_on(self, ask: peers_lib.Ask) -> peers_lib.Handed:
+    share = self._config.part_share
+    size, gid = self._table.hand_on(
+        ask.budget, ask.part, ask.least, ask.want, share
+    )
+    return peers_lib.Handed(size, gid)
+
+  def serve_settle(self, ended: list[peers_lib.Ended]) -> None:
+    """Takes ended parts back from another router."""
+    for part in ended:
+      budget = self._table.budget_of(part.part)
+      if budget is not None:
+        self._refusals.forgive(budget)
+      self._settler.take_back(part)
+
+  def return_unowned(self) -> None:
+    """Retires grants of budgets that another router owns by now.
+
+    Owners change when routers come and go. The next owner takes a grant of
+    its own; what stayed here would lie idle, out of its reach. While the
+    KV is away nothing can be given back, and idle tokens may be needed.
+    """
+    if not self._config.owned or self._writer.away:
+      return
+    for row in self._table.rows.values():
+      if not row.source and self._known.owner(row.budget) is not None:
+        row.retiring = True
+
+  def write_off_parts(self) -> None:
+    """Counts the parts of routers that have gone as lost."""
+    rows = self._table.rows.values()
+    for life in {p.holder for r in rows for p in r.parts.values()}:
+      if not self._members.has_gone(life):
+        continue
+      for part in self._table.parts_held_by(life):
+        self._counts["parts_written_off"] += 1
+        self._table.write_off(part)
+
+  async def call_back(self) -> None:
+    """Has other routers return parts that they do not use now."""
+    for _ in range(_STOP_ROUNDS):
+      out = {
+          (row.budget, part.holder)
+          for row in self._table.rows.values()
+          for part in row.parts.values()
+      }
+      if not out:
+        return
+      async with anyio.create_task_group() as tg:
+        for budget, life in out:
+          holder = self._members.lives.get(life)
+          if holder is not None:
+            tg.start_soon(self._peers.recall, holder, budget)
+      await anyio.sleep(_STOP_PAUSE_S)
--- /dev/null
+++ b/mustardfall/budget/recalling.py
@@ -0,0 +1,96 @@
+"""Calls idle tokens of a budget back from whoever holds them."""
+
+import collections
+
+import anyio
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import ledger
+from mustardfall.budget import reviewing
+from mustardfall.budget import settling
+from mustardfall.membership import members as members_lib
+from mustardfall.membership import peers as peers_lib
+from mustardfall.util import clock as clock_lib
+
+
+class Recaller:
+  """Asks others for idle tokens, and gives this router's own back.
+
+  Args:
+    config: how often a budget may be recalled.
+    clock: the time source.
+    members: who is up.
+    peers: calls to other routers.
+    table: this router's allotments.
+    settler: settles them.
+    reviewer: has what the dead held given back.
+    counts: what happened so far.
+  """
+
+  def __init__(
+      self,
+      config: settings.Allotment,
+      clock: clock_lib.Clock,
+      members: members_lib.Members,
+      peers: peers_lib.Client,
+      table: allotment.Table,
+      settler: settling.Settler,
+      reviewer: reviewing.Reviewer,
+      counts: collections.Counter[str],
+  ) -> None:
+    self._config = config
+    self._clock = clock
+    self._members = members
+    self._peers = peers
+    self._table = table
+    self._settler = settler
+    self._reviewer = reviewer
+    self._counts = counts
+    self._recalled_at: dict[str, float] = {}
+
+  async def recall(self, budget: str, found: ledger.Ledger) -> bool:
+    """Calls idle tokens back from whoever holds them; whether any may be.
+
+    A refusal while others hold idle tokens is a false one. At most one
+    recall per budget and `recall_s`, so that a used-up budget does not
+    cost the fleet a message storm.
+    """
+    now = self._clock.monotonic()
+    last = self._recalled_at.get(budget, -float("inf"))
+    if now - last < self._config.recall_s:
+      return False
+    self._recalled_at[budget] = now
+    holders = self._holders(budget, found)
+    reviews = self._reviewer.find(budget, found)
+    self._counts["recalls"] += len(holders)
+    async with anyio.create_task_group() as tg:
+      for holder in holders:
+        tg.start_soon(self._peers.recall, holder, budget)
+      for life, _ in reviews:
+        tg.start_soon(self._reviewer.review_one, life, budget)
+    return bool(holders or reviews)
+
+  def _holders(
+      self, budget: str, found: ledger.Ledger
+  ) -> list[members_lib.Member]:
+    """Returns the other routers that are up and hold tokens of a budget."""
+    lives = {ledger.holder(gid) for gid in found["grants"]}
+    lives |= self._table.holders(budget)
+    lives.discard(self._members.me.life)
+    up = self._members.lives
+    return [up[life] for life in lives if life in up]
+
+  async def serve(self, budget: str) -> None:
+    """Gives idle tokens of `budget` back before answering."""
+    with anyio.CancelScope(shield=True):
+      async with anyio.create_task_group() as tg:
+        for row in self._table.retire(budget):
+          tg.start_soon(self._settler.settle_now, row)
+      await self._settler.settle_parts()
+
+  def forget(self, before: float) -> None:
+    """Drops what was noted before then."""
+    for budget, at in list(self._recalled_at.items()):
+      if at < before:
+        del self._recalled_at[budget]
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -108,7 +108,7 @@
     if job.reservation is not None:
       return
     known = self._accounts.balance(budget)
-    if self._accounts.pool.is_exhausted(budget, usage.most):
+    if self._accounts.pool.known.is_exhausted(budget, usage.most):
       raise refusals.exhausted(known)
     raise refusals.no_tokens(known, self._tokens_back_s(job))
 
--- a/mustardfall/proxy/internal.py
+++ b/mustardfall/proxy/internal.py
@@ -92,20 +92,20 @@
     await responder.answer(200, [], json.dumps(answer).encode())
 
   async def _reserve(self, body: dict[str, Any]) -> dict[str, Any]:
-    handed = await self._accounts.pool.serve_ask(peers.Ask(**body))
+    handed = await self._accounts.pool.owner.serve_ask(peers.Ask(**body))
     return handed._asdict()
 
   async def _settle(self, body: dict[str, Any]) -> dict[str, Any]:
     ended = [peers.Ended(**row) for row in body["ended"]]
-    self._accounts.pool.serve_settle(ended)
+    self._accounts.pool.owner.serve_settle(ended)
     return {}
 
   async def _recall(self, body: dict[str, Any]) -> dict[str, Any]:
-    await self._accounts.pool.serve_recall(body["budget"])
+    await self._accounts.pool.recaller.serve(body["budget"])
     return {}
 
   async def _review(self, body: dict[str, Any]) -> dict[str, Any]:
-    await self._accounts.pool.serve_review(body["budget"])
+    await self._accounts.pool.reviewer.serve(body["budget"])
     return {}
 
 
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -98,25 +98,25 @@
     return None if self._world.lose == "answer" else answer
 
   async def reserve(self, owner, ask):
-    return await self._call(owner, lambda p: p.serve_ask(ask))
+    return await self._call(owner, lambda p: p.owner.serve_ask(ask))
 
   async def settle(self, owner, ended):
     async def _settle(p):
-      p.serve_settle(ended)
+      p.owner.serve_settle(ended)
       return True
 
     return bool(await self._call(owner, _settle))
 
   async def recall(self, holder, budget):
     async def _recall(p):
-      await p.serve_recall(budget)
+      await p.recaller.serve(budget)
       return True
 
     return bool(await self._call(holder, _recall))
 
   async def review(self, successor, budget):
     async def _review(p):
-      await p.serve_review(budget)
+      await p.reviewer.serve(budget)
       return True
 
     return bool(await self._call(successor, _review))
@@ -238,7 +238,7 @@
         if self._up(name):
           self.world.pools[name].tick(seconds)
           await self.world.pools[name].settle_parts()
-          await self.world.pools[name].review_noted()
+          await self.world.pools[name].reviewer.review_noted()
           await self.writers[name].flush(0.05)
 
     self._do(go)
@@ -296,7 +296,7 @@
           if self._up(name):
             self.world.pools[name].tick(2.0)
             await self.world.pools[name].settle_parts()
-            await self.world.pools[name].review_noted()
+            await self.world.pools[name].reviewer.review_noted()
             await self.writers[name].flush(1.0)
 
     await self._with_writers(go)
