--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -39,6 +39,7 @@
     policy_of: returns a customer's policy.
     limit_of: see `pool.Pool`.
     lease_of: returns the lease to attach to a key (0: none).
+    epoch: tells this life from others; drawn when left out.
   """
 
   def __init__(
@@ -51,6 +52,7 @@
       policy_of: Callable[[str], policy.Policy],
       limit_of: Callable[[str], ledger.Limit | None] = lambda budget: None,
       lease_of: Callable[[str], int] = lambda key: 0,
+      epoch: str = "",
   ) -> None:
     self._config = config
     self._clock = clock
@@ -63,7 +65,7 @@
     peer = config.peer_listen
     me = members_lib.Member(
         name=config.name,
-        epoch=secrets.token_hex(4),
+        epoch=epoch or secrets.token_hex(4),
         url=f"http://{peer.host}:{peer.port}",
         datacentre=config.datacentre,
         region=config.region,
--- a/mustardfall/budget/known.py
+++ b/mustardfall/budget/known.py
@@ -1,6 +1,7 @@
 """What a router knows of the budgets that others draw on, too."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from mustardfall import settings
 from mustardfall.budget import allotment
@@ -9,6 +10,30 @@
 from mustardfall.membership import members as members_lib
 from mustardfall.util import clock as clock_lib
 
+
+class Whereabouts(NamedTuple):
+  """Where a budget's tokens are, as far as one router knows."""
+
+  limit: int
+  spent: int
+  free: int
+  """In the ledger, for whoever asks."""
+  elsewhere: int
+  """Held by other routers."""
+  lost: int
+  """Written off: dead routers held them."""
+  seen_s: float
+  """Age of what is known of the ledger, seconds."""
+  idle: int
+  """Held here and not set aside."""
+  drawable: int
+  """Of these, what may be set aside under the promises made."""
+  reserved: int
+  """Set aside here for requests in flight."""
+  handed_on: int
+  """Parts of this router's grants that others hold."""
+
+
 _EXHAUSTED_S = 0.5
 """How long a budget that was found used up is believed to be."""
 
@@ -43,9 +68,37 @@
     self.limit_of = limit_of
     self.ledgers: dict[str, ledger.Ledger] = {}
     """Ledgers as last seen."""
+    self._seen_at: dict[str, float] = {}
     self._exhausted: dict[str, tuple[int, float]] = {}
     """Budgets found used up: for how many tokens, and until when."""
 
+  def note(self, budget: str, found: ledger.Ledger) -> None:
+    """Notes what a ledger was seen with."""
+    self.ledgers[budget] = found
+    self._seen_at[budget] = self._clock.monotonic()
+
+  def whereabouts(self, budget: str) -> Whereabouts | None:
+    """Returns where a budget's tokens are; None: its ledger was never seen."""
+    found = self.ledgers.get(budget)
+    if found is None:
+      return None
+    rows = [self._table.rows[g] for g in self._table.by_budget.get(budget, ())]
+    own = {row.gid for row in rows}
+    grants = found["grants"].items()
+    live = [row for row in rows if not row.retiring]
+    return Whereabouts(
+        limit=found["limit"],
+        spent=found["spent"],
+        free=ledger.headroom(found),
+        elsewhere=sum(tokens for gid, tokens in grants if gid not in own),
+        lost=ledger.lost(found),
+        seen_s=round(self._clock.monotonic() - self._seen_at[budget], 3),
+        idle=sum(row.undrawn for row in live),
+        drawable=sum(max(0, row.free) for row in live),
+        reserved=sum(row.own - row.used for row in rows),
+        handed_on=sum(p.tokens for row in rows for p in row.parts.values()),
+    )
+
   def owner(self, budget: str) -> members_lib.Member | None:
     """Returns the other router to draw through; None: the KV itself."""
     if not self._config.owned:
@@ -99,3 +152,4 @@
         del self._exhausted[budget]
     for budget in self.ledgers.keys() - self._table.rate.keys():
       del self.ledgers[budget]
+      del self._seen_at[budget]
--- a/mustardfall/budget/policy.py
+++ b/mustardfall/budget/policy.py
@@ -32,3 +32,11 @@
     Weighs.OVERSPEND: Policy(margin=0.01, patience_s=0.0),
     Weighs.FALSE_REFUSALS: Policy(margin=0.0, patience_s=0.4),
 }
+
+CONFIGURED = Policy(margin=0.01, patience_s=0.05)
+"""For budgets that a platform's configuration sets, whoever the customer is.
+A hundredth is never granted: a request of ours that was cut off between its
+check and its send (a frozen host) may run after its tokens were given on.
+The wait lets reservations of answers that just ended come back; it ends
+within an eighth of the shortest objective, as a caller that is to be refused
+is better off trying again at once than waiting here."""
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -161,7 +161,7 @@
   def sweep(self, budget: str, found: ledger.Ledger) -> None:
     """Takes in what a ledger shows of this router's grants, and others'."""
     now = self._clock.monotonic()
-    self.known.ledgers[budget] = found
+    self.known.note(budget, found)
     for gid in self.table.by_budget.get(budget, ()):
       self.table.grow(gid, ledger.granted(found, gid), now)
       ceiling = ledger.ceiling(found, gid)
--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -241,5 +241,70 @@
   click.echo(report_lib.to_table(runs))
 
 
+@main.group()
+def experiment() -> None:
+  """Plays many days in virtual time to compare policies."""
+
+
+@experiment.command(name="budgets")
+@click.option(
+    "--deployed",
+    default="deploy/router.yaml",
+    show_default=True,
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="Settings that every policy starts from.",
+)
+@click.option(
+    "--policies",
+    multiple=True,
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="YAML files laid over them, one a policy (repeatable).",
+)
+@click.option("--seeds", default=200, show_default=True)
+@click.option("--first-seed", default=0, show_default=True)
+@click.option(
+    "--days",
+    "days_file",
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="Plays the days of this file, not drawn ones.",
+)
+@click.option("--workers", default=4, show_default=True)
+@click.option("--report", type=click.Path(path_type=pathlib.Path))
+def experiment_budgets(
+    deployed: pathlib.Path,
+    policies: tuple[pathlib.Path, ...],
+    seeds: int,
+    first_seed: int,
+    days_file: pathlib.Path | None,
+    workers: int,
+    report: pathlib.Path | None,
+) -> None:
+  """Prints false refusals, lost tokens and store calls per policy."""
+  from mustardfall.bench import experiment as experiment_lib  # noqa: PLC0415
+  from mustardfall.bench.virtual import days as days_lib  # noqa: PLC0415
+
+  configs = {
+      path.stem: experiment_lib.read_policy(deployed, path) for path in policies
+  } or {"deployed": experiment_lib.read_policy(deployed, None)}
+  numbers = range(first_seed, first_seed + seeds)
+  if days_file is None:
+    played = [(days_lib.draw(seed), seed) for seed in numbers]
+  else:
+    found = days_lib.load(days_file)
+    played = [(day, seed) for seed in numbers for day in found]
+  jobs = [
+      experiment_lib.Job(name, config, day, seed)
+      for name, config in configs.items()
+      for day, seed in played
+  ]
+  results = experiment_lib.run(jobs, workers, lambda _: None)
+  if report is not None:
+    for path in experiment_lib.write(results, report):
+      click.echo(f"written: {path}", err=True)
+  click.echo(experiment_lib.to_table(results))
+  if any(one.result.overspend for one in results):
+    raise click.ClickException("a budget was overspent")
+
+
 if __name__ == "__main__":
   main()
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -38,12 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-_POLICY = policy.Policy(margin=0.01, patience_s=0.05)
-"""A hundredth is never granted: a request of ours that was cut off between
-its check and its send (a frozen host) may run after its tokens were given
-on. The wait lets reservations of answers that just ended come back; it
-ends within an eighth of the shortest objective, as a caller that is to be
-refused is better off trying again at once than waiting here."""
 _RELEASE_S = 3.0
 """After SIGTERM, callers' idle connections are kept this long: the balancer
 asks every second and takes a host out after two misses, and whoever uses
@@ -89,7 +83,7 @@
         self.kv,
         self.bus,
         self._post,
-        lambda customer: _POLICY,
+        lambda customer: policy.CONFIGURED,
         self._limit_of,
     )
     self.loads = loads_lib.Loads(
--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 from mustardfall import errors
+from mustardfall.kv import contact
 from mustardfall.kv import protocol
 from mustardfall.proxy import calls as calls_lib
 from mustardfall.util import clock as clock_lib
@@ -16,10 +17,6 @@
 
 _CALL_S = 0.45
 """A call takes 4 ms, and 240 ms when the store is slow sixtyfold."""
-_MOST_FAILURES = 2
-"""Failures in a row after which the store is taken to be away. One lost
-answer is common; two are not. While it is away, calls that requests wait
-for fail at once, and the followers' calls find out when it is back."""
 _WATCH_MOST_S = 30.0
 _WATCH_SLACK_S = 0.6
 """How much later than asked a watch may answer before it is taken for
@@ -61,9 +58,7 @@
   ) -> None:
     self._address = address
     self._caller = caller
-    self._clock = clock
-    self._failures = 0
-    self._lost_at: float | None = None
+    self._contact = contact.Contact(clock)
 
   @property
   def calls(self) -> int:
@@ -73,26 +68,11 @@
   @property
   def reachable(self) -> bool:
     """Whether the last call was answered."""
-    return self._lost_at is None
+    return not self._contact.lost
 
   async def close(self) -> None:
     """Does nothing: the connections are the caller's."""
 
-  def _note(self, error: str | None) -> None:
-    """Notes whether a call was answered, and logs when that changes."""
-    now = self._clock.monotonic()
-    if error is None:
-      if self._lost_at is not None:
-        away_s = round(now - self._lost_at, 3)
-        logger.info("store regained", extra={"away_s": away_s})
-      self._lost_at = None
-      self._failures = 0
-      return
-    self._failures += 1
-    if self._lost_at is None and self._failures >= _MOST_FAILURES:
-      self._lost_at = now
-      logger.warning("store lost", extra={"error": error})
-
   async def _call(
       self,
       method: str,
@@ -114,7 +94,7 @@
       errors.KvUnavailableError: it had no effect.
       errors.KvUnknownError: it may have had.
     """
-    if not eager and self._lost_at is not None:
+    if not eager and self._contact.lost:
       raise errors.KvUnavailableError("store away")
     content = b"" if body is None else json.dumps(body).encode()
     try:
@@ -122,15 +102,15 @@
           self._address, method, target, content, timeout_s
       )
     except errors.EndpointUnreachableError as exc:
-      self._note(str(exc))
+      self._contact.note(str(exc))
       raise errors.KvUnavailableError(str(exc)) from exc
     except errors.BrokenAnswerError as exc:
-      self._note(str(exc))
+      self._contact.note(str(exc))
       raise errors.KvUnknownError(str(exc)) from exc
     if reply.status in _NOT_DONE:
-      self._note(f"status {reply.status}")
+      self._contact.note(f"status {reply.status}")
       raise errors.KvUnavailableError(f"{target}: status {reply.status}")
-    self._note(None)
+    self._contact.note(None)
     return reply
 
   def _parse(self, reply: calls_lib.Reply, target: str) -> dict[str, Any]:
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -2,13 +2,13 @@
 
 import random
 
-import anyio
 from anyio import abc
 
 from mustardfall import accounts as accounts_lib
 from mustardfall import metrics
 from mustardfall import settings
-from mustardfall.budget import allotment
+from mustardfall.budget import comeback
+from mustardfall.budget import reserving
 from mustardfall.proxy import front
 from mustardfall.proxy import job as job_lib
 from mustardfall.proxy import messages
@@ -19,12 +19,6 @@
 from mustardfall.routing import directory as directory_lib
 from mustardfall.util import clock as clock_lib
 
-_TOKENS_BACK_S = 1.5
-"""Parts are given back after 1.5 s, most streams end sooner."""
-_RETURN_SHARE = 0.33
-"""Part of its time that a caller is kept away; what is left is enough for
-the longest answers, and callers heed no more than a third."""
-
 
 class Admission:
   """Decides whether a request may run, and bills it once.
@@ -51,7 +45,9 @@
     self._clock = clock
     self._directory = directory
     self._accounts = accounts
-    self._tasks = tasks
+    self._reserver = reserving.Reserver(
+        accounts.pool, tasks, config.proxy.reserve_s
+    )
     self._instruments = instruments
     self._random = random.Random()
 
@@ -103,58 +99,20 @@
       return
     budget = job.team.name
     began = self._clock.monotonic()
-    job.reservation = await self._reserve_soon(budget, usage.most)
+    job.reservation = await self._reserver.reserve(budget, usage.most)
     job.reserved_after_s = self._clock.monotonic() - began
     if job.reservation is not None:
       return
-    known = self._accounts.balance(budget)
-    if self._accounts.pool.known.is_exhausted(budget, usage.most):
-      raise refusals.exhausted(known)
-    raise refusals.no_tokens(known, self._tokens_back_s(job))
+    known = self._accounts.pool.known
+    where = known.whereabouts(budget)
+    if known.is_exhausted(budget, usage.most):
+      raise refusals.exhausted(where)
+    raise refusals.no_tokens(where, self._tokens_back_s(job))
 
   def _tokens_back_s(self, job: job_lib.Job) -> float:
-    """Returns when it may be worth to ask for tokens again.
-
-    Reservations and parts come back within a second or so. While the store
-    is away nothing comes but what others hold, and outages last seconds: a
-    caller that returns at once is only refused again, so it is asked back
-    as late as still leaves it the time for its answer.
-    """
-    if not self._accounts.store_away:
-      return self.retry_after(_TOKENS_BACK_S)
+    """Returns when it may be worth to ask for tokens again."""
     left_s = job.deadline - self._clock.monotonic()
-    return self.retry_after(max(_TOKENS_BACK_S, left_s * _RETURN_SHARE))
-
-  async def _reserve_soon(
-      self, budget: str, tokens: int
-  ) -> allotment.Reservation | None:
-    """Reserves, or gives up after a moment.
-
-    What it may lead to (a grant asked of the store) goes on by itself: a
-    caller must not wait out a store that does not answer.
-    """
-    waiting = _Waiting()
-
-    async def _reserve() -> None:
-      waiting.found = await self._accounts.pool.reserve(budget, tokens, budget)
-      waiting.done.set()
-      if waiting.over:
-        self._return(waiting.take())
-
-    self._tasks.start_soon(_reserve)
-    try:
-      with anyio.move_on_after(self._config.proxy.reserve_s):
-        await waiting.done.wait()
-      return waiting.take()
-    finally:
-      # A caller that leaves in the very moment in which its tokens come
-      # has not taken them; kept, they would be set aside for ever.
-      waiting.over = True
-      self._return(waiting.take())
-
-  def _return(self, reservation: allotment.Reservation | None) -> None:
-    if reservation is not None:
-      self._accounts.pool.settle(reservation, 0)
+    return self.retry_after(comeback.most_s(self._accounts.store_away, left_s))
 
   def bill(self, job: job_lib.Job) -> None:
     """Settles the reservation with what the request used."""
@@ -171,17 +129,3 @@
   def retry_after(self, most_s: float) -> float:
     """Returns when to come back: spread, so that not all come at once."""
     return round(most_s * (0.5 + 0.5 * self._random.random()), 3)
-
-
-class _Waiting:
-  """A reservation that is being made, and whether anybody still waits."""
-
-  def __init__(self) -> None:
-    self.done = anyio.Event()
-    self.found: allotment.Reservation | None = None
-    self.over = False
-
-  def take(self) -> allotment.Reservation | None:
-    """Returns the reservation, to one taker only."""
-    found, self.found = self.found, None
-    return found
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from mustardfall.budget import ledger
+from mustardfall.budget import known
 
 
 class RefusalError(Exception):
@@ -51,17 +51,17 @@
   return RefusalError(401, "unknown API key", facts={"version": version})
 
 
-def exhausted(balance: ledger.Balance | None) -> RefusalError:
+def exhausted(where: known.Whereabouts | None) -> RefusalError:
   """The budget cannot cover the request, whatever comes back to it."""
-  facts = balance._asdict() if balance else None
+  facts = where._asdict() if where else None
   return RefusalError(402, "budget used up", facts=facts)
 
 
 def no_tokens(
-    balance: ledger.Balance | None, retry_after_s: float
+    where: known.Whereabouts | None, retry_after_s: float
 ) -> RefusalError:
   """The budget's tokens are held elsewhere, or out of reach."""
-  facts = balance._asdict() if balance else None
+  facts = where._asdict() if where else None
   return RefusalError(429, "budget cannot cover it now", retry_after_s, facts)
 
 
