--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -5,7 +5,7 @@
 allotments. `Accounts` owns them and runs their loops.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 import logging
 import secrets
 
@@ -40,6 +40,7 @@
     limit_of: see `pool.Pool`.
     lease_of: returns the lease to attach to a key (0: none).
     epoch: tells this life from others; drawn when left out.
+    budgets: returns the budgets that the configuration sets.
   """
 
   def __init__(
@@ -53,6 +54,7 @@
       limit_of: Callable[[str], ledger.Limit | None] = lambda budget: None,
       lease_of: Callable[[str], int] = lambda key: 0,
       epoch: str = "",
+      budgets: Callable[[], Iterable[str]] = tuple,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -84,10 +86,13 @@
         policy_of,
         limit_of,
         self.clock_check,
+        budgets,
     )
     bus.connect(events.Name.LEDGER_READ, lambda e: self.pool.sweep(*e))
 
   def _on_value(self, key: str, value: change.Value) -> None:
+    if key == self.pool.renewer.key:
+      self.pool.renewer.take(value)
     if key.startswith(ledger.PREFIX):
       name = key.removeprefix(ledger.PREFIX)
       self._balances[name] = ledger.Balance(
@@ -115,6 +120,7 @@
         self.members.follow,
         self.pool.drawer.refill,
         self.pool.reviewer.run,
+        self.pool.renewer.run,
         self.clock_check.run,
         self._settle_parts,
     )
--- a/mustardfall/bench/experiment.py
+++ b/mustardfall/bench/experiment.py
@@ -5,6 +5,7 @@
 differ by what they do and not by the days they had.
 """
 
+import collections
 from collections.abc import Callable, Iterable
 import concurrent.futures
 import json
@@ -139,9 +140,22 @@
         f"{figure.mean:.2f} ± {figure.error:.2f}" for figure in figures.values()
     ]
     lines.append(f"| {policy} | " + " | ".join(cells) + " |")
+  for policy in policies:
+    lines.append(f"\n{policy}: " + _causes(played, policy))
   return "\n".join(lines)
 
 
+def _causes(played: list[Played], policy: str) -> str:
+  """Returns false refusals a day by cause, the most frequent first."""
+  mine = [one.result for one in played if one.policy == policy]
+  total: collections.Counter[str] = collections.Counter()
+  for result in mine:
+    total.update(result.causes)
+  return ", ".join(
+      f"{cause} {count / len(mine):.1f}" for cause, count in total.most_common()
+  )
+
+
 def write(played: list[Played], folder: pathlib.Path) -> list[pathlib.Path]:
   """Writes the figures, a table and plots; returns the files."""
   folder.mkdir(parents=True, exist_ok=True)
--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -133,6 +133,7 @@
         lambda customer: policy.CONFIGURED,
         self._limits.get,
         epoch=f"{fleet.rng.getrandbits(32):08x}",
+        budgets=self._limits.keys,
     )
     async with anyio.create_task_group() as tasks:
       self._scope = tasks.cancel_scope
--- a/mustardfall/bench/virtual/play.py
+++ b/mustardfall/bench/virtual/play.py
@@ -26,6 +26,8 @@
 _START_S = 0.6
 """From a router's start to its first request: it opens its ports and reads
 the configuration."""
+_NO_ROUTER = "no router"
+"""Why a request got no answer while no router was up; no policy helps it."""
 _ELSEWHERE_S = 0.1
 """After no connection could be made, a caller tries another host."""
 
@@ -34,6 +36,8 @@
   """What came of a day."""
 
   requests: int
+  unserved: int
+  """Came while no router was up."""
   refused: int
   """Refused for good, owed or not."""
   falsely: int
@@ -49,6 +53,8 @@
   """Calls to the store by kind."""
   seconds: dict[int, int]
   """False refusals by second."""
+  causes: dict[str, int]
+  """False refusals by where the budget's tokens were then."""
 
 
 class _Budget:
@@ -78,6 +84,7 @@
     }
     self._counts: collections.Counter[str] = collections.Counter()
     self._seconds: collections.Counter[int] = collections.Counter()
+    self._causes: collections.Counter[str] = collections.Counter()
     self._overspend = 0
     self._troubles = 0
     self._fleet: hosts_lib.Fleet = None
@@ -117,6 +124,7 @@
       began = anyio.current_time()
       if await self._try(host, request, budget):
         return
+      cause = self._cause(host, request)
       self._counts["turned back"] += 1
       patience_s -= anyio.current_time() - began
       retry_s = self._retry_after_s(host, request, patience_s)
@@ -125,8 +133,12 @@
       await anyio.sleep(retry_s)
       patience_s -= retry_s
       host = self._pick(None, avoid=host)
+    if cause == _NO_ROUTER:
+      self._counts["no router"] += 1
+      return
     self._counts["refused"] += 1
     if owed:
+      self._causes[cause] += 1
       self._counts["falsely"] += 1
       self._counts["falsely cut"] += bool(self._troubles)
       self._seconds[int(request.at_s)] += 1
@@ -169,6 +181,42 @@
     accounts.pool.settle(found, request.used)
     return True
 
+  def _cause(
+      self, host: hosts_lib.Host | None, request: traffic.Request
+  ) -> str:
+    """Returns where the tokens lay that a refused request needed."""
+    if host is None or host.accounts is None:
+      return _NO_ROUTER
+    team, tokens = request.team, request.tokens
+    network = self._fleet.network
+    away = not network.reaches_store(host.name)
+    away = away or network.is_refused(host.name)
+    where = host.accounts.pool.known.whereabouts(team)
+    if away and where is not None and where.idle >= tokens:
+      return "cut off: promise too low"
+    if away:
+      return "cut off: too few held"
+    record = self._fleet.store.records.get(ledger.key(team))
+    if record is None:
+      return "no ledger"
+    found = change.decode(record.value)
+    if ledger.headroom(found) - found["limit"] * 0.01 >= tokens:
+      return "in the ledger"
+    lives = {
+        h.accounts.members.me.life
+        for h in self._fleet.hosts.values()
+        if h.accounts is not None
+    }
+    living = dead = 0
+    for gid, held in found["grants"].items():
+      if ledger.holder(gid) in lives:
+        living += held
+      else:
+        dead += held
+    if living >= tokens:
+      return "held by others"
+    return "held by the dead" if living + dead >= tokens else "lost"
+
   def _retry_after_s(
       self,
       host: hosts_lib.Host | None,
@@ -274,6 +322,7 @@
     counts = self._counts
     return Result(
         requests=counts["requests"],
+        unserved=counts["no router"],
         refused=counts["refused"],
         falsely=counts["falsely"],
         falsely_cut=counts["falsely cut"],
@@ -282,6 +331,7 @@
         overspend=max(0, self._overspend),
         calls=dict(self._fleet.store.calls),
         seconds=dict(self._seconds),
+        causes=dict(self._causes),
     )
 
   def _lost(self, team: str) -> int:
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -14,7 +14,6 @@
 
 from mustardfall import settings
 from mustardfall.budget import ceilings as ceilings_lib
-from mustardfall.util import clock as clock_lib
 
 _RATE_WEIGHT = 0.15
 """Weight of the newest tick in each budget's draw-rate average. Requests
@@ -23,10 +22,8 @@
 """Tokens a second below which a budget's rate is forgotten."""
 _SLACK_LOW = 0.4
 """A promise is renewed ahead of time when this part of its slack is left."""
-_LEAST_RATE = 0.003
-"""Part of a budget's limit that a holder out of touch may draw a second at
-least. Small: a budget that has been quiet reports seldom, and all that its
-holder might have drawn since is lost with it."""
+_REQUEST_WEIGHT = 0.1
+"""Weight of the newest request in the mean size of a budget's requests."""
 _PARTS_REMEMBERED = 20_000
 """Ended parts remembered, to know a late or repeated message by."""
 
@@ -95,13 +92,16 @@
     """Tokens that may be set aside now."""
     return int(min(self.granted, self.ceiling)) - self.drawn
 
-  def look(self, now: float) -> None:
+  def look(self, now: float, renewed_at: float) -> None:
     """Takes note of what the promises allow by now.
 
     All that may be in force must be kept: a report whose answer was lost
-    may stand in the ledger, or the one before it.
+    may stand in the ledger, or the one before it. They count from their
+    issue or the last renewal.
     """
-    allowed = (p.ceiling.after(now - p.at) for p in self.promises)
+    allowed = (
+        p.ceiling.after(now - max(p.at, renewed_at)) for p in self.promises
+    )
     self.ceiling = min(allowed, default=math.inf)
 
   @property
@@ -156,9 +156,13 @@
     """Budget name to its rows' gids, oldest first."""
     self.rate: dict[str, float] = {}
     """Budget name to tokens drawn per second here (moving average)."""
+    self.request: dict[str, float] = {}
+    """Budget name to tokens that a request here reserves (moving average)."""
     self._drawn: dict[str, int] = {}
     self._part_row: dict[str, str] = {}
     self._ended_parts: dict[str, None] = {}
+    self.renewed_at = -math.inf
+    """When all promises were last renewed, as far as may be in force."""
     self.left_out: dict[str, LeftOut] = {}
     """Parts still with others when this router stopped."""
     self._lost_with_row: dict[str, str] = {}
@@ -188,7 +192,7 @@
   def look(self, budget: str, now: float) -> None:
     """Takes note of what promises allow of the budget's rows by now."""
     for gid in self.by_budget.get(budget, ()):
-      self.rows[gid].look(now)
+      self.rows[gid].look(now, self.renewed_at)
 
   def free(self, budget: str) -> int:
     """Returns the budget's free tokens in live rows here."""
@@ -204,6 +208,11 @@
     rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
     return sum(max(row.may_return, 0) for row in rows if not row.source)
 
+  def undrawn(self, budget: str) -> int:
+    """Returns the budget's tokens here that nothing has set aside."""
+    rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
+    return sum(row.undrawn for row in rows if not row.retiring)
+
   def running_low(self, budget: str) -> bool:
     """Whether the budget's tokens here are under the low mark.
 
@@ -225,46 +234,27 @@
     slack = last.ceiling.tokens - row.drawn
     return slack < last.slack * _SLACK_LOW
 
-  def promise(
-      self,
-      budget: str,
-      drawn: int,
-      least: int,
-      limit: int,
-      left: int,
-      issued: clock_lib.Moment,
-  ) -> ceilings_lib.Ceiling:
-    """Returns what this router promises of a grant from now on.
-
-    Args:
-      budget: the budget.
-      drawn: tokens of the grant that are in use.
-      least: tokens that are about to be drawn.
-      limit: the budget's limit.
-      left: tokens of the budget that are not in use, as far as known.
-      issued: the present moment.
-    """
-    config = self._config
-    rate = self.rate.get(budget, 0.0)
-    slack = max(rate * config.slack_s, limit * config.slack_share)
-    # Near a budget's end the usual slack is all that is left, and would be
-    # lost with this router; there it reports more often instead.
-    slack = min(slack, left * config.slack_left)
-    rate = max(rate, limit * _LEAST_RATE)
-    return ceilings_lib.Ceiling(
-        tokens=drawn + max(least, int(slack)),
-        grace_s=config.ceiling_grace_s,
-        rate=round(rate * config.ceiling_rate, 1),
-        issued=issued,
+  def keeps_promises(self) -> bool:
+    """Whether no more is in use than promises allowed when they were made."""
+    return all(
+        row.drawn <= promise.ceiling.tokens
+        for row in self.rows.values()
+        for promise in row.promises
     )
 
+  def renew(self, at: float, now: float) -> None:
+    """Has all promises count from `at`, or from their own issue if later."""
+    self.renewed_at = at
+    for row in self.rows.values():
+      row.look(now, at)
+
   def issue(self, gid: str, ceiling: ceilings_lib.Ceiling, now: float) -> None:
     """Notes a promise that is about to be sent."""
     row = self.rows.get(gid)
     if row is not None:
       slack = ceiling.tokens - row.drawn
       row.promises.append(Promise(ceiling, now, slack))
-      row.look(now)
+      row.look(now, self.renewed_at)
 
   def withdraw(
       self, gid: str, ceiling: ceilings_lib.Ceiling, now: float
@@ -273,7 +263,7 @@
     row = self.rows.get(gid)
     if row is not None:
       row.promises = [p for p in row.promises if p.ceiling != ceiling]
-      row.look(now)
+      row.look(now, self.renewed_at)
 
   def confirm(
       self, gid: str, ceiling: ceilings_lib.Ceiling, now: float
@@ -287,7 +277,7 @@
       while later[0].ceiling != ceiling:
         del later[0]  # issued in the same moment, before it
     row.promises = later
-    row.look(now)
+    row.look(now, self.renewed_at)
 
   def reserve(self, budget: str, tokens: int) -> Reservation | None:
     """Sets `tokens` aside from a row of the budget that has room."""
@@ -297,6 +287,8 @@
     row.own += tokens
     row.in_flight += 1
     self._note_draw(budget, tokens)
+    mean = self.request.get(budget, tokens)
+    self.request[budget] = mean + _REQUEST_WEIGHT * (tokens - mean)
     return Reservation(budget, row.gid, tokens)
 
   def has_room(self, budget: str, tokens: int) -> bool:
@@ -472,7 +464,7 @@
     """
     self._update_rates(elapsed_s)
     for row in self.rows.values():
-      row.look(now)
+      row.look(now, self.renewed_at)
       term_s = self._config.part_term_s if row.source else self._config.term_s
       if now - row.taken_at >= term_s:
         row.retiring = True
@@ -486,6 +478,7 @@
       rate = old + _RATE_WEIGHT * (drawn - old)
       if rate < _RATE_FLOOR and budget not in self.by_budget:
         self.rate.pop(budget, None)
+        self.request.pop(budget, None)
       else:
         self.rate[budget] = rate
 
--- a/mustardfall/budget/drawing.py
+++ b/mustardfall/budget/drawing.py
@@ -94,10 +94,26 @@
 
   def look_ahead(self, budget: str, customer: str) -> None:
     """Has the budget refilled if it will soon run short here."""
-    table = self._table
-    if table.running_low(budget) or table.nears_ceiling(budget):
+    if self._runs_low(budget) or self._table.nears_ceiling(budget):
       self._note_low(budget, customer)
 
+  def _runs_low(self, budget: str) -> bool:
+    """Whether so little is left here that it should be refilled."""
+    target = self._known.target(budget)
+    if target is None or self._known.owner(budget) is not None:
+      return self._table.running_low(budget)
+    return self._table.undrawn(budget) < target * self._config.low_mark
+
+  def prefetch(self) -> None:
+    """Has budgets filled that are drawn on here directly and not held yet.
+
+    A request that comes while the store is away is served from what is
+    held here, or not at all; it may be the team's first here.
+    """
+    for budget in self._known.direct():
+      if budget not in self._table.by_budget:
+        self._note_low(budget, budget)
+
   def _note_low(self, budget: str, customer: str) -> None:
     """Has the budget refilled in the background."""
     self._low[budget] = customer
@@ -237,7 +253,7 @@
       self._blind.discard(budget)
       if self._table.nears_ceiling(budget) and not self.stopping:
         await self._granter.raise_ceiling(budget, 0)
-      if self.stopping or not (blind or self._table.running_low(budget)):
+      if self.stopping or not (blind or self._runs_low(budget)):
         return
       if now < self._refill_at.get(budget, -float("inf")):
         return
@@ -252,7 +268,7 @@
         return
       margin = self._known.policy_of(customer).margin
       await self._granter.grant(budget, least, want, margin)
-      if self._table.running_low(budget):
+      if self._runs_low(budget):
         self._refill_at[budget] = now + _REFILL_PAUSE_S
 
   def forget(self, before: float) -> None:
--- a/mustardfall/budget/granting.py
+++ b/mustardfall/budget/granting.py
@@ -99,13 +99,13 @@
     limit = self._known.limit_of(budget)
     if limit is None or not self._config.reports:
       return None
-    ceiling = self._table.promise(
-        budget,
-        0 if row is None else row.drawn,
-        least,
-        limit.tokens,
-        self._known.left(budget, row, limit),
-        self._vouch(self._clock.moment()),
+    view = self._known.view(budget, limit)
+    drawn = 0 if row is None else row.drawn
+    ceiling = ceilings_lib.Ceiling(
+        tokens=drawn + max(least, holding.slack(view, self._config)),
+        grace_s=self._config.ceiling_grace_s,
+        rate=holding.growth(view, self._config),
+        issued=self._vouch(self._clock.moment()),
     )
     if row is not None:
       self._table.issue(row.gid, ceiling, self._clock.monotonic())
@@ -129,7 +129,7 @@
     """
     if self._config.owned:
       return 1.0 / self._members.regions
-    return self._config.headroom_share
+    return 1.0
 
   async def grant(
       self,
@@ -141,16 +141,20 @@
   ) -> ledger.Ledger | None:
     """Asks the KV for one grant; None when the KV gave no answer."""
     limit = self._known.limit_of(budget)
-    if owns:
-      want = max(least, self._hold(budget, want, limit))
+    share = self._share()
+    if owns and limit is not None:
+      view = self._known.view(budget, limit)
+      want = max(least, holding.target(view, self._config) - view.held)
+      if view.free is None:
+        # Of a ledger that was not seen yet most may be gone; the share is
+        # taken of what is left when the grant is written.
+        share = holding.equal_share(view, self._config)
     row = self._table.growing(budget)
     base = row.granted if row is not None else 0
     gid = row.gid if row is not None else self._table.new_gid()
     asked_at = self._clock.monotonic()
     ceiling = self.promise(budget, row, least)
-    change = ledger.Grant(
-        gid, least, want, self._share(), margin, limit, base, ceiling
-    )
+    change = ledger.Grant(gid, least, want, share, margin, limit, base, ceiling)
     self.asking.add(gid)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
@@ -179,20 +183,6 @@
       self._note_promise(gid, after, ceiling, asked_at, new=row is None)
     return after
 
-  def _hold(self, budget: str, want: int, limit: ledger.Limit | None) -> int:
-    """Returns how much to ask for, given what is held and what is left."""
-    if limit is None:
-      return want
-    found = self._known.ledgers.get(budget)
-    view = holding.View(
-        limit=limit.tokens,
-        want=want,
-        held=self._table.at_risk(budget),
-        free=None if found is None else ledger.headroom(found),
-        lost=0 if found is None else ledger.lost(found),
-    )
-    return holding.ask(view, self._config)
-
   def _note_promise(
       self,
       gid: str,
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -1,58 +1,79 @@
-"""How much of a budget a router holds: a pure function of what it knows.
+"""How much of a budget a router holds and promises: pure functions.
 
-What a router holds bridges an outage of the store. It takes what is known
-and returns what to do, so that the same function runs in the router, in the
-experiments and in tests.
+What a router holds bridges an outage of the store; what it promises is lost
+when it dies. Both take what is known and return what to do, so that the same
+functions run in the router, in experiments and in tests.
 """
 
 from typing import NamedTuple
 
 from mustardfall import settings
 
-_LOSS_WEIGHT = 6.0
-"""How strongly a loss makes holders careful: one loss of a usual store, some
-a tenth of a budget, brings the next to two fifths of its size."""
-_LEAST_SCALE = 0.1
-"""Holders never go below this: the largest requests take a tenth of a
-small budget, and a grant for each would cost a write a request."""
+_LEAST_RATE = 0.003
+"""Part of a budget's limit that a holder out of touch may draw a second at
+least. Small: a budget that has been quiet reports seldom, and all that its
+holder might have drawn since is lost with it."""
 
 
 class View(NamedTuple):
-  """What a holder knows of one budget when it decides how much to hold."""
+  """What a holder knows of one budget when it decides."""
 
   limit: int
   """Tokens of the budget in all."""
-  want: int
-  """Tokens that the draw here asks for."""
-  held: int
-  """Tokens here that are not used for certain."""
   free: int | None
   """Tokens neither used nor held by anybody, as last seen; None: never."""
-  lost: int
-  """Tokens written off, as last seen."""
+  held: int
+  """Tokens here that are not used for certain."""
+  rate: float
+  """Tokens drawn here a second, lately."""
+  others_rate: float
+  """Tokens that other holders draw a second, by their promises."""
+  request: float
+  """Tokens of a request here, in the mean."""
+  routers: int
+  """Routers that may draw on it."""
 
 
-def ask(view: View, config: settings.Allotment) -> int:
-  """Returns how many more tokens to ask for; 0 or less: none.
+def target(view: View, config: settings.Allotment) -> int:
+  """Returns how many tokens to hold.
 
-  Of a budget that runs out a router holds a share only, so that a death
-  near the end does not take all that is left.
+  A holder wants what it draws in an outage of the store, or an equal part of
+  what all hold, since a team may send its next request to any router. It
+  takes no more than its part of what is left: by its part of the draw, or
+  an equal one where that is more.
   """
-  scale = _LEAST_SCALE if view.free is None else _scale(view)
-  least = int(view.limit * config.least_share * scale)
-  want = max(view.want, least)
-  if view.free is not None:
-    left = view.free + view.held
-    want = min(want, int(left * config.headroom_share * scale))
-  return want - view.held
+  left = view.held + (view.limit if view.free is None else view.free)
+  bridge = view.rate * config.horizon_s + view.request * config.requests_held
+  wanted = max(bridge, left * equal_share(view, config))
+  return int(min(wanted, left * config.headroom_share * _share(view)))
+
 
+def equal_share(view: View, config: settings.Allotment) -> float:
+  """Returns the part of what is left that each router holds at least."""
+  return config.share_held / max(view.routers, 1)
 
-def _scale(view: View) -> float:
-  """Returns what part of the usual store of tokens to hold, 0.1 to 1.
 
-  Where routers have died with a part of a budget they may die again, and
-  each death takes what is held: three losses of all routers in a day left
-  a budget with nothing, and every request after the third was refused.
+def slack(view: View, config: settings.Allotment) -> int:
+  """Returns how many tokens a holder may draw until it reports again.
+
+  Enough for the draw between two reports and for a cut's first seconds. All
+  of it is lost with the holder, so together holders risk a fixed part of
+  what is left: little, near a budget's end.
   """
-  lost = view.lost / max(view.limit, 1)
-  return max(_LEAST_SCALE, 1.0 - _LOSS_WEIGHT * lost)
+  usual = view.rate * config.slack_s + view.request * config.requests_slack
+  free = view.limit if view.free is None else view.free
+  left = (free + view.held) * config.slack_left
+  return int(min(usual, left * _share(view)))
+
+
+def growth(view: View, config: settings.Allotment) -> float:
+  """Returns how many tokens a second more a holder out of touch may draw."""
+  rate = max(view.rate, view.limit * _LEAST_RATE)
+  return round(rate * config.ceiling_rate, 1)
+
+
+def _share(view: View) -> float:
+  """Returns the part of a budget that is this holder's to use."""
+  equal = 1.0 / max(view.routers, 1)
+  drawn = view.rate + view.others_rate
+  return max(equal, view.rate / drawn) if drawn else equal
--- a/mustardfall/budget/known.py
+++ b/mustardfall/budget/known.py
@@ -1,10 +1,12 @@
 """What a router knows of the budgets that others draw on, too."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from mustardfall import settings
 from mustardfall.budget import allotment
+from mustardfall.budget import ceilings
+from mustardfall.budget import holding
 from mustardfall.budget import ledger
 from mustardfall.budget import policy as policy_lib
 from mustardfall.membership import members as members_lib
@@ -49,6 +51,7 @@
     policy_of: returns a customer's policy.
     limit_of: returns a budget's limit where the configuration sets it,
       None where the ledger keeps its own.
+    budgets: returns the budgets that the configuration sets.
   """
 
   def __init__(
@@ -59,6 +62,7 @@
       table: allotment.Table,
       policy_of: Callable[[str], policy_lib.Policy],
       limit_of: Callable[[str], ledger.Limit | None],
+      budgets: Callable[[], Iterable[str]],
   ) -> None:
     self._config = config
     self._clock = clock
@@ -66,9 +70,12 @@
     self._table = table
     self.policy_of = policy_of
     self.limit_of = limit_of
+    self._budgets = budgets
     self.ledgers: dict[str, ledger.Ledger] = {}
     """Ledgers as last seen."""
     self._seen_at: dict[str, float] = {}
+    self._targets: dict[str, int] = {}
+    """What to hold, worked out since the last sight or tick."""
     self._exhausted: dict[str, tuple[int, float]] = {}
     """Budgets found used up: for how many tokens, and until when."""
 
@@ -76,6 +83,7 @@
     """Notes what a ledger was seen with."""
     self.ledgers[budget] = found
     self._seen_at[budget] = self._clock.monotonic()
+    self._targets.pop(budget, None)
 
   def whereabouts(self, budget: str) -> Whereabouts | None:
     """Returns where a budget's tokens are; None: its ledger was never seen."""
@@ -106,6 +114,12 @@
     owner = self._members.owner(budget)
     return None if owner.life == self._members.me.life else owner
 
+  def direct(self) -> Iterable[str]:
+    """Returns the configured budgets that this router draws on itself."""
+    if self._config.owned:
+      return ()
+    return self._budgets()
+
   def is_exhausted(self, budget: str, tokens: int) -> bool:
     """Whether the budget was just found unable to cover `tokens`.
 
@@ -137,19 +151,62 @@
         left += tokens  # not reviewed yet
     return left
 
-  def left(
-      self, budget: str, row: allotment.Row | None, limit: ledger.Limit
-  ) -> int:
-    """Returns what is not in use of a budget, as far as this router knows."""
+  def view(self, budget: str, limit: ledger.Limit) -> holding.View:
+    """Returns what decisions about a budget's holdings are taken on."""
     found = self.ledgers.get(budget)
-    free = limit.tokens if found is None else ledger.headroom(found)
-    return max(0, free) + (0 if row is None else row.undrawn)
+    return holding.View(
+        limit=limit.tokens,
+        free=None if found is None else max(0, ledger.headroom(found)),
+        held=self._table.at_risk(budget),
+        rate=self._table.rate.get(budget, 0.0),
+        others_rate=0.0 if found is None else self._others_rate(found),
+        request=self._table.request.get(budget, self._config.request_tokens),
+        routers=len(self._members.lives),
+    )
+
+  def target(self, budget: str) -> int | None:
+    """Returns how many tokens to hold, as of the last look at the ledger.
+
+    None where the ledger keeps its own limit.
+    """
+    limit = self.limit_of(budget)
+    if limit is None:
+      return None
+    found = self._targets.get(budget)
+    if found is None:
+      found = holding.target(self.view(budget, limit), self._config)
+      self._targets[budget] = found
+    return found
+
+  def tick(self) -> None:
+    """Has what to hold worked out anew: rates have changed."""
+    self._targets.clear()
+
+  def _others_rate(self, found: ledger.Ledger) -> float:
+    """Returns what other routers that are up draw, by their promises.
+
+    Of a router that holds several grants the latest promise counts: it is
+    the rate of all its draw.
+    """
+    rates: dict[str, ceilings.Ceiling] = {}
+    for gid in found.get("ceilings", {}):
+      life, promise = ledger.holder(gid), ledger.ceiling(found, gid)
+      known = rates.get(life)
+      if known is None or promise.issued > known.issued:
+        rates[life] = promise
+    me = self._members.me.life
+    up = self._members.lives
+    drawn = sum(
+        p.rate for life, p in rates.items() if life in up and life != me
+    )
+    return drawn / max(self._config.ceiling_rate, 1e-9)
 
   def forget(self, before: float) -> None:
     """Drops what was noted of budgets that are quiet since `before`."""
     for budget, (_, until) in list(self._exhausted.items()):
       if until < before:
         del self._exhausted[budget]
-    for budget in self.ledgers.keys() - self._table.rate.keys():
+    used = self._table.rate.keys() | self._table.by_budget.keys()
+    for budget in self.ledgers.keys() - used:
       del self.ledgers[budget]
       del self._seen_at[budget]
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -192,11 +192,13 @@
 
   The router life `life` runs since `started`, and no earlier life of it any
   more: what each held above its ceiling at that moment was not drawn. The
-  rest is written off.
+  rest is written off. `renewed` tells when earlier lives last renewed all
+  their promises; see `renewals`.
   """
 
   life: str
   started: clock_lib.Moment
+  renewed: Mapping[str, clock_lib.Moment] = {}
 
 
 class TopUp(NamedTuple):
@@ -459,15 +461,15 @@
     return None
   after = ledger
   for gid in predecessors(ledger, change.life):
-    after = _reclaim(after, gid, change.started)
+    after = _reclaim(after, gid, change)
   return None if after is ledger else after
 
 
-def _reclaim(ledger: Ledger, gid: str, started: clock_lib.Moment) -> Ledger:
+def _reclaim(ledger: Ledger, gid: str, change: Reclaim) -> Ledger:
   """Returns `ledger` with a dead holder's grant down to its ceiling."""
   promise = ceiling(ledger, gid)
   place = _place(ledger, gid)
-  elapsed_s = ceilings_lib.most_elapsed_s(promise.issued, started)
+  elapsed_s = unheard_s(change, gid, promise)
   ledger = {**ledger, "ceilings": _without(ledger["ceilings"], gid)}
   if place is None:
     return ledger
@@ -478,6 +480,23 @@
   return _lose({**ledger, place: _without(ledger[place], gid)}, {gid: left})
 
 
+def unheard_s(
+    change: Reclaim, gid: str, promise: ceilings_lib.Ceiling
+) -> float | None:
+  """Returns how long the holder of `gid` can have drawn unheard, at most.
+
+  Since its promise or its last renewal, whichever is later; None when the
+  clocks tell nothing.
+  """
+  known = [promise.issued, change.renewed.get(holder(gid))]
+  spans = [
+      ceilings_lib.most_elapsed_s(moment, change.started)
+      for moment in known
+      if moment is not None
+  ]
+  return min((span for span in spans if span is not None), default=None)
+
+
 def _not_here(change: Settle | Reduce, ledger: Ledger) -> dict[str, int]:
   """Returns the lost parts that were not settled here meanwhile."""
   here = ledger["parts"].get(change.gid, {})
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -14,7 +14,7 @@
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from mustardfall import settings
 from mustardfall.budget import allotment
@@ -26,6 +26,7 @@
 from mustardfall.budget import policy as policy_lib
 from mustardfall.budget import recalling
 from mustardfall.budget import refusals
+from mustardfall.budget import renewals
 from mustardfall.budget import reviewing
 from mustardfall.budget import settling
 from mustardfall.kv import writer as writer_lib
@@ -52,6 +53,7 @@
     limit_of: returns a budget's limit where the configuration sets it,
       None where the ledger keeps its own.
     clock_check: vouches for the wall clock, if anything does.
+    budgets: returns the budgets that the configuration sets.
   """
 
   def __init__(
@@ -64,6 +66,7 @@
       policy_of: Callable[[str], policy_lib.Policy],
       limit_of: Callable[[str], ledger.Limit | None] = lambda budget: None,
       clock_check: clockcheck.ClockCheck | None = None,
+      budgets: Callable[[], Iterable[str]] = tuple,
   ) -> None:
     self._config = config.allotment
     self._clock = clock
@@ -72,11 +75,28 @@
     self._reported_at = -float("inf")
     self.table = allotment.Table(members.me.life, self._config)
     self.known = known_lib.Known(
-        self._config, clock, members, self.table, policy_of, limit_of
+        self._config,
+        clock,
+        members,
+        self.table,
+        policy_of,
+        limit_of,
+        budgets,
     )
     self._settler = settling.Settler(self.table, members, peers, writer)
+    vouch = clock_check.vouch if clock_check is not None else _believe
+    self.renewer = renewals.Renewer(
+        self._config, clock, members.me.life, self.table, writer, vouch
+    )
     self.reviewer = reviewing.Reviewer(
-        clock, members, peers, self.known, writer, clock_check, self._counts
+        clock,
+        members,
+        peers,
+        self.known,
+        writer,
+        clock_check,
+        self.renewer,
+        self._counts,
     )
     self.recaller = recalling.Recaller(
         self._config,
@@ -97,7 +117,7 @@
         self._refusals,
         self._settler,
         writer,
-        self.reviewer.vouch,
+        vouch,
         self._counts,
     )
     self.drawer = drawing.Drawer(
@@ -188,6 +208,8 @@
     if now - self._reported_at >= _REPORT_S and self._config.reports:
       self._reported_at = now
       self._granter.report_use()
+    self.known.tick()
+    self.drawer.prefetch()
     self.owner.return_unowned()
     self.owner.write_off_parts()
     quiet_since = now - self._config.term_s
@@ -212,3 +234,8 @@
       self._settler.settle_row(row)
     await self._settler.settle_parts()
     self._settler.settle_orphans()
+
+
+def _believe(moment: clock_lib.Moment) -> clock_lib.Moment:
+  """Vouches for nothing: no clocks are compared."""
+  return moment
--- /dev/null
+++ b/mustardfall/budget/renewals.py
@@ -0,0 +1,138 @@
+"""Renews all of a router's promises at once, with one small write.
+
+A promise allows more the longer its holder is not heard of, so a holder that
+is well but has little to report seems to have drawn more and more. A renewal
+says: at this moment every promise still held, and counts anew from here. A
+later life of the router reads it when it judges what the dead one can have
+drawn.
+
+Each router has a key of its own, so renewals meet no conflicts.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TypedDict
+
+import anyio
+
+from mustardfall import errors
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.kv import change as change_lib
+from mustardfall.kv import writer as writer_lib
+from mustardfall.util import clock as clock_lib
+
+PREFIX = "renewal/"
+_LIVES_KEPT = 4
+"""Earlier lives whose last renewal is kept: a router that dies again before
+it has judged the life before leaves both to the next."""
+_UNSURE_S = 3.0
+"""After a renewal of unknown fate no other is sent for this long. It may
+stand, so its holder counts from it; sent again and again into a cut, they
+would keep the holder from drawing more when it must."""
+
+
+class Renewals(TypedDict):
+  """A router's value in the KV."""
+
+  lives: dict[str, list[float]]
+  """Life to the moment of its last renewal."""
+
+
+class Renew(NamedTuple):
+  """Says that all promises of `life` hold, and count anew from `moment`."""
+
+  life: str
+  moment: clock_lib.Moment
+
+
+@change_lib.apply.register
+def _(change: Renew, value: Renewals | None) -> Renewals | None:
+  lives = dict(value["lives"]) if value is not None else {}
+  before = lives.pop(change.life, None)
+  if before is not None and before[0] >= change.moment.boot_s:
+    return None
+  lives[change.life] = list(change.moment)
+  while len(lives) > _LIVES_KEPT:
+    del lives[next(iter(lives))]
+  return Renewals(lives=lives)
+
+
+class Renewer:
+  """Renews this router's promises, and knows its earlier lives' renewals.
+
+  Args:
+    config: how often to renew.
+    clock: the time source.
+    life: this router's life.
+    table: its allotments.
+    writer: the batch writer to the KV.
+    vouch: marks a moment of this host as agreed, if it is.
+  """
+
+  def __init__(
+      self,
+      config: settings.Allotment,
+      clock: clock_lib.Clock,
+      life: str,
+      table: allotment.Table,
+      writer: writer_lib.Writer,
+      vouch: Callable[[clock_lib.Moment], clock_lib.Moment],
+  ) -> None:
+    self._config = config
+    self._clock = clock
+    self._life = life
+    self._table = table
+    self._writer = writer
+    self._vouch = vouch
+    self._earlier: dict[str, clock_lib.Moment] = {}
+    self._read = anyio.Event()
+
+  @property
+  def key(self) -> str:
+    """The key in the KV."""
+    return PREFIX + self._life.rpartition(":")[0]
+
+  def take(self, value: Renewals) -> None:
+    """Takes in what the KV holds."""
+    for life, moment in value["lives"].items():
+      if life != self._life:
+        self._earlier[life] = clock_lib.Moment(*moment)
+    self._read.set()
+
+  async def earlier(self, timeout_s: float) -> Mapping[str, clock_lib.Moment]:
+    """Returns the last renewals of earlier lives, as far as known by then."""
+    if self._config.reports:
+      with anyio.move_on_after(timeout_s):
+        await self._read.wait()
+    return self._earlier
+
+  async def run(self) -> None:
+    """Renews until cancelled."""
+    while self._config.reports:
+      pause_s = self._config.renew_s
+      try:
+        await self.renew()
+      except errors.KvUnknownError:
+        pause_s = _UNSURE_S
+      await anyio.sleep(pause_s)
+    await anyio.sleep_forever()
+
+  async def renew(self) -> None:
+    """Renews once, unless a promise does not hold any more.
+
+    A holder that was out of touch may have drawn more than it had promised
+    at first; it reports that before it renews.
+
+    Raises:
+      errors.KvUnknownError: the renewal may stand.
+    """
+    if not self._table.keeps_promises():
+      return
+    before = self._table.renewed_at
+    moment = self._vouch(self._clock.moment())
+    now = self._clock.monotonic()
+    self._table.renew(now, now)
+    try:
+      await self._writer.submit(self.key, Renew(self._life, moment))
+    except errors.KvUnavailableError:
+      self._table.renew(before, self._clock.monotonic())
--- a/mustardfall/budget/reviewing.py
+++ b/mustardfall/budget/reviewing.py
@@ -6,9 +6,9 @@
 import anyio
 
 from mustardfall import errors
-from mustardfall.budget import ceilings as ceilings_lib
 from mustardfall.budget import known as known_lib
 from mustardfall.budget import ledger
+from mustardfall.budget import renewals
 from mustardfall.kv import writer as writer_lib
 from mustardfall.membership import clockcheck
 from mustardfall.membership import members as members_lib
@@ -23,6 +23,9 @@
 """How long a review waits for the clocks to be compared. Routers that lost
 power together are back within a second of each other; what the clocks do
 not tell by then is written off for good."""
+_RENEWALS_WAIT_S = 1.5
+"""How long a review waits for the renewals of earlier lives, which come with
+this life's first: one call, once the store answers."""
 _AGAIN_S = 1.0
 """A review is asked for again after this. A router that has just started
 may not be reached at once; each sight of the ledger asks again."""
@@ -38,6 +41,7 @@
     known: what is known of the budgets.
     writer: the batch writer to the KV.
     clock_check: vouches for the wall clock, if anything does.
+    renewer: knows when earlier lives renewed their promises.
     counts: what happened so far.
   """
 
@@ -49,6 +53,7 @@
       known: known_lib.Known,
       writer: writer_lib.Writer,
       clock_check: clockcheck.ClockCheck | None,
+      renewer: renewals.Renewer,
       counts: collections.Counter[str],
   ) -> None:
     self._clock = clock
@@ -57,6 +62,7 @@
     self._known = known
     self._writer = writer
     self._clock_check = clock_check
+    self._renewer = renewer
     self._counts = counts
     self._started = clock.moment()
     self._due: set[tuple[str, str]] = set()
@@ -65,8 +71,7 @@
     self._asked_at: dict[str, float] = {}
     """When a review was last asked for, by grant."""
 
-  def vouch(self, moment: clock_lib.Moment) -> clock_lib.Moment:
-    """Returns a moment of this host, marked if its clock agreed then."""
+  def _vouch(self, moment: clock_lib.Moment) -> clock_lib.Moment:
     check = self._clock_check
     return moment if check is None else check.vouch(moment)
 
@@ -129,8 +134,8 @@
     if self._clock_check is not None:
       await self._clock_check.wait(_CLOCK_WAIT_S)
     me = self._members.me.life
-    started = self.vouch(self._started)
-    change = ledger.Reclaim(me, started)
+    renewed = await self._renewer.earlier(_RENEWALS_WAIT_S)
+    change = ledger.Reclaim(me, self._vouch(self._started), renewed)
     before = self._known.ledgers.get(budget)
     try:
       after = await self._writer.submit(ledger.key(budget), change)
@@ -141,7 +146,7 @@
       return
     self._counts["reviews"] += 1
     if before and after:
-      _log_reviews(budget, me, started, before, after)
+      _log_reviews(budget, change, before, after)
 
   def forget(self, before: float) -> None:
     """Drops what was noted before then."""
@@ -152,12 +157,11 @@
 
 def _log_reviews(
     budget: str,
-    life: str,
-    started: clock_lib.Moment,
+    change: ledger.Reclaim,
     before: ledger.Ledger,
     after: ledger.Ledger,
 ) -> None:
-  for gid in ledger.predecessors(before, life):
+  for gid in ledger.predecessors(before, change.life):
     promise = ledger.ceiling(before, gid)
     logger.info(
         "grant of an earlier life reviewed",
@@ -167,7 +171,7 @@
             "held": before["grants"].get(gid) or before["lost"].get(gid),
             "billed": ledger.billed(before, gid),
             "promise": promise[:-1],
-            "elapsed_s": ceilings_lib.most_elapsed_s(promise.issued, started),
+            "unheard_s": ledger.unheard_s(change, gid, promise),
             "lost": after["lost"].get(gid),
             "headroom": ledger.headroom(after),
         },
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -85,6 +85,7 @@
         self._post,
         lambda customer: policy.CONFIGURED,
         self._limit_of,
+        budgets=self._budgets,
     )
     self.loads = loads_lib.Loads(
         self.directory.endpoints, self.accounts.members.me.life
@@ -125,6 +126,11 @@
       return None
     return ledger.Limit(team.prepaid, config.version)
 
+  def _budgets(self) -> list[str]:
+    config = self.directory.configuration
+    teams = config.teams.values() if config else ()
+    return [team.name for team in teams if team.prepaid is not None]
+
   def take_configuration(self, new: configuration.Configuration) -> None:
     """Puts a newer configuration in force, and reduced budgets with it."""
     old = self.directory.configuration
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -38,16 +38,22 @@
   """A part takes at most this share of what the owner has free."""
   term_s: float = pydantic.Field(default=10.0, gt=0)
   """Unused tokens go back to the budget after this many seconds."""
-  least_share: float = pydantic.Field(default=0.0, ge=0, le=1)
-  """A grant asked for is at least this share of the budget's limit."""
+  share_held: float = pydantic.Field(default=0.5, ge=0, le=1)
+  """All holders together hold this part of what is left of a budget."""
+  requests_held: float = pydantic.Field(default=2.0, ge=0)
+  """Beside the horizon's draw a holder wants so many requests' tokens."""
   reports: bool = False
   """Report what grants have used while they are held."""
   slack_s: float = pydantic.Field(default=2.0, gt=0)
   """A report allows for this many seconds of the budget's draw."""
-  slack_share: float = pydantic.Field(default=0.02, ge=0, le=1)
-  """A report allows for at least this share of the budget's limit."""
+  request_tokens: int = pydantic.Field(default=8_000, ge=1)
+  """What a request is taken to need until one of its budget was seen here."""
+  requests_slack: float = pydantic.Field(default=1.0, ge=0)
+  """Beside that, for so many requests' tokens."""
   slack_left: float = pydantic.Field(default=0.25, gt=0, le=1)
-  """But for at most this share of what is left of the budget."""
+  """All holders' reports allow for at most this share of what is left."""
+  renew_s: float = pydantic.Field(default=1.0, gt=0)
+  """Time between two renewals of all promises."""
   ceiling_grace_s: float = pydantic.Field(default=2.0, ge=0)
   """What a report allows for must do for so long, seconds."""
   ceiling_rate: float = pydantic.Field(default=1.5, ge=0)
