--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -118,7 +118,7 @@
         self.writer.run,
         self.members.register,
         self.members.follow,
-        self.pool.drawer.refill,
+        self.pool.drawer.run,
         self.pool.reviewer.run,
         self.pool.renewer.run,
         self.clock_check.run,
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -76,6 +76,10 @@
   with, and later ones whose fate is not known yet."""
   ceiling: float = math.inf
   """Tokens that may be in use by these promises, as of the last look."""
+  drawn_at: float = -math.inf
+  """When it was last drawn on, as of the last tick."""
+  drawn_before: int = 0
+  """Tokens in use at the last tick."""
 
   @property
   def drawn(self) -> int:
@@ -336,7 +340,9 @@
     for old in self.by_budget.get(budget, ()):
       if self.rows[old].idle:
         self.rows[old].retiring = True
-    self.rows[gid] = Row(budget, gid, granted, now, source, source_gid)
+    self.rows[gid] = Row(
+        budget, gid, granted, now, source, source_gid, drawn_at=now
+    )
     self.by_budget.setdefault(budget, []).append(gid)
 
   def growing(self, budget: str) -> Row | None:
@@ -465,6 +471,8 @@
     self._update_rates(elapsed_s)
     for row in self.rows.values():
       row.look(now, self.renewed_at)
+      if row.drawn != row.drawn_before or row.in_flight:
+        row.drawn_at, row.drawn_before = now, row.drawn
       term_s = self._config.part_term_s if row.source else self._config.term_s
       if now - row.taken_at >= term_s:
         row.retiring = True
--- a/mustardfall/budget/drawing.py
+++ b/mustardfall/budget/drawing.py
@@ -1,10 +1,12 @@
-"""Gets a request its tokens: from own rows, the owner, or the KV.
+"""Gets a request its tokens: from own rows, the owner, the KV or a deputy.
 
-What a request needs and what refills a budget ahead of requests take the
-same ways; only a request waits.
+Grants are taken in the background, one at a time per budget, so that one
+answer serves all who wait for it and nobody queues behind a store that does
+not answer.
 """
 
 import collections
+from typing import NamedTuple
 
 import anyio
 
@@ -26,6 +28,29 @@
 _REFILL_PAUSE_S = 1.0
 """Pause after a refill that the budget could not give; requests that need
 tokens still ask at once."""
+_KV_PATIENCE_S = 0.03
+"""How long a request waits for the KV before it asks a deputy. The KV answers
+in 4 ms; when it falls silent a call takes half a second to fail, and all
+requests of that time would wait for it until they are refused."""
+
+
+class _Order(NamedTuple):
+  """A grant to be taken in the background."""
+
+  budget: str
+  least: int
+  customer: str
+  owns: bool
+  """Whether to hold a store of tokens, or just what is needed now."""
+
+
+class _Flight:
+  """A grant that is being taken."""
+
+  def __init__(self) -> None:
+    self.done = anyio.Event()
+    self.answered = False
+    """Whether the KV answered, once it is done."""
 
 
 class Drawer:
@@ -70,12 +95,14 @@
     self._recaller = recaller
     self._settler = settler
     self._counts = counts
-    self._locks: dict[str, anyio.Lock] = {}
     self._demand: collections.Counter[str] = collections.Counter()
     """Tokens that waiting requests need, per budget."""
+    self._flights: dict[str, _Flight] = {}
+    """Grants being taken, by budget."""
+    self._orders: list[_Order] = []
     self._low: dict[str, str] = {}
     """Budgets that run low, and their customers."""
-    self._low_event = anyio.Event()
+    self._wake = anyio.Event()
     self._refill_at: dict[str, float] = {}
     """When a budget that could not give may be refilled again."""
     self._blind: set[str] = set()
@@ -110,18 +137,14 @@
     A request that comes while the store is away is served from what is
     held here, or not at all; it may be the team's first here.
     """
-    for budget in self._known.direct():
+    for budget in self._known.own():
       if budget not in self._table.by_budget:
         self._note_low(budget, budget)
 
   def _note_low(self, budget: str, customer: str) -> None:
     """Has the budget refilled in the background."""
     self._low[budget] = customer
-    self._low_event.set()
-
-  def lock(self, budget: str) -> anyio.Lock:
-    """Returns the lock under which tokens of a budget are fetched."""
-    return self._locks.setdefault(budget, anyio.Lock())
+    self._wake.set()
 
   async def _wait(
       self, budget: str, tokens: int, customer: str
@@ -149,27 +172,51 @@
         del self._demand[budget]
 
   async def _fetch(self, budget: str, tokens: int, customer: str) -> None:
-    """Gets an allotment of at least `tokens`, unless one is there now."""
-    async with self.lock(budget):
-      self._table.look(budget, self._clock.monotonic())
-      done = self._table.has_room(budget, tokens)
-      if done or self.stopping or self._refusals.repeat(budget, tokens):
+    """Asks the owner, the KV and the owner's deputies, until one answers.
+
+    A deputy may be in touch with the KV while the owner and this router are
+    not, or hold tokens since it stood in for the owner before.
+    """
+    if self._has_room(budget, tokens) or self.stopping:
+      return
+    demand = max(tokens, self._demand.get(budget, 0))
+    part = self._table.want_part(budget, demand)
+    owner = self._known.owner(budget)
+    if owner is not None:
+      if await self._ask(owner, budget, tokens, part, customer):
+        return
+    if await self.from_kv(budget, tokens, customer, owner is None):
+      return
+    for deputy in self._known.deputies(budget):
+      if deputy == owner:
+        continue
+      if await self._ask(deputy, budget, tokens, part, customer):
         return
-      demand = max(tokens, self._demand.get(budget, 0))
-      # Shielded: a caller that leaves now must not leave tokens behind
-      # that were granted in answer but recorded nowhere.
-      with anyio.CancelScope(shield=True):
-        owner = self._known.owner(budget)
-        if owner is not None:
-          want = self._table.want_part(budget, demand)
-          if await self._ask_owner(owner, budget, tokens, want, customer):
-            return
-        # In an owner's place only what is needed now: a store of tokens
-        # here would lie idle once the owner answers again.
-        want = demand if owner else self._table.want(budget, demand)
-        await self.take_grant(budget, tokens, want, customer, owner is None)
-
-  async def _ask_owner(
+
+  def _has_room(self, budget: str, tokens: int) -> bool:
+    self._table.look(budget, self._clock.monotonic())
+    return self._table.has_room(budget, tokens)
+
+  async def from_kv(
+      self, budget: str, least: int, customer: str, owns: bool
+  ) -> bool:
+    """Waits a moment for a grant; returns whether the KV has answered.
+
+    It is taken in the background: a caller that leaves must not leave tokens
+    behind that were granted in answer but recorded nowhere.
+    """
+    if self._has_room(budget, least):
+      return True
+    flight = self._flights.get(budget)
+    if flight is None:
+      flight = self._flights[budget] = _Flight()
+      self._orders.append(_Order(budget, least, customer, owns))
+      self._wake.set()
+    with anyio.move_on_after(_KV_PATIENCE_S):
+      await flight.done.wait()
+    return flight.answered
+
+  async def _ask(
       self,
       owner: members_lib.Member,
       budget: str,
@@ -177,7 +224,7 @@
       want: int,
       customer: str,
   ) -> bool:
-    """Asks the owner for a part; returns whether its answer is final."""
+    """Asks a router for a part; returns whether its answer is final."""
     part = self._table.new_gid()
     ask = peers_lib.Ask(budget, customer, part, least, want)
     answer = await self._peers.reserve(owner, ask)
@@ -201,20 +248,41 @@
         self._known.note_exhausted(budget, least)
     return not answer.unsure
 
-  async def take_grant(
-      self,
-      budget: str,
-      least: int,
-      want: int,
-      customer: str,
-      owns: bool = True,
-  ) -> bool:
+  async def run(self) -> None:
+    """Takes grants and refills budgets, until cancelled."""
+    async with anyio.create_task_group() as tasks:
+      while True:
+        await self._wake.wait()
+        self._wake = anyio.Event()
+        orders, self._orders = self._orders, []
+        for order in orders:
+          tasks.start_soon(self._fly, order)
+        low, self._low = self._low, {}
+        for budget, customer in low.items():
+          if budget not in self._flights:
+            self._flights[budget] = _Flight()
+            tasks.start_soon(self._refill, budget, customer)
+
+  async def _fly(self, order: _Order) -> None:
+    flight = self._flights[order.budget]
+    try:
+      flight.answered = await self._take_grant(order)
+    finally:
+      del self._flights[order.budget]
+      flight.done.set()
+
+  async def _take_grant(self, order: _Order) -> bool:
     """Takes a grant from the KV; returns whether the KV answered."""
+    budget, least, customer, owns = order
     raised = await self._granter.raise_ceiling(budget, least)
     if raised is not None:
       return raised
     margin = self._known.policy_of(customer).margin
     blind = budget not in self._known.ledgers
+    # In an owner's place only what is needed now: a store of tokens
+    # here would lie idle once the owner answers again.
+    demand = max(least, self._demand.get(budget, 0))
+    want = self._table.want(budget, demand) if owns else demand
     found = await self._granter.grant(budget, least, want, margin, owns)
     if found is None:
       return False
@@ -235,47 +303,41 @@
         self._known.note_exhausted(budget, least)
     return True
 
-  async def refill(self) -> None:
-    """Refills budgets before they run out, until cancelled."""
-    while True:
-      await self._low_event.wait()
-      self._low_event = anyio.Event()
-      low, self._low = self._low, {}
-      async with anyio.create_task_group() as tg:
-        for budget, customer in low.items():
-          tg.start_soon(self._refill_one, budget, customer)
-      await anyio.sleep(_WAIT_STEP_S)
+  async def _refill(self, budget: str, customer: str) -> None:
+    flight = self._flights[budget]
+    try:
+      await self._fill_up(budget, customer)
+    finally:
+      del self._flights[budget]
+      flight.done.set()
 
-  async def _refill_one(self, budget: str, customer: str) -> None:
-    async with self.lock(budget):
-      now = self._clock.monotonic()
-      blind = budget in self._blind
-      self._blind.discard(budget)
-      if self._table.nears_ceiling(budget) and not self.stopping:
-        await self._granter.raise_ceiling(budget, 0)
-      if self.stopping or not (blind or self._runs_low(budget)):
-        return
-      if now < self._refill_at.get(budget, -float("inf")):
-        return
-      owner = self._known.owner(budget)
-      size = self._table.want if owner is None else self._table.want_part
-      want = size(budget, 1)
-      least = max(1, want // 4) if owner is not None else 1
-      if self._refusals.repeat(budget, least):
-        return
-      if owner is not None:
-        await self._ask_owner(owner, budget, least, want, customer)
-        return
-      margin = self._known.policy_of(customer).margin
-      await self._granter.grant(budget, least, want, margin)
-      if self._runs_low(budget):
-        self._refill_at[budget] = now + _REFILL_PAUSE_S
+  async def _fill_up(self, budget: str, customer: str) -> None:
+    """Brings what is held of a budget up to what it should be."""
+    now = self._clock.monotonic()
+    blind = budget in self._blind
+    self._blind.discard(budget)
+    if self._table.nears_ceiling(budget) and not self.stopping:
+      await self._granter.raise_ceiling(budget, 0)
+    if self.stopping or not (blind or self._runs_low(budget)):
+      return
+    if now < self._refill_at.get(budget, -float("inf")):
+      return
+    owner = self._known.owner(budget)
+    size = self._table.want if owner is None else self._table.want_part
+    want = size(budget, 1)
+    least = max(1, want // 4) if owner is not None else 1
+    if self._refusals.repeat(budget, least):
+      return
+    if owner is not None:
+      await self._ask(owner, budget, least, want, customer)
+      return
+    margin = self._known.policy_of(customer).margin
+    await self._granter.grant(budget, least, want, margin)
+    if self._runs_low(budget):
+      self._refill_at[budget] = now + _REFILL_PAUSE_S
 
   def forget(self, before: float) -> None:
     """Drops what was noted of budgets that are quiet since `before`."""
     for budget, at in list(self._refill_at.items()):
       if at < before:
         del self._refill_at[budget]
-    for budget, lock in list(self._locks.items()):
-      if not lock.locked() and budget not in self._table.by_budget:
-        del self._locks[budget]
--- a/mustardfall/budget/handing.py
+++ b/mustardfall/budget/handing.py
@@ -15,6 +15,10 @@
 from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
 
+_STAND_IN_S = 2.0
+"""A grant of a budget that another router owns is kept while it was drawn on
+within this time: whoever stands in for an owner that is cut off is asked
+again and again, and each grant less costs writes and leaves rests behind."""
 _STOP_ROUNDS = 3
 """Rounds in which a stopping router has its parts called back."""
 _STOP_PAUSE_S = 0.05
@@ -73,21 +77,18 @@
       return handed._replace(unsure=not handed.tokens)
     if self._refusals.repeat(ask.budget, ask.least):
       return handed
-    answered = True
-    async with self._drawer.lock(ask.budget):
-      self._table.look(ask.budget, self._clock.monotonic())
-      if not self._table.has_room(ask.budget, ask.least):
-        want = max(self._table.want(ask.budget, ask.least), ask.want)
-        with anyio.CancelScope(shield=True):
-          answered = await self._drawer.take_grant(
-              ask.budget, ask.least, want, ask.customer
-          )
+    answered = await self._drawer.from_kv(
+        ask.budget, ask.least, ask.customer, self._owns(ask.budget)
+    )
     handed = self._hand_on(ask)
     if handed.tokens:
       return handed
     exhausted = self._known.is_exhausted(ask.budget, ask.least)
     return handed._replace(unsure=not answered, exhausted=exhausted)
 
+  def _owns(self, budget: str) -> bool:
+    return self._known.owner(budget) is None
+
   def _hand_on(self, ask: peers_lib.Ask) -> peers_lib.Handed:
     share = self._config.part_share
     size, gid = self._table.hand_on(
@@ -112,8 +113,11 @@
     """
     if not self._config.owned or self._writer.away:
       return
+    now = self._clock.monotonic()
     for row in self._table.rows.values():
-      if not row.source and self._known.owner(row.budget) is not None:
+      if row.source or self._known.owner(row.budget) is None:
+        continue
+      if now - row.drawn_at >= _STAND_IN_S:
         row.retiring = True
 
   def write_off_parts(self) -> None:
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -30,8 +30,8 @@
   """Tokens that other holders draw a second, by their promises."""
   request: float
   """Tokens of a request here, in the mean."""
-  routers: int
-  """Routers that may draw on it."""
+  holders: int
+  """Routers that shall hold grants of it."""
 
 
 def target(view: View, config: settings.Allotment) -> int:
@@ -50,7 +50,7 @@
 
 def equal_share(view: View, config: settings.Allotment) -> float:
   """Returns the part of what is left that each router holds at least."""
-  return config.share_held / max(view.routers, 1)
+  return config.share_held / max(view.holders, 1)
 
 
 def slack(view: View, config: settings.Allotment) -> int:
@@ -74,6 +74,6 @@
 
 def _share(view: View) -> float:
   """Returns the part of a budget that is this holder's to use."""
-  equal = 1.0 / max(view.routers, 1)
+  equal = 1.0 / max(view.holders, 1)
   drawn = view.rate + view.others_rate
   return max(equal, view.rate / drawn) if drawn else equal
--- a/mustardfall/budget/known.py
+++ b/mustardfall/budget/known.py
@@ -114,11 +114,16 @@
     owner = self._members.owner(budget)
     return None if owner.life == self._members.me.life else owner
 
-  def direct(self) -> Iterable[str]:
-    """Returns the configured budgets that this router draws on itself."""
-    if self._config.owned:
-      return ()
-    return self._budgets()
+  def own(self) -> Iterable[str]:
+    """Returns the configured budgets that this router takes grants of."""
+    return (name for name in self._budgets() if self.owner(name) is None)
+
+  def deputies(self, budget: str) -> list[members_lib.Member]:
+    """Returns the other routers to ask in turn while the KV is away."""
+    if not self._config.owned and len(self._members.lives) == 1:
+      return []
+    me = self._members.me.life
+    return [m for m in self._members.candidates(budget) if m.life != me]
 
   def is_exhausted(self, budget: str, tokens: int) -> bool:
     """Whether the budget was just found unable to cover `tokens`.
@@ -161,7 +166,7 @@
         rate=self._table.rate.get(budget, 0.0),
         others_rate=0.0 if found is None else self._others_rate(found),
         request=self._table.request.get(budget, self._config.request_tokens),
-        routers=len(self._members.lives),
+        holders=self._holders(),
     )
 
   def target(self, budget: str) -> int | None:
@@ -182,6 +187,12 @@
     """Has what to hold worked out anew: rates have changed."""
     self._targets.clear()
 
+  def _holders(self) -> int:
+    """Returns how many routers shall hold grants of a budget: its owners."""
+    if self._config.owned:
+      return self._members.regions
+    return len(self._members.lives)
+
   def _others_rate(self, found: ledger.Ledger) -> float:
     """Returns what other routers that are up draw, by their promises.
 
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -28,6 +28,9 @@
 _OWNERS_CACHED = 100_000
 _REPLACED_REMEMBERED = 4_000
 """Earlier lives remembered: two days of restarts in the largest fleet."""
+_CANDIDATES = 3
+"""Routers next on the ring that are asked for tokens in turn: the owner, and
+two deputies that may be in touch with the KV while it is not."""
 _RETRY_S = 0.5
 _SUSPECT_S = 2.0
 """How long a router that did not answer is passed over."""
@@ -87,8 +90,10 @@
     self._set_ring()
 
   def _set_ring(self) -> None:
+    # By name, not by life: a router that starts again owns what it owned, and
+    # nobody's budgets change hands twice for it.
     near = [
-        m.life for m in self._by_name.values() if m.region == self.me.region
+        m.name for m in self._by_name.values() if m.region == self.me.region
     ]
     # Few owners batch more: KV writes grow with owners, not with routers.
     near = sorted(near, key=_rank)[: self._config.owners or None]
@@ -99,8 +104,8 @@
     self._owners_of = functools.lru_cache(_OWNERS_CACHED)(self._find_owners)
 
   def _find_owners(self, name: str) -> tuple[str, ...]:
-    """Returns the lives next on the ring: the owner, then its deputy."""
-    near = self._ring.range(name, size=2, unique=True)
+    """Returns the routers next on the ring: the owner, then its deputies."""
+    near = self._ring.range(name, size=_CANDIDATES, unique=True)
     return tuple(node["nodename"] for node in near)
 
   @property
@@ -118,12 +123,14 @@
 
     While it is suspected, the next on the ring stands in for it.
     """
-    owners = self._owners_of(name)
+    return self.candidates(name)[0]
+
+  def candidates(self, name: str) -> list[Member]:
+    """Returns the owner and its deputies, those that are suspected last."""
     now = self._clock.monotonic()
-    for life in owners:
-      if self._suspected.get(life, 0.0) <= now:
-        return self._lives[life]
-    return self._lives[owners[0]]
+    found = [self._by_name[near] for near in self._owners_of(name)]
+    found.sort(key=lambda m: self._suspected.get(m.life, 0.0) > now)
+    return found
 
   def suspect(self, life: str) -> None:
     """Notes that a router did not answer.
@@ -235,13 +242,13 @@
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
 
-def _rank(life: str) -> bytes:
-  """Returns where `life` stands among those that may own budgets.
+def _rank(name: str) -> bytes:
+  """Returns where a router stands among those that may own budgets.
 
   A hash, so that all routers agree, and a router's coming or going
   changes the owners only if it is or becomes one.
   """
-  return hashlib.blake2b(life.encode(), digest_size=8).digest()
+  return hashlib.blake2b(name.encode(), digest_size=8).digest()
 
 
 def _member(record: protocol.Record) -> Member | None:
