--- a/mustardfall/bench/virtual/days.py
+++ b/mustardfall/bench/virtual/days.py
@@ -18,7 +18,8 @@
 _TRAFFIC_S = 52.0
 """Traffic goes on through the recovery."""
 _SPARE = 1.3
-"""Budgets over what is asked of them on a usual day."""
+_PAID_S = 34.0
+"""Budgets are so many times what is usually asked of them in this time."""
 _SHARES = (19, 17, 11, 9, 6, 5.5, 5, 3.5, 3, 3)
 """Weights of the teams, a few of them large."""
 _STEADY = 3
@@ -108,6 +109,7 @@
   traffic_s: float = _TRAFFIC_S
   requests_s: float = _REQUESTS_S
   spare: float = _SPARE
+  paid_s: float = _PAID_S
   shares: tuple[float, ...] = _SHARES
   steady: int = _STEADY
   events: list[Event] = []
--- a/mustardfall/bench/virtual/traffic.py
+++ b/mustardfall/bench/virtual/traffic.py
@@ -63,7 +63,8 @@
     for event in hot:
       if team == teams[event.rank - 1] and _within(request.at_s, event):
         requests += _more(rng, request, event)
-  limits = {team: int(tokens * day.spare) for team, tokens in usual.items()}
+  paid = day.spare * day.paid_s / day.traffic_s
+  limits = {team: int(tokens * paid) for team, tokens in usual.items()}
   requests.sort()
   return Plan(requests, limits, teams)
 
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -108,6 +108,11 @@
     )
     self.ceiling = min(allowed, default=math.inf)
 
+  @property
+  def keeps_promises(self) -> bool:
+    """Whether no more is in use than promises allowed when they were made."""
+    return all(self.drawn <= p.ceiling.tokens for p in self.promises)
+
   @property
   def may_return(self) -> int:
     """Tokens not used for certain: free, reserved or handed on."""
@@ -240,11 +245,7 @@
 
   def keeps_promises(self) -> bool:
     """Whether no more is in use than promises allowed when they were made."""
-    return all(
-        row.drawn <= promise.ceiling.tokens
-        for row in self.rows.values()
-        for promise in row.promises
-    )
+    return all(row.keeps_promises for row in self.rows.values())
 
   def renew(self, at: float, now: float) -> None:
     """Has all promises count from `at`, or from their own issue if later."""
--- a/mustardfall/budget/settling.py
+++ b/mustardfall/budget/settling.py
@@ -66,7 +66,10 @@
     """
     if row.source or row.gid in self._reporting:
       return False
-    return _used(row) > self._billed.get(row.gid, 0)
+    # A row that drew more than it had promised at first needs a new promise
+    # even if it is quiet since: until then none of the promises is renewed.
+    overdrawn = not row.keeps_promises
+    return overdrawn or _used(row) > self._billed.get(row.gid, 0)
 
   def report(
       self, row: allotment.Row, ceiling: ceilings_lib.Ceiling | None
