--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -115,12 +115,16 @@
     return self.retry_after(comeback.most_s(self._accounts.store_away, left_s))
 
   def bill(self, job: job_lib.Job) -> None:
-    """Settles the reservation with what the request used."""
+    """Settles the reservation with what its caller got.
+
+    A request whose answer was lost before anything of it was passed on may
+    have run, but its team got nothing: its tokens stay with the budget.
+    """
     usage = job.request.usage
     if job.reservation is None or usage is None:
       return
     used = 0
-    if job.may_have_run:
+    if job.delivered:
       output = job.joiner.passed * job.tokens_per_event
       used = usage.prompt_tokens + min(usage.most_output_tokens, output)
     self._accounts.pool.settle(job.reservation, used)
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -34,6 +34,8 @@
 from mustardfall.util import clock as clock_lib
 
 _OK = 200
+_FAILURES = 300
+"""Statuses from here on are no success."""
 _SERVER_ERROR = 500
 _MOST_BODY_BYTES = 8_388_608
 """Answers that are not streams are read whole before they are passed on,
@@ -308,6 +310,7 @@
       self, job: job_lib.Job, answer: messages.Answer, body: bytes
   ) -> None:
     job.first_at = self._clock.monotonic()
+    job.answered_whole = answer.status < _FAILURES
     await job.responder.answer(answer.status, list(answer.headers), body)
     self._records.note_end(job, "answered", answer.status)
 
--- a/mustardfall/proxy/job.py
+++ b/mustardfall/proxy/job.py
@@ -29,6 +29,8 @@
   sends: int = 0
   connects: int = 0
   may_have_run: bool = False
+  answered_whole: bool = False
+  """Whether a success was answered in one piece."""
   reserved_after_s: float = 0.0
   """How long it waited for tokens."""
   tried: set[str] = dataclasses.field(default_factory=set)
@@ -38,6 +40,11 @@
   failure: tuple[messages.Answer, bytes] | None = None
   """An endpoint's own failure, passed on if no other try does better."""
 
+  @property
+  def delivered(self) -> bool:
+    """Whether anything of an answer was passed on, or is about to be."""
+    return bool(self.joiner.passed) or self.answered_whole
+
   @property
   def tokens_per_event(self) -> int:
     """Most tokens in one event."""
