--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -115,20 +115,11 @@
     return self.retry_after(comeback.most_s(self._accounts.store_away, left_s))
 
   def bill(self, job: job_lib.Job) -> None:
-    """Settles the reservation with what its caller got.
-
-    A request whose answer was lost before anything of it was passed on may
-    have run, but its team got nothing: its tokens stay with the budget.
-    """
-    usage = job.request.usage
-    if job.reservation is None or usage is None:
+    """Settles the reservation with what the request used."""
+    if job.reservation is None:
       return
-    used = 0
-    if job.delivered:
-      output = job.joiner.passed * job.tokens_per_event
-      used = usage.prompt_tokens + min(usage.most_output_tokens, output)
-    self._accounts.pool.settle(job.reservation, used)
-    self._instruments.tokens.record(used, records.attributes(job))
+    self._accounts.pool.settle(job.reservation, job.used)
+    self._instruments.tokens.record(job.used, records.attributes(job))
 
   def retry_after(self, most_s: float) -> float:
     """Returns when to come back: spread, so that not all come at once."""
--- a/mustardfall/proxy/job.py
+++ b/mustardfall/proxy/job.py
@@ -41,9 +41,18 @@
   """An endpoint's own failure, passed on if no other try does better."""
 
   @property
-  def delivered(self) -> bool:
-    """Whether anything of an answer was passed on, or is about to be."""
-    return bool(self.joiner.passed) or self.answered_whole
+  def used(self) -> int:
+    """Tokens of its budget that the request has used.
+
+    A request whose answer was lost before anything of it was passed on may
+    have run, but its team got nothing: its tokens stay with the budget.
+    """
+    usage = self.request.usage
+    delivered = bool(self.joiner.passed) or self.answered_whole
+    if usage is None or not delivered:
+      return 0
+    output = self.joiner.passed * self.tokens_per_event
+    return usage.prompt_tokens + min(usage.most_output_tokens, output)
 
   @property
   def tokens_per_event(self) -> int:
--- a/mustardfall/proxy/records.py
+++ b/mustardfall/proxy/records.py
@@ -58,6 +58,7 @@
             "most_tokens": request.usage.most if request.usage else 0,
             "facts": refusal.facts,
             "sends": job.sends if job else 0,
+            "billed": job.used if job else 0,
             "endpoint": job.endpoint if job else "",
         },
     )
@@ -83,6 +84,7 @@
             "reserve_ms": round(job.reserved_after_s * 1000),
             "most_tokens": job.request.usage.most if job.request.usage else 0,
             "events": job.joiner.passed,
+            "billed": job.used,
         },
     )
     marks = attributes(job)
