--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -23,6 +23,9 @@
 _DRAIN_S = 7.0
 """What it leaves its requests at most."""
 _DRAIN_STEP_S = 0.1
+START_S = 0.5
+"""From switching a host on, or starting a process, to a router's first
+decision."""
 _FOLLOW_S = 1.0
 _FOLLOW_AGAIN_S = 0.3
 """Pauses of the loop that reads a document of the store now and then, and so
@@ -197,9 +200,8 @@
     """Starts a life after `kill`; after a loss of power clocks are new."""
     if power:
       self._fleet.network.powered_off.discard(self.name)
-      step_s, self.clock = self.clock.step_s, loop_lib.Clock(
-          self.clock.monotonic()
-      )
+      step_s = self.clock.step_s
+      self.clock = loop_lib.Clock(self.clock.monotonic() - START_S)
       self.clock.step_s = step_s
     self.start()
 
--- a/mustardfall/bench/virtual/loop.py
+++ b/mustardfall/bench/virtual/loop.py
@@ -73,6 +73,10 @@
     boot_s = self.monotonic() - self._booted_s
     return clock_lib.Moment(boot_s, self.wall().timestamp())
 
+  def started(self) -> clock_lib.Moment:
+    """Returns the present moment."""
+    return self.moment()
+
 
 def run(day: Callable[..., Awaitable[Any]], *args: Any) -> Any:
   """Runs `day(*args)` in virtual time; returns what it returns."""
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -15,9 +15,9 @@
 from mustardfall import settings
 from mustardfall.budget import ceilings as ceilings_lib
 
-_RATE_WEIGHT = 0.15
-"""Weight of the newest tick in each budget's draw-rate average. Requests
-are lumps of up to a tenth of a small budget; over some 3 s they average."""
+_QUIET_PART = 0.33
+"""Part of the averaging time for which a budget is held to have been quiet
+before it was first drawn on."""
 _RATE_FLOOR = 0.5
 """Tokens a second below which a budget's rate is forgotten."""
 _SLACK_LOW = 0.4
@@ -71,6 +71,8 @@
   handed_on: int = 0
   """Tokens of open and lost parts plus those that ended parts used."""
   retiring: bool = False
+  orphaned: bool = False
+  """Whether it is a part that was settled in the ledger."""
   promises: list[Promise] = dataclasses.field(default_factory=list)
   """Ceilings that may be in force: the one that the ledger was last seen
   with, and later ones whose fate is not known yet."""
@@ -167,6 +169,8 @@
     """Budget name to tokens drawn per second here (moving average)."""
     self.request: dict[str, float] = {}
     """Budget name to tokens that a request here reserves (moving average)."""
+    self._averaged_s: dict[str, float] = {}
+    """Seconds that each rate is averaged over, by weight."""
     self._drawn: dict[str, int] = {}
     self._part_row: dict[str, str] = {}
     self._ended_parts: dict[str, None] = {}
@@ -481,15 +485,24 @@
     return [self._remove(gid) for gid in finished]
 
   def _update_rates(self, elapsed_s: float) -> None:
+    """Averages what was drawn, newer seconds weighing more.
+
+    A budget that was just drawn on for the first time is held to have been
+    quiet for a moment before, else one request would make a high rate.
+    """
+    kept = math.exp(-elapsed_s / self._config.rate_s)
     for budget in set(self.rate) | set(self._drawn):
-      drawn = self._drawn.pop(budget, 0) / max(elapsed_s, 1e-3)
-      old = self.rate.get(budget, drawn)
-      rate = old + _RATE_WEIGHT * (drawn - old)
+      before_s = self._averaged_s.get(budget, self._config.rate_s * _QUIET_PART)
+      averaged_s = before_s * kept + elapsed_s
+      drawn = self.rate.get(budget, 0.0) * before_s * kept
+      drawn += self._drawn.pop(budget, 0)
+      rate = drawn / averaged_s
       if rate < _RATE_FLOOR and budget not in self.by_budget:
-        self.rate.pop(budget, None)
-        self.request.pop(budget, None)
+        for table in (self.rate, self.request, self._averaged_s):
+          table.pop(budget, None)
       else:
         self.rate[budget] = rate
+        self._averaged_s[budget] = averaged_s
 
   def clear(self) -> list[Row]:
     """Removes and returns every row, for a graceful stop."""
--- a/mustardfall/budget/ceilings.py
+++ b/mustardfall/budget/ceilings.py
@@ -23,10 +23,6 @@
 _WALL_ERROR_S = 5.0
 """How far a wall clock is trusted that was not compared: steps of 2.4 to
 3.1 s are known, either way, and one may come between two readings."""
-_AGREED_ERROR_S = 0.5
-"""How far two readings are trusted that agreed with most other routers'
-clocks, each to a quarter of a second. Wrong only if most hosts' clocks are
-stepped together within the seconds around a loss of power."""
 
 
 class Ceiling(NamedTuple):
@@ -66,7 +62,10 @@
 
   Within one boot the boot clock tells, which also counts the time that the
   host was suspended. After a loss of power only the wall clock is left, and
-  it may have been stepped.
+  it may have been stepped. Two readings that agreed with most other routers'
+  clocks are trusted to the sum of what each was off: wrong only if most
+  hosts' clocks are stepped together in the seconds around a loss of power.
+  A host that was off has drawn nothing since it was switched on again.
 
   Returns:
     The most that can have passed; None when the clocks tell nothing.
@@ -75,6 +74,9 @@
   wall_s = started.wall_s - issued.wall_s
   if boot_s >= 0 and abs(boot_s - wall_s) <= _SAME_BOOT_S:
     return boot_s + _SAME_BOOT_S
-  agreed = issued.agreed and started.agreed
-  error_s = _AGREED_ERROR_S if agreed else _WALL_ERROR_S
+  if boot_s < 0:
+    wall_s -= started.boot_s
+  error_s = _WALL_ERROR_S
+  if issued.error_s is not None and started.error_s is not None:
+    error_s = issued.error_s + started.error_s
   return None if wall_s + error_s < 0 else wall_s + error_s
--- a/mustardfall/budget/granting.py
+++ b/mustardfall/budget/granting.py
@@ -99,12 +99,16 @@
     limit = self._known.limit_of(budget)
     if limit is None or not self._config.reports:
       return None
-    view = self._known.view(budget, limit)
     drawn = 0 if row is None else row.drawn
+    slack, rate = least, 0.0  # nothing more draws on a retired row
+    if row is None or not row.retiring:
+      view = self._known.view(budget, limit)
+      slack = max(least, holding.slack(view, self._config))
+      rate = holding.growth(view, self._config)
     ceiling = ceilings_lib.Ceiling(
-        tokens=drawn + max(least, holding.slack(view, self._config)),
+        tokens=drawn + slack,
         grace_s=self._config.ceiling_grace_s,
-        rate=holding.growth(view, self._config),
+        rate=rate,
         issued=self._vouch(self._clock.moment()),
     )
     if row is not None:
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -63,6 +63,9 @@
   """Grant to the tokens of it that its holder has reported as used."""
   ceilings: typing.NotRequired[dict[str, list[float]]]
   """Grant to its holder's last promise; see `ceilings.decode`."""
+  out: typing.NotRequired[dict[str, dict[str, int]]]
+  """Grant of a holder that has stopped to the parts of it still with other
+  routers, and their tokens."""
 
 
 class Balance(NamedTuple):
@@ -173,6 +176,9 @@
   the holder may only be paused, and may have heard that the part ended
   (its reply was lost) and be spending the rest by itself. It is given
   back when the holder settles, or after a holder that stopped for good.
+
+  An empty `gid` stands for the grant that the part is of, if its holder has
+  stopped: a router that never had an answer to its ask does not know it.
   """
 
   gid: str
@@ -181,6 +187,19 @@
   used: int
 
 
+class Shrink(NamedTuple):
+  """Gives `tokens` of grant `gid` back that its holder has not drawn.
+
+  The holder no longer draws on them when it asks. `base` is what it knows to
+  be granted: a ledger that shows another figure has taken this change
+  already, or one that the holder has not heard of.
+  """
+
+  gid: str
+  base: int
+  tokens: int
+
+
 class WriteOff(NamedTuple):
   """Counts grant `gid` as lost, since its holder has gone."""
 
@@ -386,14 +405,33 @@
       place: {**ledger[place], change.gid: sum(kept.values())},
       "spent": ledger["spent"] + _unbilled(change, ledger),
       "parts": {**ledger["parts"], change.gid: marks},
+      "out": {**ledger.get("out", {}), change.gid: kept},
   }
   after = _forget_reports(after, change.gid)
   after = _drop_if_done(after, place, change.gid)
   return _lose(after, _not_here(change, ledger))
 
 
+@change_lib.apply.register
+def _(change: Shrink, ledger: Ledger | None) -> Ledger | None:
+  if ledger is None or granted(ledger, change.gid) != change.base:
+    return None
+  left = ledger["grants"][change.gid] - change.tokens
+  return {**ledger, "grants": {**ledger["grants"], change.gid: left}}
+
+
+def _grant_of(ledger: Ledger | None, part: str) -> str:
+  """Returns the stopped holder's grant that `part` is of; empty: none."""
+  for gid, parts in (ledger or {}).get("out", {}).items():
+    if part in parts:
+      return gid
+  return ""
+
+
 @change_lib.apply.register
 def _(change: SettlePart, ledger: Ledger | None) -> Ledger | None:
+  if not change.gid:
+    change = change._replace(gid=_grant_of(ledger, change.part))
   if ledger is not None and change.part in ledger["lost"]:
     # The holder of the grant wrote the part off before it went.
     return change_lib.apply(Settle(change.part, change.used), ledger)
@@ -443,6 +481,7 @@
       **ledger,
       place: _without(ledger[place], gid),
       "parts": _without(ledger["parts"], gid),
+      "out": _without(ledger.get("out", {}), gid),
   }
 
 
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -199,6 +199,12 @@
     """Gives the budget's idle tokens back, soon; the rest as they end."""
     for row in self.table.retire(budget):
       self._settler.settle_row(row)
+    self._shrink_retired()
+
+  def _shrink_retired(self) -> None:
+    for row in self.table.rows.values():
+      if row.gid not in self._granter.asking:
+        self._settler.shrink(row)
 
   def tick(self, elapsed_s: float) -> None:
     """Ages rows, settles finished ones, writes off what is gone."""
@@ -212,6 +218,7 @@
     self.drawer.prefetch()
     self.owner.return_unowned()
     self.owner.write_off_parts()
+    self._shrink_retired()
     quiet_since = now - self._config.term_s
     for part in (
         self._refusals,
--- a/mustardfall/budget/recalling.py
+++ b/mustardfall/budget/recalling.py
@@ -87,6 +87,8 @@
       async with anyio.create_task_group() as tg:
         for row in self._table.retire(budget):
           tg.start_soon(self._settler.settle_now, row)
+        for gid in self._table.by_budget.get(budget, ()):
+          tg.start_soon(self._settler.shrink_now, self._table.rows[gid])
       await self._settler.settle_parts()
 
   def forget(self, before: float) -> None:
--- a/mustardfall/budget/settling.py
+++ b/mustardfall/budget/settling.py
@@ -99,6 +99,26 @@
     if waiting is not None and waiting.issued <= ceiling.issued:
       del self._reporting[gid]
 
+  def shrink(self, row: allotment.Row) -> None:
+    """Gives back soon what a retired row has left, while requests draw on it.
+
+    A router that is cut off from it, or a stream that lasts, may hold a
+    retired row for long; nothing else may draw on the rest meanwhile.
+    """
+    change = _shrink(row)
+    if change is not None:
+      self._writer.post(ledger.key(row.budget), change)
+
+  async def shrink_now(self, row: allotment.Row) -> None:
+    """Does so and waits for it, or leaves it to be tried again."""
+    change = _shrink(row)
+    if change is None:
+      return
+    try:
+      await self._writer.submit(ledger.key(row.budget), change)
+    except (errors.KvUnavailableError, errors.KvUnknownError):
+      self._writer.post(ledger.key(row.budget), change)
+
   async def settle_now(self, row: allotment.Row) -> None:
     """Settles a row and waits for it, or leaves it to be tried again."""
     if row.source:
@@ -139,10 +159,10 @@
 
   def _settle_orphan(self, ended: peers_lib.Ended, row: allotment.Row) -> None:
     """Settles a part in the ledger, once, since its owner has gone."""
-    if not row.source_gid:
+    if row.orphaned:
       return
     change = ledger.SettlePart(row.source_gid, row.gid, row.granted, ended.used)
-    row.source_gid = ""
+    row.orphaned = True
     self._writer.post(ledger.key(row.budget), change)
     self.counts["orphan_parts"] += 1
 
@@ -197,6 +217,20 @@
     return promised and bool(self._members.successor(ledger.holder(gid)))
 
 
+def _shrink(row: allotment.Row) -> ledger.Shrink | None:
+  """Returns the change that gives a retired row's rest back, if it has one.
+
+  The rest is taken off the row at once. Nothing draws on a retired row, so
+  nothing is lost or drawn twice if the ledger shows the old figure for a
+  while, or if the change is passed over and made again.
+  """
+  tokens = row.undrawn
+  if row.source or not row.retiring or tokens <= 0:
+    return None
+  row.granted -= tokens
+  return ledger.Shrink(row.gid, row.granted + tokens, tokens)
+
+
 def _used(row: allotment.Row) -> int:
   """Returns the tokens of a row that were used for certain."""
   return row.used + sum(row.parts_used.values())
--- a/mustardfall/membership/clockcheck.py
+++ b/mustardfall/membership/clockcheck.py
@@ -23,6 +23,9 @@
 _AGREE_S = 0.25
 """How far two clocks may differ and still agree. Clocks of one data centre
 are within some ms, a step is two seconds or more."""
+_CLOSE_S = 0.02
+"""Compared again each second until it is known this closely; calls between
+routers that have just started are slow, and tell less."""
 _PAUSE_S = 0.1
 """Between two rounds while clocks do not agree yet: routers that start
 together answer one after the other."""
@@ -53,14 +56,18 @@
     self._clock = clock
     self._offset_s: float | None = None
     """Wall clock less boot clock when it last agreed; a step changes it."""
+    self._error_s = _AGREE_S
+    """How far the clock was off most others then, at most."""
     self._agreed = anyio.Event()
 
   def vouch(self, moment: clock_lib.Moment) -> clock_lib.Moment:
     """Returns a moment of this process, marked if its clock agreed then."""
     if self._offset_s is None:
       return moment
-    stepped_s = moment.wall_s - moment.boot_s - self._offset_s
-    return moment._replace(agreed=abs(stepped_s) <= _AGREE_S)
+    stepped_s = abs(moment.wall_s - moment.boot_s - self._offset_s)
+    if stepped_s > _AGREE_S:
+      return moment
+    return moment._replace(error_s=self._error_s + stepped_s)
 
   @property
   def agrees(self) -> bool:
@@ -74,47 +81,62 @@
         await self._agreed.wait()
 
   async def run(self) -> None:
-    """Compares until the clocks agree, and after each step again."""
+    """Compares until the clocks agree closely, and after each step again."""
     while self._config.clock_quorum:
       if self.agrees:
         await anyio.sleep(_WATCH_S)
-        continue
+        if self.agrees and self._error_s <= _CLOSE_S:
+          continue
       others = self._members.lives.values()
       await self._compare(m for m in others if m != self._members.me)
       await anyio.sleep(_PAUSE_S)
     await anyio.sleep_forever()
 
   async def _compare(self, others: Iterable[members_lib.Member]) -> None:
-    differences: list[float | None] = []
+    found: list[float | None] = []
 
     async def _ask(member: members_lib.Member) -> None:
-      differences.append(await self._difference_s(member))
+      found.append(await self._most_off_s(member))
 
     async with anyio.create_task_group() as tg:
       for member in others:
         tg.start_soon(_ask, member)
-    near = [d for d in differences if d is not None and abs(d) <= _AGREE_S]
-    agreeing = 1 + len(near)
-    most = 2 * agreeing > 1 + len(differences)
-    if not most or agreeing < self._config.clock_quorum:
+    near = sorted(off for off in found if off is not None and off <= _AGREE_S)
+    # This router's own clock counts among the most that must agree.
+    needed = max(self._config.clock_quorum, (len(found) + 1) // 2 + 1) - 1
+    if len(near) < needed:
+      return
+    error_s = near[needed - 1] if needed else 0.0
+    if self.agrees and error_s >= self._error_s:
       return
     moment = self._clock.moment()
     self._offset_s = moment.wall_s - moment.boot_s
+    self._error_s = error_s
     self._agreed.set()
     logger.info(
         "wall clock agrees",
-        extra={"agreeing": agreeing, "asked": len(differences)},
+        extra={
+            "agreeing": 1 + len(near),
+            "asked": len(found),
+            "error_s": round(error_s, 4),
+        },
     )
 
-  async def _difference_s(self, member: members_lib.Member) -> float | None:
-    """Returns how far another router's clock is ahead, None: no answer."""
+  async def _most_off_s(self, member: members_lib.Member) -> float | None:
+    """Returns how far another router's clock is off, None: no answer.
+
+    Its clock was read some time between the call and the answer.
+    """
     timeout_s = _AGREE_S  # an older answer would say too little
+    asked_s = self._clock.moment().wall_s
     try:
       answer = await self._post(member.url + PATH, {}, timeout_s)
     except errors.PeerUnavailableError as exc:
       logger.debug("clock not compared: %s", exc)
       return None
-    return float(answer["wall_s"]) - self._clock.moment().wall_s
+    answered_s = self._clock.moment().wall_s
+    read_s = float(answer["wall_s"])
+    return max(abs(read_s - asked_s), abs(read_s - answered_s))
 
   async def serve(self, body: dict) -> dict:
     """Tells another router this host's wall clock."""
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -38,6 +38,9 @@
   """A part takes at most this share of what the owner has free."""
   term_s: float = pydantic.Field(default=10.0, gt=0)
   """Unused tokens go back to the budget after this many seconds."""
+  rate_s: float = pydantic.Field(default=3.0, gt=0)
+  """A budget's draw is averaged over so many seconds. Requests are lumps of
+  up to a tenth of a small budget."""
   share_held: float = pydantic.Field(default=0.5, ge=0, le=1)
   """All holders together hold this part of what is left of a budget."""
   requests_held: float = pydantic.Field(default=2.0, ge=0)
--- a/mustardfall/util/clock.py
+++ b/mustardfall/util/clock.py
@@ -12,8 +12,14 @@
   """Seconds since the host's boot; suspended time counts."""
   wall_s: float
   """Seconds of the wall clock, which may be stepped."""
-  agreed: bool = False
-  """Whether the wall clock agreed with most routers' then."""
+  error_s: float | None = None
+  """How far the wall clock was off most routers' clocks then, at most; None:
+  it was not compared, or was far off."""
+
+  @property
+  def agreed(self) -> bool:
+    """Whether the wall clock agreed with most routers' then."""
+    return self.error_s is not None
 
 
 class Clock(Protocol):
@@ -28,6 +34,9 @@
   def moment(self) -> Moment:
     """Returns the present moment, for a later process to compare with."""
 
+  def started(self) -> Moment:
+    """Returns a moment at which this process was already started."""
+
 
 class SystemClock:
   """The machine's clocks."""
@@ -44,6 +53,15 @@
     """Returns the present moment."""
     return Moment(time.clock_gettime(time.CLOCK_BOOTTIME), time.time())
 
+  def started(self) -> Moment:
+    """Returns the moment at which this module was loaded."""
+    return _LOADED
+
+
+_LOADED = SystemClock().moment()
+"""Read before anything else is loaded, which takes some 0.4 s: the package
+imports this module first."""
+
 
 class FakeClock:
   """A clock that moves only when told to; for tests."""
@@ -63,6 +81,10 @@
     """Returns the fake time on both clocks."""
     return Moment(self._now, self._now)
 
+  def started(self) -> Moment:
+    """Returns the present moment."""
+    return self.moment()
+
   def advance(self, delta: datetime.timedelta) -> None:
     """Moves the clock forward by `delta`."""
     self._now += delta.total_seconds()
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -137,6 +137,9 @@
     boot_s, wall_s, _ = self._clock.moment()
     return clock_lib.Moment(boot_s + self.boot_s, wall_s + self.step_s)
 
+  def started(self):
+    return self.moment()
+
 
 class PoolMachine(stateful.RuleBasedStateMachine):
 
