--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -93,6 +93,7 @@
   def _on_value(self, key: str, value: change.Value) -> None:
     if key == self.pool.renewer.key:
       self.pool.renewer.take(value)
+      return
     if key.startswith(ledger.PREFIX):
       name = key.removeprefix(ledger.PREFIX)
       self._balances[name] = ledger.Balance(
@@ -120,7 +121,6 @@
         self.members.follow,
         self.pool.drawer.run,
         self.pool.reviewer.run,
-        self.pool.renewer.run,
         self.clock_check.run,
         self._settle_parts,
     )
--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -247,15 +247,20 @@
     slack = last.ceiling.tokens - row.drawn
     return slack < last.slack * _SLACK_LOW
 
+  @property
+  def has_promised(self) -> bool:
+    """Whether any promise may be in force."""
+    return any(row.promises for row in self.rows.values())
+
   def keeps_promises(self) -> bool:
     """Whether no more is in use than promises allowed when they were made."""
     return all(row.keeps_promises for row in self.rows.values())
 
-  def renew(self, at: float, now: float) -> None:
-    """Has all promises count from `at`, or from their own issue if later."""
-    self.renewed_at = at
+  def renew(self, now: float) -> None:
+    """Has all promises count from `now`."""
+    self.renewed_at = now
     for row in self.rows.values():
-      row.look(now, at)
+      row.look(now, now)
 
   def issue(self, gid: str, ceiling: ceilings_lib.Ceiling, now: float) -> None:
     """Notes a promise that is about to be sent."""
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -35,10 +35,6 @@
 from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
 
-_REPORT_S = 1.0
-"""Between two reports of what grants have used. A dead router's grants are
-written off but for what it reported; each report costs a write."""
-
 
 class Pool:
   """A router's share of the budgets.
@@ -211,9 +207,10 @@
     now = self._clock.monotonic()
     for row in self.table.tick(now, elapsed_s):
       self._settler.settle_row(row)
-    if now - self._reported_at >= _REPORT_S and self._config.reports:
+    if now - self._reported_at >= self._config.report_s and self._config.reports:
       self._reported_at = now
       self._granter.report_use()
+      self.renewer.renew()
     self.known.tick()
     self.drawer.prefetch()
     self.owner.return_unowned()
--- a/mustardfall/budget/renewals.py
+++ b/mustardfall/budget/renewals.py
@@ -14,7 +14,6 @@
 
 import anyio
 
-from mustardfall import errors
 from mustardfall import settings
 from mustardfall.budget import allotment
 from mustardfall.kv import change as change_lib
@@ -25,10 +24,6 @@
 _LIVES_KEPT = 4
 """Earlier lives whose last renewal is kept: a router that dies again before
 it has judged the life before leaves both to the next."""
-_UNSURE_S = 3.0
-"""After a renewal of unknown fate no other is sent for this long. It may
-stand, so its holder counts from it; sent again and again into a cut, they
-would keep the holder from drawing more when it must."""
 
 
 class Renewals(TypedDict):
@@ -86,6 +81,8 @@
     self._vouch = vouch
     self._earlier: dict[str, clock_lib.Moment] = {}
     self._read = anyio.Event()
+    self._pending: list[float] | None = None
+    """The moment of a renewal that was not heard of yet."""
 
   @property
   def key(self) -> str:
@@ -97,42 +94,34 @@
     for life, moment in value["lives"].items():
       if life != self._life:
         self._earlier[life] = clock_lib.Moment(*moment)
+      elif list(moment) == self._pending:
+        self._pending = None
     self._read.set()
 
-  async def earlier(self, timeout_s: float) -> Mapping[str, clock_lib.Moment]:
+  async def earlier(
+      self, timeout_s: float
+  ) -> Mapping[str, clock_lib.Moment]:
     """Returns the last renewals of earlier lives, as far as known by then."""
     if self._config.reports:
       with anyio.move_on_after(timeout_s):
         await self._read.wait()
     return self._earlier
 
-  async def run(self) -> None:
-    """Renews until cancelled."""
-    while self._config.reports:
-      pause_s = self._config.renew_s
-      try:
-        await self.renew()
-      except errors.KvUnknownError:
-        pause_s = _UNSURE_S
-      await anyio.sleep(pause_s)
-    await anyio.sleep_forever()
-
-  async def renew(self) -> None:
-    """Renews once, unless a promise does not hold any more.
+  def renew(self) -> None:
+    """Renews soon, if all promises hold and the last renewal was heard of.
 
     A holder that was out of touch may have drawn more than it had promised
-    at first; it reports that before it renews.
-
-    Raises:
-      errors.KvUnknownError: the renewal may stand.
+    at first; it reports that before it renews. A renewal that is sent may
+    stand, so the holder counts from it at once. Sent again and again into a
+    silent store, they would keep it from drawing more when it must.
     """
-    if not self._table.keeps_promises():
+    table = self._table
+    if self._pending is not None or not table.has_promised:
+      return
+    if not table.keeps_promises():
       return
-    before = self._table.renewed_at
     moment = self._vouch(self._clock.moment())
     now = self._clock.monotonic()
-    self._table.renew(now, now)
-    try:
-      await self._writer.submit(self.key, Renew(self._life, moment))
-    except errors.KvUnavailableError:
-      self._table.renew(before, self._clock.monotonic())
+    self._table.renew(now)
+    self._pending = list(moment)
+    self._writer.post(self.key, Renew(self._life, moment))
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -55,8 +55,9 @@
   """Beside that, for so many requests' tokens."""
   slack_left: float = pydantic.Field(default=0.25, gt=0, le=1)
   """All holders' reports allow for at most this share of what is left."""
-  renew_s: float = pydantic.Field(default=1.0, gt=0)
-  """Time between two renewals of all promises."""
+  report_s: float = pydantic.Field(default=1.0, gt=0)
+  """Time between two reports of use, with which all promises are renewed.
+  Each costs a write."""
   ceiling_grace_s: float = pydantic.Field(default=2.0, ge=0)
   """What a report allows for must do for so long, seconds."""
   ceiling_rate: float = pydantic.Field(default=1.5, ge=0)
