Tests of renewals, memory of used-up budgets, deputies, shrunk grants and the model; 402 for a budget's hopeless first request

A router that draws through a budget's owner may never have seen the ledger, so it answered a hopeless first request of a fleet that had just started with 429. Change: the tests; the router reads such a ledger once. Before: test_hopeless_first_request_of_a_budget_is_told_so fails on the old calls.py.

--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from mustardfall import errors
 from mustardfall import events
 from mustardfall import settings
 from mustardfall.budget import ledger
@@ -113,6 +114,24 @@
     """Returns what the budget's ledger said when last seen, if ever."""
     return self._balances.get(budget)
 
+  async def look_up(self, budget: str) -> ledger.Balance | None:
+    """Returns what the ledger says, read from the KV if it was never seen.
+
+    One read per budget and router: from then on what was seen is known. None
+    when there is no such budget, or the KV does not tell.
+    """
+    if budget not in self._balances:
+      try:
+        found = await ledger.read(self._kv, budget)
+      except (errors.KvUnavailableError, errors.KvUnknownError) as exc:
+        logger.info(
+            "ledger not read", extra={"budget": budget, "error": str(exc)}
+        )
+        return None
+      if found is not None:
+        self._on_value(ledger.key(budget), found)
+    return self.balance(budget)
+
   def loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
     """Returns the loops that keep the accounts going, to be supervised."""
     return (
--- a/mustardfall/api/calls.py
+++ b/mustardfall/api/calls.py
@@ -53,7 +53,9 @@
   reservation = await router.pool.reserve(entry.name, tokens, entry.customer)
   if reservation is None:
     count(router, entry, End.REFUSED)
-    known = router.accounts.balance(entry.name)
+    # A router that draws through the budget's owner may never have seen the
+    # ledger; told to come back, a hopeless request would do so for ever.
+    known = await router.accounts.look_up(entry.name)
     if known is not None and tokens > known.limit:
       # Come back, and it would be refused for ever.
       return verdict.refuse(
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -57,13 +57,15 @@
   """Returns how many tokens a holder may draw until it reports again.
 
   Enough for the draw between two reports and for a cut's first seconds. All
-  of it is lost with the holder, so together holders risk a fixed part of
-  what is left: little, near a budget's end.
+  of it is lost with the holder, which hurts only if the budget runs out
+  later. So what holders risk together falls with the square of what is left:
+  an early cut refuses few, a death near the end loses little.
   """
   usual = view.rate * config.slack_s + view.request * config.requests_slack
   free = view.limit if view.free is None else view.free
-  left = (free + view.held) * config.slack_left
-  return int(min(usual, left * _share(view)))
+  left = free + view.held
+  risked = left * config.slack_left * left / max(view.limit, 1)
+  return int(min(usual, risked * _share(view)))
 
 
 def growth(view: View, config: settings.Allotment) -> float:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -46,6 +46,20 @@
         (first.status_code, again.status_code, other.status_code),
     )
 
+  def test_hopeless_first_request_of_a_budget_is_told_so(self):
+    # Each router of a fleet that has just started gets one request for far
+    # more than its budget, before anything else was asked of that budget.
+    # Only one of the routers owns it and sees its ledger; all say 402.
+    self.start(routers=3)
+    chat = '{"messages": [{"role": "user", "content": "x"}], "max_tokens": %s}'
+    for url in self.routers:
+      headers = {"authorization": f"Bearer {fleetcase.ENTRY.api_key}"}
+      answer = httpx.post(
+          url + _CHAT, content=chat % str(10**12), headers=headers, timeout=20
+      )
+      self.assertEqual(402, answer.status_code)
+      self.assertNotIn("retry-after", answer.headers)
+
   def test_booking_key_used_for_another_booking(self):
     self.start()
     url = self.routers[0] + "/v1/bookings"
--- /dev/null
+++ b/tests/test_drawing.py
@@ -0,0 +1,35 @@
+"""Grants are taken in the background, one at a time per budget."""
+
+import testtools
+
+from mustardfall.budget import drawing
+from tests import test_pool_states
+
+
+class DrawerTest(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    self.machine = test_pool_states.ConfiguredPoolMachine()
+    self.addCleanup(self.machine.portal_cm.__exit__, None, None, None)
+
+  def test_grant_that_a_failed_run_left_behind_is_taken_again(self):
+    # What the caller sees: 429 from one router for one budget, for ever. The
+    # loop that takes grants failed and took the task of a grant with it
+    # before its first step; started again, it took the grant for under way.
+    drawer = self.machine.world.pools["r1"].drawer
+    drawer._flights["b"] = drawing._Flight()
+    self.machine.reserve("r1", 20)
+    self.machine.reserve("r1", 20)
+    self.assertEqual(2, len(self.machine.open))
+    self.assertFalse(drawer.busy)
+
+  def test_failed_grant_keeps_nobody_waiting(self):
+    # The store turns this router away: its callers go on to a deputy at
+    # once, and the deputy's grant serves them.
+    self.machine.partition("r1")
+    self.machine.reserve("r1", 20)
+    self.assertEqual(1, len(self.machine.open))
+    counts = self.machine.world.pools["r1"].counts
+    self.assertEqual(1, counts["parts"])
+    self.assertEqual(0, counts["grants"])
--- /dev/null
+++ b/tests/test_known.py
@@ -0,0 +1,116 @@
+"""What a router knows of budgets that are nearly used up.
+
+What the caller sees: 402, with no time to come back, when nothing that may
+come back could cover the request; 429 with a time otherwise.
+"""
+
+import datetime
+
+import testtools
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import ceilings
+from mustardfall.budget import comeback
+from mustardfall.budget import known
+from mustardfall.budget import ledger
+from mustardfall.budget import policy
+from mustardfall.util import clock as clock_lib
+
+
+class _KnownCase(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    self.clock = clock_lib.FakeClock()
+    self.limit = ledger.Limit(1_000, 1)
+    config = settings.Allotment()
+    self.table = allotment.Table("a:1", config)
+    self.known = known.Known(
+        config,
+        self.clock,
+        None,
+        self.table,
+        lambda _: policy.CONFIGURED,
+        lambda _: self.limit,
+        tuple,
+    )
+
+
+class ExhaustedTest(_KnownCase):
+
+  def _pass(self, seconds: float) -> None:
+    self.clock.advance(datetime.timedelta(seconds=seconds))
+
+  def _is_exhausted(self, tokens: int = 50) -> bool:
+    return self.known.is_exhausted("b", tokens)
+
+  def test_believed_longer_each_time_it_is_found_so(self):
+    # A used-up budget asked for 20 times a second by each of 8 routers cost
+    # a look at the ledger each half second and router, found for nothing.
+    for believed_s in (0.5, 1.0, 2.0, 4.0, 4.0):
+      self.known.note_exhausted("b", 50)
+      self._pass(believed_s - 0.01)
+      self.assertTrue(self._is_exhausted())
+      self._pass(0.02)
+      self.assertFalse(self._is_exhausted())
+
+  def test_smaller_request_is_not_refused_for_a_larger_one(self):
+    self.known.note_exhausted("b", 50)
+    self.assertFalse(self._is_exhausted(49))
+    self.assertTrue(self._is_exhausted(51))
+
+  def test_raised_limit_ends_it_at_once(self):
+    self.known.note_exhausted("b", 50)
+    self.limit = ledger.Limit(2_000, 2)
+    self.assertFalse(self._is_exhausted())
+
+  def test_quiet_for_a_while_it_begins_anew(self):
+    for _ in range(3):
+      self.known.note_exhausted("b", 50)
+      self._pass(1.0)
+    self._pass(10.0)
+    self.known.note_exhausted("b", 50)
+    self._pass(0.51)
+    self.assertFalse(self._is_exhausted())
+
+
+class MostLeftTest(_KnownCase):
+
+  def _found(self, **more) -> ledger.Ledger:
+    found = ledger.Ledger(
+        limit=1_000,
+        limit_version=1,
+        spent=700,
+        grants={},
+        lost={},
+        lost_before=0,
+        parts={},
+        ops=[],
+    )
+    return {**found, **more}
+
+  def test_counts_all_that_may_come_back(self):
+    # Others' grants, and what a dead router promised not to have drawn.
+    ceiling = ceilings.encode(
+        ceilings.Ceiling(10, 2.0, 1.0, clock_lib.Moment(0.0, 0.0))
+    )
+    found = self._found(
+        grants={"c:1:1": 100}, lost={"d:1:1": 40}, ceilings={"d:1:1": ceiling}
+    )
+    self.known.note("b", found)
+    self.assertEqual(300 - 10, self.known.most_left("b", 0.01))
+
+  def test_what_was_written_off_for_good_does_not_count(self):
+    self.known.note("b", self._found(lost={"d:1:1": 40}))
+    self.assertEqual(260 - 10, self.known.most_left("b", 0.01))
+
+
+class ComebackTest(testtools.TestCase):
+
+  def test_soon_while_the_store_answers(self):
+    self.assertEqual(1.5, comeback.most_s(False, 15.0))
+
+  def test_late_while_it_is_away_but_in_time_for_the_answer(self):
+    self.assertAlmostEqual(4.95, comeback.most_s(True, 15.0))
+    self.assertEqual(1.5, comeback.most_s(True, 1.0))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -30,6 +30,47 @@
   return _run(go)
 
 
+class ShrinkTest(testtools.TestCase):
+
+  def test_rest_of_a_retired_grant_comes_back_while_it_is_drawn_on(self):
+    # A stream goes on for long on a grant that is due. Without this nobody
+    # could draw on its rest until the stream's end.
+    shrink = ledger.Shrink("r1:x:1", 400, 350)
+    after = _after(_GRANT, shrink, shrink)
+    self.assertEqual({"r1:x:1": 50}, after["grants"])
+    self.assertEqual(950, ledger.headroom(after))
+
+  def test_shrunk_grant_that_was_billed_before(self):
+    after = _after(
+        _GRANT, ledger.Bill("r1:x:1", 30), ledger.Shrink("r1:x:1", 400, 350)
+    )
+    self.assertEqual({"r1:x:1": 20}, after["grants"])
+    self.assertEqual((30, 950), (after["spent"], ledger.headroom(after)))
+
+  def test_shrink_of_a_grant_that_has_grown_since_is_passed_over(self):
+    grown = ledger.Grant("r1:x:1", 10, 100, 1.0, base=400)
+    after = _after(_GRANT, grown, ledger.Shrink("r1:x:1", 400, 350))
+    self.assertEqual({"r1:x:1": 500}, after["grants"])
+
+
+class UnknownGrantTest(testtools.TestCase):
+
+  def test_part_of_a_stopped_owner_is_settled_by_one_who_never_knew_it(self):
+    # The owner's answer was lost and it stopped: the router that asked knows
+    # its part, but not of which grant. The part must not stay out for ever.
+    part = ledger.SettlePart("", "r2:y:1", 100, 0)
+    after = _after(
+        _GRANT, ledger.Reduce("r1:x:1", 40, {"r2:y:1": 100}), part, part
+    )
+    self.assertEqual({}, after["grants"])
+    self.assertEqual((40, 960), (after["spent"], ledger.headroom(after)))
+
+  def test_part_that_no_stopped_owner_handed_on_changes_nothing(self):
+    before = _after(_GRANT)
+    part = ledger.SettlePart("", "r2:y:1", 100, 0)
+    self.assertEqual(before, _after(_GRANT, part))
+
+
 class LedgerTest(testtools.TestCase):
 
   def test_grant_then_settle_bills_used_and_returns_rest(self):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -41,6 +41,21 @@
     moved = [b for b in before if before[b] != after[b]]
     self.assertEqual({"r3"}, {before[b] for b in moved})
 
+  def test_router_that_starts_again_owns_what_it_owned(self):
+    # All routers die and start anew. By life, nearly every budget would
+    # change hands, and its tokens would lie with routers that own it no more.
+    before = self._owners()
+    again = [_member(i)._replace(epoch="f") for i in range(1, 8)]
+    self.view._replace([_member(0), *again])
+    self.assertEqual(before, self._owners())
+
+  def test_deputies_come_in_order_and_suspects_last(self):
+    first, second, third = self.view.candidates("b")
+    self.assertEqual(first, self.view.owner("b"))
+    self.view.suspect(first.life)
+    self.assertEqual([second, third, first], self.view.candidates("b"))
+    self.assertEqual(second, self.view.owner("b"))
+
   def test_few_owners_change_only_with_an_owner(self):
     # With a bound on owners, a restart of another router moves nothing;
     # an owner's going brings in one newcomer.
--- /dev/null
+++ b/tests/test_renewals.py
@@ -0,0 +1,116 @@
+"""A renewal says at one moment that all of a router's promises still hold.
+
+What the caller sees: after all routers have died, requests that the budget
+covers are served again. A router that was well but had nothing to report
+would seem to have drawn more and more; without renewals all of that is lost.
+"""
+
+import datetime
+
+import testtools
+
+from mustardfall import settings
+from mustardfall.budget import allotment
+from mustardfall.budget import ceilings
+from mustardfall.budget import ledger
+from mustardfall.budget import renewals
+from mustardfall.kv import change
+from mustardfall.util import clock as clock_lib
+
+_LIMIT = ledger.Limit(1_000, 1)
+
+
+def _at(boot_s: float) -> clock_lib.Moment:
+  return clock_lib.Moment(boot_s, boot_s)
+
+
+class _Writer:
+  """Keeps what was posted."""
+
+  def __init__(self):
+    self.posted = []
+
+  def post(self, key, asked):
+    self.posted.append((key, asked))
+
+
+class RenewTest(testtools.TestCase):
+
+  def test_later_renewal_replaces_an_earlier_one_only(self):
+    value = change.apply(renewals.Renew("a:1", _at(5.0)), None)
+    self.assertIsNone(change.apply(renewals.Renew("a:1", _at(4.0)), value))
+    value = change.apply(renewals.Renew("a:1", _at(6.0)), value)
+    self.assertEqual({"a:1": [6.0, 6.0, None]}, value["lives"])
+
+  def test_lives_of_a_router_that_dies_often_are_kept_for_a_while(self):
+    value = None
+    for life in range(7):
+      value = change.apply(renewals.Renew(f"a:{life}", _at(life)), value)
+    self.assertEqual(["a:3", "a:4", "a:5", "a:6"], list(value["lives"]))
+
+  def test_dead_router_is_judged_from_its_last_renewal(self):
+    # Promised at 50 s, renewed at 58 s, back at 59 s: flat for two seconds,
+    # so 80 are lost; by the promise alone it would be 80 + 7 * 30.
+    ceiling = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0))
+    found = change.apply(
+        ledger.Grant("a:1:1", 1, 600, 1.0, 0.0, _LIMIT, 0, ceiling), None
+    )
+    found = change.apply(ledger.Bill("a:1:1", 100), found)
+    renewed = {"a:1": _at(58.0)}
+    review = ledger.Reclaim("a:2", _at(59.0), renewed)
+    self.assertEqual(80, ledger.lost(change.apply(review, found)))
+    alone = ledger.Reclaim("a:2", _at(59.0))
+    self.assertTrue(ledger.lost(change.apply(alone, found)) > 280)
+
+
+class RenewerTest(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    self.clock = clock_lib.FakeClock()
+    config = settings.Allotment(reports=True)
+    self.table = allotment.Table("a:1", config)
+    self.writer = _Writer()
+    self.renewer = renewals.Renewer(
+        config, self.clock, "a:1", self.table, self.writer, lambda m: m
+    )
+    self.table.add("b", "a:1:1", 600, self.clock.monotonic())
+    now = self.clock.monotonic()
+    self.table.issue("a:1:1", ceilings.Ceiling(100, 2.0, 30.0, _at(0)), now)
+
+  def _renew(self) -> int:
+    """Returns how many renewals were sent so far."""
+    self.renewer.renew()
+    return len(self.writer.posted)
+
+  def _answer(self) -> None:
+    _, asked = self.writer.posted[-1]
+    self.renewer.take(change.apply(asked, None))
+
+  def test_holder_counts_from_its_renewal_at_once(self):
+    self.clock.advance(datetime.timedelta(seconds=4))
+    self.table.look("b", self.clock.monotonic())
+    self.assertEqual(160, self.table.rows["a:1:1"].free)
+    self.assertEqual(1, self._renew())
+    self.assertEqual(100, self.table.rows["a:1:1"].free)
+
+  def test_no_other_is_sent_into_a_silent_store(self):
+    self.assertEqual(1, self._renew())
+    self.clock.advance(datetime.timedelta(seconds=4))
+    self.assertEqual(1, self._renew())
+    self.table.look("b", self.clock.monotonic())
+    self.assertEqual(160, self.table.rows["a:1:1"].free)
+    self._answer()
+    self.assertEqual(2, self._renew())
+
+  def test_overdrawn_promise_is_not_renewed(self):
+    # Out of touch it drew more than it had promised at first. Renewed, the
+    # promise would say that it had not.
+    self.clock.advance(datetime.timedelta(seconds=4))
+    self.table.look("b", self.clock.monotonic())
+    self.assertIsNotNone(self.table.reserve("b", 150))
+    self.assertEqual(0, self._renew())
+
+  def test_nothing_promised_nothing_renewed(self):
+    self.table.rows["a:1:1"].promises.clear()
+    self.assertEqual(0, self._renew())
--- /dev/null
+++ b/tests/test_virtual.py
@@ -0,0 +1,81 @@
+"""The model in virtual time, and the deployed policy on the days it answers.
+
+Pattern: the users' deployments with eight hosts. Many or all hosts lose the
+store twice for some eight seconds, while they still reach each other, and on
+most days all of them die near the end. Traffic, budgets (1.3 times of what
+34 s usually ask) and times are those of `bench.virtual.days`.
+"""
+
+import pathlib
+
+import testtools
+
+from mustardfall.bench import experiment
+from mustardfall.bench.virtual import days
+from mustardfall.bench.virtual import play
+
+_ROOT = pathlib.Path(__file__).parents[1]
+_DEPLOYED = experiment.read_policy(_ROOT / "deploy" / "router.yaml", None)
+
+
+def _policy(**allotment):
+  """Returns the deployed settings with others for allotments."""
+  changed = _DEPLOYED.allotment.model_copy(update=allotment)
+  return _DEPLOYED.model_copy(update={"allotment": changed})
+
+
+def _cut(at_s):
+  return days.Cut(at_s=at_s, for_s=8.0)
+
+
+_KILL = days.Kill(at_s=34.0, for_s=1.0, power=True)
+
+
+class ModelTest(testtools.TestCase):
+
+  def test_same_seed_same_day(self):
+    day = days.draw(3).model_copy(update={"traffic_s": 8.0})
+    first = play.play(day, _DEPLOYED, 3)
+    self.assertEqual(first, play.play(day, _DEPLOYED, 3))
+    self.assertNotEqual(first, play.play(day, _DEPLOYED, 4))
+
+  def test_no_budget_is_overspent_on_drawn_days(self):
+    for seed in range(4):
+      result = play.play(days.draw(seed), _DEPLOYED, seed)
+      self.assertEqual(0, result.overspend, f"seed {seed}")
+
+  def test_calm_day_refuses_nobody(self):
+    day = days.Day(name="calm", traffic_s=15.0)
+    self.assertEqual(0, play.play(day, _DEPLOYED, 1).falsely)
+
+
+class PromiseSizeTest(testtools.TestCase):
+  """How much holders may draw unheard: by what is left of the budget.
+
+  A promise as large as two seconds of draw costs that much at a death, and
+  is too small in the first seconds of a cut. By a fixed part of what is left
+  it is large early, when nothing runs short, and small near the end.
+  """
+
+  _BEFORE = {
+      "slack_s": 2.0,
+      "slack_left": 0.25,
+      "ceiling_rate": 1.2,
+      "report_s": 1.0,
+  }
+
+  def test_deaths_near_the_end_lose_less(self):
+    day = days.Day(name="death", events=[_KILL])
+    lost = [
+        sum(play.play(day, config, seed).lost for seed in (1, 2))
+        for config in (_policy(**self._BEFORE), _DEPLOYED)
+    ]
+    self.assertTrue(lost[1] < 0.7 * lost[0], lost)
+
+  def test_early_cuts_refuse_fewer(self):
+    day = days.Day(name="cut", traffic_s=18.0, events=[_cut(6.0)])
+    refused = [
+        sum(play.play(day, config, seed).falsely for seed in (1, 2))
+        for config in (_policy(**self._BEFORE), _DEPLOYED)
+    ]
+    self.assertTrue(refused[1] < 0.7 * refused[0], refused)
