--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -26,6 +26,8 @@
 START_S = 0.5
 """From switching a host on, or starting a process, to a router's first
 decision."""
+_MOST_UPTIME_S = 100_000.0
+"""A boot clock that starts anew need not start at zero."""
 _ENDPOINTS = "endpoints/"
 """Prefix of the entries that a router's follower reads."""
 _FOLLOW_S = 1.0
@@ -203,7 +205,8 @@
     if power:
       self._fleet.network.powered_off.discard(self.name)
       step_s = self.clock.step_s
-      self.clock = loop_lib.Clock(self.clock.monotonic() - START_S)
+      uptime_s = self._fleet.rng.uniform(0.0, _MOST_UPTIME_S)
+      self.clock = loop_lib.Clock(self.clock.monotonic() - uptime_s)
       self.clock.step_s = step_s
     self.start()
 
--- a/mustardfall/bench/virtual/loop.py
+++ b/mustardfall/bench/virtual/loop.py
@@ -51,7 +51,7 @@
   """A host's clocks in virtual time.
 
   Args:
-    booted_s: virtual time at which the host was last powered on.
+    booted_s: virtual time at which the boot clock showed zero.
   """
 
   def __init__(self, booted_s: float = 0.0) -> None:
