--- /dev/null
+++ b/tests/test_job.py
@@ -0,0 +1,49 @@
+"""What a request is billed.
+
+What the caller sees: a budget that covers what was delivered to it. A server
+that runs requests and loses their answers would use up a budget, of which
+the team had got nothing.
+"""
+
+import types
+
+import testtools
+
+from mustardfall.proxy import job as job_lib
+from mustardfall.proxy import messages
+
+_USAGE = messages.Usage(prompt_tokens=900, most_output_tokens=50)
+
+
+def _job(passed: int = 0, usage: messages.Usage | None = _USAGE, **more):
+  engine = types.SimpleNamespace(tokens_per_event=5)
+  return job_lib.Job(
+      request=types.SimpleNamespace(usage=usage),
+      body=b"",
+      responder=None,
+      route=None,
+      service=types.SimpleNamespace(engine=engine),
+      team=None,
+      arrived=0.0,
+      deadline=5.0,
+      joiner=types.SimpleNamespace(passed=passed),
+      **more,
+  )
+
+
+class UsedTest(testtools.TestCase):
+
+  def test_lost_answer_is_not_billed_though_it_may_have_run(self):
+    self.assertEqual(0, _job(may_have_run=True).used)
+
+  def test_prompt_counts_with_the_first_event(self):
+    self.assertEqual(905, _job(passed=1, may_have_run=True).used)
+
+  def test_never_more_than_was_reserved(self):
+    self.assertEqual(_USAGE.most, _job(passed=400, may_have_run=True).used)
+
+  def test_answer_in_one_piece_counts_its_prompt(self):
+    self.assertEqual(900, _job(answered_whole=True).used)
+
+  def test_plain_requests_use_nothing(self):
+    self.assertEqual(0, _job(usage=None, answered_whole=True).used)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -7,6 +7,7 @@
 """
 
 import pathlib
+import tempfile
 
 import testtools
 
@@ -79,3 +80,23 @@
         for config in (_policy(**self._BEFORE), _DEPLOYED)
     ]
     self.assertTrue(refused[1] < 0.7 * refused[0], refused)
+
+
+class ReportTest(testtools.TestCase):
+
+  def test_report_names_each_policy_and_measure(self):
+    day = days.Day(name="calm", traffic_s=4.0)
+    jobs = [
+        experiment.Job(name, _DEPLOYED, day, seed)
+        for name in ("one", "two")
+        for seed in (1, 2)
+    ]
+    played = experiment.run(jobs, 1, lambda _: None)
+    table = experiment.to_table(played)
+    for word in ("| one |", "| two |", "falsely %", "overspend", "writes"):
+      self.assertIn(word, table)
+    self.assertEqual(4, len(played))
+    with tempfile.TemporaryDirectory() as folder:
+      paths = experiment.write(played, pathlib.Path(folder))
+      names = {path.name for path in paths}
+    self.assertTrue({"figures.json", "table.md"} <= names, names)
