--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -133,11 +133,14 @@
     return self.balance(budget)
 
   def loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
-    """Returns the loops that keep the accounts going, to be supervised."""
+    """Returns the loops that keep the accounts going, to be supervised.
+
+    Who is up is followed beside them: by `members.follow`, or as a deployment
+    tells it.
+    """
     return (
         self.writer.run,
         self.members.register,
-        self.members.follow,
         self.pool.drawer.run,
         self.pool.reviewer.run,
         self.clock_check.run,
--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -149,7 +149,12 @@
     )
     async with anyio.create_task_group() as tasks:
       self._scope = tasks.cancel_scope
-      for loop in (*accounts.loops(), self._tick, self._follow):
+      for loop in (
+          *accounts.loops(),
+          accounts.members.follow,
+          self._tick,
+          self._follow,
+      ):
         tasks.start_soon(
             accounts_lib.supervise, loop, config.tick_s, _raise_again
         )
--- a/mustardfall/bench/virtual/store.py
+++ b/mustardfall/bench/virtual/store.py
@@ -159,7 +159,7 @@
 
   async def _reach(self, kind: str, eager: bool = False) -> None:
     """Takes as long as a call; raises what a failed one raises."""
-    if self._contact.lost and not eager:
+    if not eager and not self._contact.may_try():
       raise errors.KvUnavailableError("store away")
     self.calls += 1
     self._store.calls[kind] += 1
--- a/mustardfall/budget/drawing.py
+++ b/mustardfall/budget/drawing.py
@@ -279,7 +279,7 @@
       self._refusals.note(budget, least, _OWNER_REFUSAL_TTL_S)
       if answer.exhausted:
         self._known.note_exhausted(budget, least)
-    if answer.unsure and self._known.is_large_fleet:
+    if answer.unsure and self._members.is_large:
       self._members.suspect(owner.life)
     return not answer.unsure
 
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -8,13 +8,12 @@
 from typing import NamedTuple
 
 from mustardfall import settings
+from mustardfall.membership import members as members_lib
 
 _LEAST_RATE = 0.003
 """Part of a budget's limit that a holder out of touch may draw a second at
 least. Small: a budget that has been quiet reports seldom, and all that its
 holder might have drawn since is lost with it."""
-_ROUTERS_AT_PACE = 12
-"""Routers that report at the configured pace; more report more seldom."""
 
 
 class View(NamedTuple):
@@ -90,4 +89,4 @@
   were drawn on, by compare-and-swap: with as many writers as routers, most
   would find that another was first, and try again.
   """
-  return config.report_s * max(1.0, routers / _ROUTERS_AT_PACE)
+  return config.report_s * max(1.0, routers / members_lib.CLOSE_FLEET)
--- a/mustardfall/budget/known.py
+++ b/mustardfall/budget/known.py
@@ -36,8 +36,6 @@
   """Parts of this router's grants that others hold."""
 
 
-_CLOSE_FLEET = 12
-"""Routers up to which any may draw on the KV while an owner cannot."""
 _EXHAUSTED_S = 0.5
 """How long a budget that was found used up is believed to be, at first; twice
 as long each time it is found so again, since each look costs a call."""
@@ -130,11 +128,6 @@
     owner = self._members.owner(budget)
     return None if owner.life == self._members.me.life else owner
 
-  @property
-  def is_large_fleet(self) -> bool:
-    """Whether too many routers are up for each to draw on the KV itself."""
-    return len(self._members.lives) > _CLOSE_FLEET
-
   def asked_first(self, budget: str) -> list[members_lib.Member]:
     """Returns the other routers to ask in turn before the KV.
 
@@ -145,7 +138,7 @@
     owner = self.owner(budget)
     if owner is None:
       return []
-    if not self.is_large_fleet:
+    if not self._members.is_large:
       return [owner]
     deputies = self.deputies(budget)
     return [m for m in deputies if not self._members.is_suspected(m.life)]
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -24,6 +24,7 @@
 from mustardfall.budget import policy
 from mustardfall.kv import protocol
 from mustardfall.membership import clockcheck
+from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import datagrams as datagrams_lib
 from mustardfall.membership import loadshare
 from mustardfall.membership import notices as notices_lib
@@ -112,10 +113,13 @@
     self.load_share = loadshare.LoadShare(
         self.loads, self.accounts.members, self.datagrams, clock
     )
+    self.copies = copies_lib.Copies(clock)
     self.notices = notices_lib.Notices(
-        self.datagrams, self.accounts.members, clock
+        self.datagrams, self.accounts.members, self.copies, clock
+    )
+    self.relay = relay_lib.Relay(
+        self.accounts.members, self._post, self.copies, clock
     )
-    self.relay = relay_lib.Relay(self.accounts.members, self._post, clock)
     self._dialect = dialect
     self.stopping = False
     self.front: front.Front | None = None
--- /dev/null
+++ b/mustardfall/membership/copies.py
@@ -0,0 +1,56 @@
+"""The documents that all routers share, as this router knows them."""
+
+import math
+from typing import NamedTuple
+
+from mustardfall.membership import deltas
+from mustardfall.util import clock as clock_lib
+
+
+class Copy(NamedTuple):
+  """A document, and when it was known to be the current one."""
+
+  document: deltas.Document
+  digest: str
+  as_of: float
+  """Monotonic seconds of this router."""
+
+
+class Copies:
+  """Documents by name.
+
+  Args:
+    clock: the time source.
+  """
+
+  def __init__(self, clock: clock_lib.Clock) -> None:
+    self._clock = clock
+    self._copies: dict[str, Copy] = {}
+
+  @property
+  def names(self) -> list[str]:
+    """The documents that are known."""
+    return list(self._copies)
+
+  def find(self, name: str) -> Copy | None:
+    """Returns the copy of a document, if there is one."""
+    return self._copies.get(name)
+
+  def age_s(self, name: str) -> float:
+    """Returns for how long a copy was not known to be current, seconds."""
+    found = self._copies.get(name)
+    if found is None:
+      return math.inf
+    return self._clock.monotonic() - found.as_of
+
+  def put(self, name: str, document: deltas.Document, as_of: float) -> Copy:
+    """Keeps a document in the place of the copy before."""
+    copy = Copy(document, deltas.digest(document), as_of)
+    self._copies[name] = copy
+    return copy
+
+  def confirm(self, name: str, as_of: float) -> None:
+    """Notes that a copy was still the current one at a moment."""
+    found = self._copies[name]
+    if as_of > found.as_of:
+      self._copies[name] = found._replace(as_of=as_of)
--- /dev/null
+++ b/mustardfall/membership/deltas.py
@@ -0,0 +1,93 @@
+"""What changed between two versions of a document, small enough to be told.
+
+A document is a JSON object. Of a field that is a list of rows with distinct
+names only the rows that differ are told; any other field is told whole.
+"""
+
+import hashlib
+import json
+from typing import Any, TypedDict
+
+Document = dict[str, Any]
+"""A JSON object."""
+
+_DIGEST_BYTES = 8
+
+
+class Rows(TypedDict):
+  """The changes of a list of named rows."""
+
+  put: list[dict[str, Any]]
+  """Rows that are new or differ, whole."""
+  cut: list[str]
+  """Names of rows that are gone."""
+
+
+class Delta(TypedDict):
+  """The changes of a document."""
+
+  fields: Document
+  """Fields that are told whole."""
+  gone: list[str]
+  """Names of fields that are gone."""
+  rows: dict[str, Rows]
+  """Changes of lists of named rows, by field."""
+
+
+def digest(document: Document) -> str:
+  """Returns what stands for a document's content."""
+  text = json.dumps(document, sort_keys=True, separators=(",", ":"))
+  return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def diff(before: Document, after: Document) -> Delta:
+  """Returns what turns `before` into `after`, see `apply`."""
+  found = Delta(fields={}, gone=sorted(before.keys() - after.keys()), rows={})
+  for field, value in after.items():
+    if field in before and before[field] == value:
+      continue
+    old, new = _by_name(before.get(field)), _by_name(value)
+    if old is None or new is None:
+      found["fields"][field] = value
+    else:
+      found["rows"][field] = Rows(
+          put=[row for name, row in new.items() if old.get(name) != row],
+          cut=[name for name in old if name not in new],
+      )
+  return found
+
+
+def apply(before: Document, delta: Delta) -> Document:
+  """Returns the later version.
+
+  Rows stay where they were and new ones follow the others: where the later
+  version has them in another order, its digest tells.
+
+  Raises:
+    KeyError, TypeError: the delta is none, or of another document.
+  """
+  after = before | delta["fields"]
+  for field in delta["gone"]:
+    del after[field]
+  for field, changes in delta["rows"].items():
+    rows = _by_name(before[field])
+    if rows is None:
+      raise TypeError(f"{field} has no named rows")
+    rows |= {row["name"]: row for row in changes["put"]}
+    for name in changes["cut"]:
+      del rows[name]
+    after[field] = list(rows.values())
+  return after
+
+
+def _by_name(value: Any) -> dict[str, dict[str, Any]] | None:
+  """Returns a list's rows by their names; None where it has no such rows."""
+  if not isinstance(value, list):
+    return None
+  rows: dict[str, dict[str, Any]] = {}
+  for row in value:
+    name = row.get("name") if isinstance(row, dict) else None
+    if not isinstance(name, str) or name in rows:
+      return None
+    rows[name] = row
+  return rows
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -7,11 +7,12 @@
 """
 
 import collections
+from collections.abc import Iterable, Mapping
 import functools
 import hashlib
 import json
 import logging
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import anyio
 
@@ -26,11 +27,16 @@
 
 PREFIX = "member/"
 _OWNERS_CACHED = 100_000
+_RANKS_CACHED = 2_000
+"""More than the routers of the largest fleet."""
 _REPLACED_REMEMBERED = 4_000
 """Earlier lives remembered: two days of restarts in the largest fleet."""
 _CANDIDATES = 3
 """Routers that are asked for tokens in turn: the owner, and two deputies that
 may be in touch with the KV while it is not."""
+CLOSE_FLEET = 12
+"""Routers up to which each can afford to tell all others, and to draw on the KV
+itself; in a larger fleet few act for the others."""
 _RETRY_S = 0.5
 _SUSPECT_S = 2.0
 """How long a router that did not answer is passed over."""
@@ -87,6 +93,8 @@
     self._in_touch_since: float | None = None
     self._lease = 0
     self._near: list[str] = []
+    self.rank = 0
+    """This router's place among those of its region, see `rank`."""
     self._ring = ring.Ring()
     self._set_near()
 
@@ -98,7 +106,9 @@
         m.name for m in self._by_name.values() if m.region == self.me.region
     ]
     # Few owners batch more: KV writes grow with owners, not with routers.
-    near = sorted(near, key=rank)[: self._config.owners or None]
+    ranked = sorted(near, key=rank)
+    self.rank = ranked.index(self.me.name)
+    near = ranked[: self._config.owners or None]
     if near == self._near:
       return  # what was looked up still holds
     self._near = near
@@ -119,6 +129,11 @@
     """The other routers that are up, as last heard."""
     return [m for m in self._lives.values() if m != self.me]
 
+  @property
+  def is_large(self) -> bool:
+    """Whether the fleet is too large for all to act with all."""
+    return len(self._lives) > CLOSE_FLEET
+
   @property
   def regions(self) -> int:
     """How many regions have routers up."""
@@ -208,9 +223,8 @@
     while True:
       try:
         revision, records = await self._kv.get_prefix(PREFIX)
-        self._in_touch_since = self._clock.monotonic()
-        members = [_member(r) for r in records]
-        self._replace([m for m in members if m is not None])
+        self.note_touch(True)
+        self.take(decode(records))
         async for event in self._kv.watch(
             PREFIX, revision + 1, self._config.watch_idle_s
         ):
@@ -218,20 +232,27 @@
       except (errors.KvUnavailableError, errors.KvUnknownError) as exc:
         logger.debug("member watch broke: %s", exc)
       # Out of touch: the list as last heard stays, nobody is gone.
-      self._in_touch_since = None
+      self.note_touch(False)
       await anyio.sleep(_RETRY_S)
 
+  def note_touch(self, is_in_touch: bool) -> None:
+    """Notes whether the list of others is kept current."""
+    if not is_in_touch:
+      self._in_touch_since = None
+    elif self._in_touch_since is None:
+      self._in_touch_since = self._clock.monotonic()
+
   def _take(self, event: protocol.Event) -> None:
     members = dict(self._by_name)
     if event.deleted:
       members.pop(event.record.key.removeprefix(PREFIX), None)
     else:
-      member = _member(event.record)
-      if member is not None:
+      for member in decode([event.record]):
         members[member.name] = member
-    self._replace(list(members.values()))
+    self.take(list(members.values()))
 
-  def _replace(self, members: list[Member]) -> None:
+  def take(self, members: list[Member]) -> None:
+    """Takes the whole list of others in."""
     by_name = {m.name: m for m in members} | {self.me.name: self.me}
     if by_name == self._by_name:
       return
@@ -251,6 +272,7 @@
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
 
+@functools.lru_cache(_RANKS_CACHED)
 def rank(name: str) -> bytes:
   """Returns where a name stands in an order that all routers agree on.
 
@@ -259,11 +281,25 @@
   return hashlib.blake2b(name.encode(), digest_size=8).digest()
 
 
+def from_row(row: Mapping[str, Any]) -> Member:
+  """Returns a router as a table of its fields tells it.
+
+  Raises:
+    KeyError, TypeError: a field is missing, or it is no table.
+  """
+  return Member(**{field: str(row[field]) for field in Member._fields})
+
+
+def decode(records: Iterable[protocol.Record]) -> list[Member]:
+  """Returns who registered; entries that make no sense are passed over."""
+  members = (_member(record) for record in records)
+  return [member for member in members if member is not None]
+
+
 def _member(record: protocol.Record) -> Member | None:
   """Returns who registered, None where the entry makes no sense."""
   try:
-    data = json.loads(record.value)
-    return Member(**{field: str(data[field]) for field in Member._fields})
+    return from_row(json.loads(record.value))
   except (KeyError, TypeError, ValueError, RecursionError) as exc:
     logger.error(
         "member entry unreadable",
--- a/mustardfall/membership/notices.py
+++ b/mustardfall/membership/notices.py
@@ -1,46 +1,52 @@
-"""Tells routers whether the documents that they read have changed.
+"""Tells routers whether the documents that they share have changed.
 
 Were each router to read the server list each second, the KV's calls would
 grow with the fleet, and its rates do not. Few read, and tell the others by
-datagram the digest of what they found. A router that knows the same has
-nothing to do; one that knows something else, or hears nothing for a moment,
-reads for itself, so a reader that dies, freezes or is cut off costs no more
-than that moment.
+datagram the digest of what they found, and what has changed. A router that
+knows the same, or the version before, needs no call. Whoever hears nothing for
+a while reads for itself, a few first: a reader that dies, freezes or is cut
+off is replaced by deputies that tell the others again.
 """
 
 import json
-import logging
-from typing import NamedTuple
-import zlib
+from typing import Any, NamedTuple
 
 import anyio
 
+from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import datagrams as datagrams_lib
+from mustardfall.membership import deltas
 from mustardfall.membership import members as members_lib
 from mustardfall.util import clock as clock_lib
 
-logger = logging.getLogger(__name__)
-
 _READERS = 2
-"""Routers of a region that read: one may be cut off from the KV."""
-_SILENT_S = 1.1
-"""After so long without a notice a router reads for itself. A server that
-leaves must get no more work 2 s after it said so."""
+"""Routers of a region that always read: one may be cut off from the KV."""
+_DEPUTIES = 6
+"""Further ones that read, one after the other, when these fall silent."""
+_FIRST_DEPUTY = 0.55
+"""Part of the time of silence after which the first deputy reads; the last
+one does a little before all others would."""
 _TELL_AGAIN_S = 0.05
 """News is told twice: one datagram in some hundreds is lost."""
+_MOST_BYTES = 1_300
+"""Of a datagram, so that it is sent in one packet. Changes that make it longer
+are not told; who has not heard of them reads for itself."""
+
 
+class Heard(NamedTuple):
+  """The latest notice of a document."""
 
-def digest(text: str) -> int:
-  """Returns what stands for a document's text."""
-  return zlib.crc32(text.encode())
+  digest: str
+  as_of: float
+  """When its teller knew the document to be current, monotonic seconds."""
 
 
-class _Heard(NamedTuple):
-  """The last notice of a document."""
+class Change(NamedTuple):
+  """A change to be told: what turns version `before` into the current one."""
 
-  digest: int
-  at: float
-  """When it came, monotonic seconds."""
+  before: str
+  """Digest of the version before."""
+  delta: deltas.Delta
 
 
 class Notices:
@@ -49,6 +55,7 @@
   Args:
     datagrams: carries the notices.
     members: who is up.
+    copies: what this router knows; kept current here.
     clock: the time source.
   """
 
@@ -56,79 +63,108 @@
       self,
       datagrams: datagrams_lib.Datagrams,
       members: members_lib.Members,
+      copies: copies_lib.Copies,
       clock: clock_lib.Clock,
   ) -> None:
     self._datagrams = datagrams
     self._members = members
+    self._copies = copies
     self._clock = clock
-    self._heard: dict[str, _Heard] = {}
-    self._told: dict[str, int] = {}
+    self._heard: dict[str, Heard] = {}
     self._came = anyio.Event()
     datagrams.connect(datagrams_lib.Kind.NOTICE, self._take)
 
   @property
   def reads(self) -> bool:
-    """Whether this router is among those that read for all."""
+    """Whether this router is among those that always read."""
+    return not self._datagrams.is_open or self._members.rank < _READERS
+
+  @property
+  def tells(self) -> bool:
+    """Whether this router tells the others what it reads."""
     if not self._datagrams.is_open:
+      return False
+    return self._members.rank < _READERS + _DEPUTIES
+
+  def patience_s(self, silence_s: float) -> float:
+    """Returns after how long a silence this router reads for itself.
+
+    Args:
+      silence_s: after which any router does.
+    """
+    if self.reads:
+      return 0.0
+    if not self.tells:
+      return silence_s
+    place = (self._members.rank - _READERS) / _DEPUTIES
+    return silence_s * (_FIRST_DEPUTY + (1 - _FIRST_DEPUTY) * place)
+
+  def silent_s(self, name: str) -> float:
+    """Returns for how long others have told nothing about a document."""
+    heard = self._heard.get(name)
+    now = self._clock.monotonic()
+    return now - heard.as_of if heard is not None else float("inf")
+
+  def agrees(self, name: str) -> bool:
+    """Whether no notice tells of a later version than the one kept here."""
+    heard, copy = self._heard.get(name), self._copies.find(name)
+    if heard is None:
       return True
-    me = self._members.me
-    near = sorted(
-        (m.name for m in self._members.lives.values() if m.region == me.region),
-        key=members_lib.rank,
-    )
-    return me.name in near[:_READERS]
-
-  async def tell(self, found: dict[str, int]) -> None:
-    """Tells the region's other routers the digests of what was just read."""
-    news = found.items() - self._told.items()
-    self._told = dict(found)
-    await self._send(found)
-    if news:
-      await anyio.sleep(_TELL_AGAIN_S)
-      await self._send(found)
-
-  async def _send(self, found: dict[str, int]) -> None:
+    if copy is None:
+      return False
+    return heard.as_of <= copy.as_of or heard.digest == copy.digest
+
+  async def wait(self, most_s: float) -> None:
+    """Waits for the next notice of any document."""
+    with anyio.move_on_after(max(0.0, most_s)):
+      await self._came.wait()
+
+  async def tell(self) -> None:
+    """Tells the region's other routers the digests of all documents."""
+    await self._send({})
+
+  async def tell_change(self, name: str, change: Change) -> None:
+    """Tells them at once what has changed of a document."""
+    await self._send({name: change})
+    await anyio.sleep(_TELL_AGAIN_S)
+    await self._send({name: change})
+
+  async def _send(self, changes: dict[str, Change]) -> None:
     region = self._members.me.region
     near = [m for m in self._members.others if m.region == region]
-    content = json.dumps(found).encode()
+    content = self._encode(changes)
+    if len(content) > _MOST_BYTES:
+      content = self._encode({})
     await self._datagrams.tell(datagrams_lib.Kind.NOTICE, content, near)
 
+  def _encode(self, changes: dict[str, Change]) -> bytes:
+    now = self._clock.monotonic()
+    told = {}
+    for name in self._copies.names:
+      copy = self._copies.find(name)
+      age_s = round(now - copy.as_of, 3)
+      told[name] = [copy.digest, age_s, *changes.get(name, ())]
+    return json.dumps(told, separators=(",", ":")).encode()
+
   def _take(self, raw: bytes) -> None:
-    found = {str(name): int(value) for name, value in json.loads(raw).items()}
     now = self._clock.monotonic()
-    for name, value in found.items():
-      self._heard[name] = _Heard(value, now)
+    for name, (digest, age_s, *change) in json.loads(raw).items():
+      heard = Heard(str(digest), now - float(age_s))
+      last = self._heard.get(name)
+      if last is None or heard.as_of > last.as_of:
+        self._heard[name] = heard
+      self._update(name, heard, change)
     self._came.set()
     self._came = anyio.Event()
 
-  def is_told(self, name: str) -> bool:
-    """Whether others lately told about a document."""
-    heard = self._heard.get(name)
-    now = self._clock.monotonic()
-    return heard is not None and now - heard.at <= _SILENT_S
-
-  def agrees(self, name: str, known: int) -> bool:
-    """Whether the last notice of a document was of this digest."""
-    heard = self._heard.get(name)
-    return heard is not None and heard.digest == known
-
-  async def wait(self, name: str, known: int, since: float) -> bool:
-    """Waits for the next notice of a document.
-
-    Args:
-      name: the document.
-      known: the digest of what this router knows of it.
-      since: when that was last known to be current, monotonic seconds.
-
-    Returns:
-      Whether it is current; False: it changed, or there was no notice.
-    """
-    while True:
-      heard = self._heard.get(name)
-      if heard is not None and heard.at > since:
-        return heard.digest == known
-      left_s = since + _SILENT_S - self._clock.monotonic()
-      with anyio.move_on_after(left_s) as scope:
-        await self._came.wait()
-      if scope.cancelled_caught or left_s <= 0:
-        return False
+  def _update(self, name: str, heard: Heard, change: list[Any]) -> None:
+    """Brings the copy kept here up to what was heard, as far as that goes."""
+    copy = self._copies.find(name)
+    if copy is None:
+      return
+    if copy.digest == heard.digest:
+      self._copies.confirm(name, heard.as_of)
+    elif change and change[0] == copy.digest:
+      document = deltas.apply(copy.document, change[1])
+      if deltas.digest(document) == heard.digest:
+        self._copies.put(name, document, heard.as_of)
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -1,200 +1,240 @@
 """Loops that bring the platform's documents into the gateway."""
 
+from collections.abc import Awaitable, Callable
 import json
 import logging
+import random
+from typing import NamedTuple
 
 import anyio
 
 from mustardfall import errors
 from mustardfall import gateway as gateway_lib
-from mustardfall.kv import protocol
+from mustardfall.membership import copies as copies_lib
+from mustardfall.membership import deltas
+from mustardfall.membership import members as members_lib
 from mustardfall.membership import notices as notices_lib
-from mustardfall.membership import relay as relay_lib
 from mustardfall.platform import documents
-from mustardfall.routing import endpoints
+from mustardfall.platform import sources
+from mustardfall.platform import store as store_lib
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
 
-_WATCH_S = 2.0
-"""How long one watch call waits. A silent connection is noticed just after
-it, well inside the time in which a change must be in force."""
-_TOLD_WATCH_S = 10.0
-"""The same while other routers tell of changes, too."""
-_LIST_S = 0.5
-"""Between two reads of the server list by one that reads for others. Leaving
-servers must get no work 2 s after they said so. A watch would return at once
-all the time: each server writes its entry about every second."""
-_BEHIND_S = 0.15
-"""How much later than a notice a watch may bring the same change."""
-_PAUSE_S = 0.3
-"""Before a call to the store is tried again after it failed."""
-_OPERATOR_PREFIX = "op/"
+_BEHIND_S = 0.3
+"""How long a router whose copy is not the one told of waits for the change:
+another reader may tell it, or it comes with the next datagram."""
+_RETRY_GROWTH = 2.0
+"""Each read that fails puts off the next by so many times more."""
+_SPREAD = 0.3
+"""Part of a pause that is left to chance."""
 
-_STORE_ERRORS = (errors.KvUnavailableError, errors.KvUnknownError)
 
+class _Retry(NamedTuple):
+  """Pauses after reads that failed, seconds."""
 
-class Followers:
-  """Follows the configuration and the server list.
+  first_s: float
+  most_s: float
+
+
+_TELLERS = _Retry(0.3, 1.0)
+"""For those who tell the others what they read: they must find out soon when
+the store is back."""
+_TOLD = _Retry(1.2, 4.0)
+"""For all others."""
+
+Take = Callable[[deltas.Document], Awaitable[None]]
+"""Takes a document in that may be the same as before."""
+
+
+class Follower:
+  """Keeps one document current: told of changes, or reading for itself.
 
   Args:
-    gateway: is told of them.
-    kv: the platform's store.
-    notices: tells others of changes, and hears of them.
+    source: where it is read.
+    take: is given it, anew whenever it was found to be current.
+    gateway: whose copies, notices and relay are used.
     clock: the time source.
+    lose: called while nobody tells and it cannot be read.
   """
 
   def __init__(
       self,
+      source: sources.Source,
+      take: Take,
       gateway: gateway_lib.Gateway,
-      kv: protocol.Store,
-      notices: notices_lib.Notices,
       clock: clock_lib.Clock,
+      lose: Callable[[], None] = lambda: None,
   ) -> None:
-    self._gateway = gateway
-    self._kv = kv
-    self._notices = notices
-    self._clock = clock
+    self._source = source
+    self._name = source.name
+    self._take = take
+    self._copies = gateway.copies
+    self._notices = gateway.notices
     self._relay = gateway.relay
-    self._configuration = ""
-    """The configuration's text, as last read from the store."""
-    self._servers = documents.ServerList()
-    self._hosts: list[endpoints.Host] = []
-    self._list = ""
-    """The server list, and its text, as last read."""
-
-  async def follow_configuration(self) -> None:
-    """Keeps the configuration current until cancelled."""
+    self._clock = clock
+    self._lose = lose
+    self._taken: copies_lib.Copy | None = None
+    self._failures = 0
+    self._behind_since: float | None = None
+
+  async def run(self) -> None:
+    """Keeps the document current until cancelled."""
     while True:
-      try:
-        revision, records = await self._kv.get_prefix(_OPERATOR_PREFIX)
-        for record in records:
-          self._take(record)
-        await self._watch_configuration(revision)
-      except* _STORE_ERRORS as group:
-        logger.debug("configuration watch broke: %s", group.exceptions)
-        await self._ask_for_configuration()
-        await anyio.sleep(_PAUSE_S)
-
-  async def _ask_for_configuration(self) -> None:
-    """Asks another router, unless all say that this one knows the newest."""
-    name = documents.CONFIGURATION_KEY
-    known = self._known(name)
-    if self._notices.is_told(name) and self._notices.agrees(name, known):
-      return
-    text = await self._relay.fetch(name)
-    if text is not None and self._put_in_force(text.encode(), "a router"):
-      self._configuration = text
-
-  async def _watch_configuration(self, revision: int) -> None:
-    """Takes changes in until others tell of another one, or fall silent."""
-    told = self._is_told()
-    wait_s = _TOLD_WATCH_S if told else _WATCH_S
-    async with anyio.create_task_group() as tasks:
-      tasks.start_soon(self._end_watch, told, tasks.cancel_scope)
-      async for event in self._kv.watch(_OPERATOR_PREFIX, revision + 1, wait_s):
-        if self._take(event.record) and self._notices.reads:
-          await self._notices.tell(self._digests())
-
-  def _is_told(self) -> bool:
-    told = self._notices.is_told(documents.CONFIGURATION_KEY)
-    return told and not self._notices.reads
-
-  async def _end_watch(self, told: bool, scope: anyio.CancelScope) -> None:
-    """Ends a watch that is not to be relied on."""
-    name = documents.CONFIGURATION_KEY
-    since = self._clock.monotonic()
-    while self._is_told() == told:
-      if not told:
-        await anyio.sleep(_LIST_S)
-        continue
-      if not await self._notices.wait(name, self._known(name), since):
-        # The watch may bring the change a moment later than the notice.
-        await anyio.sleep(_BEHIND_S)
-        if not self._notices.agrees(name, self._known(name)):
-          break
-      since = self._clock.monotonic()
-    scope.cancel()
-
-  def _take(self, record: protocol.Record) -> bool:
-    """Takes a record of the operator's in; returns whether it is in force."""
-    if record.key != documents.CONFIGURATION_KEY or not record.value:
+      if not self._is_due():
+        await self._listen()
+      elif await self.read():
+        await anyio.sleep(self._source.pace_s)
+      else:
+        await self._pause()
+
+  def _patience_s(self) -> float:
+    return self._notices.patience_s(self._source.silence_s)
+
+  def _is_due(self) -> bool:
+    """Whether this router has to read for itself."""
+    if self._copies.find(self._name) is None:
+      return True
+    if self._notices.silent_s(self._name) >= self._patience_s():
+      return True
+    behind_since = self._behind_since
+    if behind_since is None:
       return False
-    if not self._put_in_force(record.value, f"revision {record.mod_revision}"):
+    return self._clock.monotonic() - behind_since >= _BEHIND_S
+
+  async def _listen(self) -> None:
+    """Waits for a notice, or for the time to read."""
+    left_s = self._patience_s() - self._notices.silent_s(self._name)
+    if self._behind_since is not None:
+      left_s = min(left_s, _BEHIND_S)
+    await self._notices.wait(left_s)
+    await self._take_current()
+
+  async def _take_current(self) -> None:
+    """Has the copy taken in where it changed or was found current again."""
+    if self._notices.agrees(self._name):
+      self._behind_since = None
+    elif self._behind_since is None:
+      self._behind_since = self._clock.monotonic()
+    copy = self._copies.find(self._name)
+    if copy is not None and copy != self._taken:
+      self._taken = copy
+      await self._take(copy.document)
+
+  async def read(self) -> bool:
+    """Reads the document once; returns whether the store gave it."""
+    try:
+      document, as_of = await self._source.read()
+    except* (errors.KvUnavailableError, errors.KvUnknownError) as group:
+      logger.debug("%s not read: %s", self._name, group.exceptions)
+      document = None
+    if document is None:
+      await self._ask_others()
+      if self._copies.age_s(self._name) > self._source.silence_s:
+        self._lose()
       return False
-    self._configuration = record.value.decode()
+    self._failures = 0
+    self._behind_since = None
+    await self._keep(document, as_of)
     return True
 
-  def _put_in_force(self, raw: bytes, source: str) -> bool:
-    """Decodes a configuration; returns whether it could be."""
+  async def _keep(self, document: deltas.Document, as_of: float) -> None:
+    """Keeps what was read, and tells the others."""
+    before = self._copies.find(self._name)
+    copy = self._copies.put(self._name, document, as_of)
+    await self._take_current()
+    if not self._notices.tells:
+      return
+    if before is not None and before.digest != copy.digest:
+      delta = deltas.diff(before.document, document)
+      change = notices_lib.Change(before.digest, delta)
+      await self._notices.tell_change(self._name, change)
+    elif self._name == documents.SERVERS_PREFIX:
+      # The list is read most often; the others' digests go with it.
+      await self._notices.tell()
+
+  async def _ask_others(self) -> None:
+    """Takes another router's copy where it is fresher than the own one."""
+    found = await self._relay.fetch(self._name)
+    copy = self._copies.find(self._name)
+    if found is None or (copy is not None and copy.as_of >= found.as_of):
+      return
+    self._copies.put(self._name, found.document, found.as_of)
+    await self._take_current()
+
+  async def _pause(self) -> None:
+    """Waits before the next try, or until others tell what is current."""
+    tells = self._notices.tells or self._notices.reads
+    first_s, most_s = _TELLERS if tells else _TOLD
+    pause_s = min(most_s, first_s * _RETRY_GROWTH**self._failures)
+    pause_s *= 1 + _SPREAD * (random.random() - 0.5)
+    self._failures += 1
+    ends = self._clock.monotonic() + pause_s
+    while (left_s := ends - self._clock.monotonic()) > 0:
+      await self._notices.wait(left_s)
+      await self._take_current()
+      if not self._notices.reads and not self._is_due():
+        return
+
+
+class Followers:
+  """Follows the configuration, the server list and the other routers.
+
+  Args:
+    gateway: is told of them.
+    kv: the platform's store.
+    clock: the time source.
+  """
+
+  def __init__(
+      self,
+      gateway: gateway_lib.Gateway,
+      kv: store_lib.Store,
+      clock: clock_lib.Clock,
+  ) -> None:
+    self._gateway = gateway
+    self._members = gateway.accounts.members
+    self.configuration = Follower(
+        sources.Configuration(kv, clock), self._configure, gateway, clock
+    )
+    self.servers = Follower(
+        sources.Servers(kv, clock), self._list, gateway, clock
+    )
+    self.members = Follower(
+        sources.Members(kv, clock),
+        self._meet,
+        gateway,
+        clock,
+        self._lose_members,
+    )
+    self._version = ""
+    """Digest of the configuration that was decoded last."""
+
+  def loops(self) -> list[Callable[[], Awaitable[None]]]:
+    """Returns the loops to be supervised."""
+    return [self.configuration.run, self.servers.run, self.members.run]
+
+  async def _configure(self, document: deltas.Document) -> None:
+    copy = self._gateway.copies.find(documents.CONFIGURATION_KEY)
+    if not document or copy is None:
+      return
+    self._gateway.directory.confirm_configuration(copy.as_of)
+    if copy.digest == self._version:
+      return
+    self._version = copy.digest
     try:
-      new = documents.decode_configuration(raw)
+      new = documents.decode_configuration(json.dumps(document).encode())
     except ValueError as exc:
-      logger.error(
-          "configuration unreadable",
-          extra={"source": source, "error": repr(exc)},
-      )
-      return False
+      logger.error("configuration unreadable", extra={"error": repr(exc)})
+      return
     self._gateway.take_configuration(new)
-    return True
 
-  async def follow_servers(self) -> None:
-    """Keeps the endpoints current until cancelled."""
-    name = documents.SERVERS_PREFIX
-    while True:
-      since = self._clock.monotonic()
-      is_read = await self.read_servers()
-      if self._notices.reads:
-        if is_read:
-          await self._notices.tell(self._digests())
-        await anyio.sleep(_LIST_S if is_read else _PAUSE_S)
-      elif is_read or self._notices.is_told(name):
-        await self._rely_on_notices(since)
-      else:
-        await anyio.sleep(_PAUSE_S)
-
-  async def _rely_on_notices(self, since: float) -> None:
-    """Waits until the list has to be read again, last read at `since`."""
-    name = documents.SERVERS_PREFIX
-    while await self._notices.wait(name, self._known(name), since):
-      since = self._clock.monotonic()
-      await self._gateway.take_endpoints(self._hosts)
-      self._relay.note(name, self._list)
-      configuration = documents.CONFIGURATION_KEY
-      if self._notices.agrees(configuration, self._known(configuration)):
-        self._relay.note(configuration, self._configuration)
-
-  async def read_servers(self) -> bool:
-    """Reads the server list once; returns whether the store gave it."""
-    try:
-      _, records = await self._kv.get_prefix(documents.SERVERS_PREFIX)
-    except _STORE_ERRORS as exc:
-      logger.debug("server list not read: %s", exc)
-      text = await self._relay.fetch(documents.SERVERS_PREFIX)
-      if text is not None:
-        await self._take_list(json.loads(text), text)
-      return False
-    hosts = self._servers.decode(records)
-    await self._take_list(hosts, relay_lib.encode(hosts))
-    # The configuration goes with each list: its watch says nothing while it
-    # stays as it is, and only what was read lately is passed on.
-    self._relay.note(documents.SERVERS_PREFIX, self._list)
-    if self._configuration:
-      self._relay.note(documents.CONFIGURATION_KEY, self._configuration)
-    return True
+  async def _list(self, document: deltas.Document) -> None:
+    await self._gateway.take_endpoints(document["hosts"])
+
+  async def _meet(self, document: deltas.Document) -> None:
+    self._members.take([members_lib.from_row(r) for r in document["members"]])
+    self._members.note_touch(True)
 
-  async def _take_list(self, hosts: list[endpoints.Host], text: str) -> None:
-    self._hosts, self._list = hosts, text
-    await self._gateway.take_endpoints(hosts)
-
-  def _known(self, name: str) -> int:
-    """Returns the digest of a document as this router knows it."""
-    listed = name == documents.SERVERS_PREFIX
-    return notices_lib.digest(self._list if listed else self._configuration)
-
-  def _digests(self) -> dict[str, int]:
-    """Returns what others need to tell whether they know the same."""
-    names = [documents.SERVERS_PREFIX]
-    if self._configuration:
-      names.append(documents.CONFIGURATION_KEY)
-    return {name: self._known(name) for name in names}
+  def _lose_members(self) -> None:
+    self._members.note_touch(False)
--- a/mustardfall/platform/program.py
+++ b/mustardfall/platform/program.py
@@ -91,11 +91,9 @@
       headers.Dialect(),
       lambda caller: store.Store(site.store_address, caller, clock),
   )
-  followers = followers_lib.Followers(
-      gateway, gateway.kv, gateway.notices, gateway.clock
-  )
+  followers = followers_lib.Followers(gateway, gateway.kv, gateway.clock)
   await gateway.run(
-      [followers.follow_configuration, followers.follow_servers],
+      followers.loops(),
       site.ready,
       stop,
       site.grace_s * _STOP_SHARE,
--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -21,7 +21,7 @@
 _CALL_S = 0.45
 """A call takes 4 ms, and 240 ms when the store is slow sixtyfold."""
 _WATCH_MOST_S = 30.0
-_WATCH_PACE_S = 0.15
+WATCH_PACE_S = 0.15
 """Least time from one watch's answer to the next call. Routers that start
 together register one by one: without it, each router would call for each."""
 _WATCH_SLACK_S = 0.6
@@ -144,13 +144,14 @@
       target: path and query.
       body: sent as JSON.
       timeout_s: seconds.
-      eager: try even while the store is away; followers do.
+      eager: try even while the store is away; followers do, at a pace of
+        their own.
 
     Raises:
       errors.KvUnavailableError: it had no effect.
       errors.KvUnknownError: it may have had.
     """
-    if not eager and self._contact.lost:
+    if not eager and not self._contact.may_try():
       raise errors.KvUnavailableError("store away")
     content = b"" if body is None else json.dumps(body).encode()
     try:
@@ -287,22 +288,41 @@
         read again, then watch.
     """
     after = start_revision - 1
-    wait_s = min(idle_s, _WATCH_MOST_S)
     while True:
-      target = _query(
-          "/-/kv-watch",
-          prefix=prefix,
-          after=after,
-          wait_ms=int(wait_s * 1000),
-      )
-      reply = await self._call(
-          "GET", target, timeout_s=wait_s + _WATCH_SLACK_S, eager=True
-      )
-      if reply.status == _HISTORY_GONE:
-        raise errors.KvUnavailableError("watch: history gone")
-      changes = self._parse(reply, target, _Changes)
-      for event in changes.events:
-        yield protocol.Event(bool(event.removed), _record(event))
-      after = max(after, changes.store_revision)
-      if changes.events:
-        await anyio.sleep(_WATCH_PACE_S)
+      after, events = await self.poll(prefix, after, idle_s)
+      for event in events:
+        yield event
+      if events:
+        await anyio.sleep(WATCH_PACE_S)
+
+  async def poll(
+      self, prefix: str, after: int, wait_s: float
+  ) -> tuple[int, list[protocol.Event]]:
+    """Waits once for changes under `prefix` after a revision.
+
+    Returns:
+      The revision to go on from, and the changes up to it; none when there
+      was none within `wait_s`.
+
+    Raises:
+      errors.KvUnavailableError, errors.KvUnknownError: the watch broke, or
+        the history is gone; read again.
+    """
+    wait_s = min(wait_s, _WATCH_MOST_S)
+    target = _query(
+        "/-/kv-watch",
+        prefix=prefix,
+        after=after,
+        wait_ms=int(wait_s * 1000),
+    )
+    reply = await self._call(
+        "GET", target, timeout_s=wait_s + _WATCH_SLACK_S, eager=True
+    )
+    if reply.status == _HISTORY_GONE:
+      raise errors.KvUnavailableError("watch: history gone")
+    changes = self._parse(reply, target, _Changes)
+    events = [
+        protocol.Event(bool(event.removed), _record(event))
+        for event in changes.events
+    ]
+    return max(after, changes.store_revision), events
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -19,6 +19,10 @@
 from mustardfall.routing import directory as directory_lib
 from mustardfall.util import clock as clock_lib
 
+_CURRENT_S = 2.0
+"""A configuration that was not confirmed for longer denies nothing for good: a
+route or key may have been added meanwhile."""
+
 
 class Admission:
   """Decides whether a request may run, and bills it once.
@@ -64,11 +68,13 @@
       raise refusals.unknown_configuration()
     route = config.match(request.authority, request.path)
     if route is None:
+      self._check_current(config.version)
       raise refusals.no_route(config.version)
     team = None
     if not route.public:
       team = config.team_of(request.api_key)
       if team is None:
+        self._check_current(config.version)
         raise refusals.unknown_key(config.version)
     service = config.services[self._pick(route)]
     time_s = route.timeout.total_seconds()
@@ -86,6 +92,13 @@
         joiner=streams.Joiner(request.last_event),
     )
 
+  def _check_current(self, version: int) -> None:
+    """Refuses for now what a newer configuration may allow."""
+    age_s = self._directory.unconfirmed_s
+    if age_s > _CURRENT_S:
+      retry_after_s = self.retry_after(_CURRENT_S)
+      raise refusals.unsure_configuration(version, age_s, retry_after_s)
+
   def _pick(self, route: configuration.Route) -> str:
     if len(route.split) == 1:
       return route.split[0].service
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -41,6 +41,15 @@
   return RefusalError(503, "no configuration yet", _START_S)
 
 
+def unsure_configuration(
+    version: int, age_s: float, retry_after_s: float
+) -> RefusalError:
+  """It is not in the configuration known here, which may not be the newest."""
+  facts = {"version": version, "age_s": round(age_s, 3)}
+  reason = "configuration may be out of date"
+  return RefusalError(503, reason, retry_after_s, facts)
+
+
 def no_route(version: int) -> RefusalError:
   """No route matches."""
   return RefusalError(404, "no such route", facts={"version": version})
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -187,6 +187,7 @@
     async with anyio.create_task_group() as tg:
       for loop in (
           *self.accounts.loops(),
+          self.accounts.members.follow,
           self.catalogue.follow,
           self._renew_record_lease,
           self._watch_hosts,
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -45,6 +45,7 @@
     self._missing_until = -float("inf")
     self._listed_at = -float("inf")
     self.in_force_since: datetime.datetime | None = None
+    self._confirmed_at = -float("inf")
 
   @property
   def limits(self) -> configuration.Limits:
@@ -70,6 +71,15 @@
     )
     return True
 
+  def confirm_configuration(self, as_of: float) -> None:
+    """Notes that none was newer at a moment, monotonic seconds."""
+    self._confirmed_at = max(self._confirmed_at, as_of)
+
+  @property
+  def unconfirmed_s(self) -> float:
+    """For how long the configuration was not known to be the newest."""
+    return self._clock.monotonic() - self._confirmed_at
+
   def take_endpoints(self, hosts: list[endpoints.Host]) -> bool:
     """Takes a complete list of endpoints; returns whether it changed any."""
     now = self._clock.monotonic()
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -169,10 +169,8 @@
     )
     if started is not None:
       started(gateway)
-    followers = followers_lib.Followers(
-        gateway, gateway.kv, gateway.notices, gateway.clock
-    )
-    loops = [followers.follow_configuration, followers.follow_servers]
+    followers = followers_lib.Followers(gateway, gateway.kv, gateway.clock)
+    loops = followers.loops()
 
     async def _run():
       await gateway.run(loops, found.ready, stop or anyio.Event(), 2.0)
--- a/tests/test_clockcheck.py
+++ b/tests/test_clockcheck.py
@@ -50,7 +50,7 @@
     view = members_lib.Members(
         None, _member(0), config, clock_lib.FakeClock(), events.Bus()
     )
-    view._replace([_member(i) for i in range(len(other_steps_s) + 1)])
+    view.take([_member(i) for i in range(len(other_steps_s) + 1)])
     check = clockcheck.ClockCheck(config, view, _post, self.clock)
 
     async def _run():
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -58,7 +58,7 @@
       clock_lib.FakeClock(),
       events.Bus(),
   )
-  view._replace([_member(i) for i in range(_ROUTERS)])
+  view.take([_member(i) for i in range(_ROUTERS)])
   return view
 
 
@@ -210,7 +210,7 @@
     )
     began = time.process_time()
     for count in range(2, _ROUTERS + 1):
-      view._replace([_member(i) for i in range(count)])
+      view.take([_member(i) for i in range(count)])
       view.owner("acme")
     spent_s = time.process_time() - began
     self.assertTrue(spent_s <= _CONTROL_SHARE * _START_S, spent_s)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -259,6 +259,20 @@
     # Not at once again: the store is still away then. A third of its time.
     self.assertTrue(0.7 <= float(answer.headers["retry-after"]) <= 1.5)
 
+  @in_world()
+  async def test_stale_configuration_denies_nothing_for_good(self, world):
+    """Guards against a 404 for a route that was added while out of touch."""
+    world.store.faults.down = "busy"
+    await anyio.sleep(2.5)
+    for path, key in (("/nowhere/", platformcase.KEY), ("/look/a", "new")):
+      answer = await world.call(path, f"r{key}", credential=key)
+      self.assertEqual(503, answer.status)
+      self.assertTrue(0.0 < float(answer.headers["retry-after"]) <= 2.0)
+    world.store.faults.down = ""
+    current = world.gateway.directory
+    await world.until(lambda: current.unconfirmed_s < 1.0)
+    self.assertEqual(404, (await world.call("/nowhere/", "r9")).status)
+
   @in_world()
   async def test_lost_and_late_write_grants_once(self, world):
     # The store does a grant's write and its answer is lost, or does it
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -9,6 +9,7 @@
 """
 
 import json
+from typing import NamedTuple
 
 import anyio
 import testtools
@@ -18,14 +19,18 @@
 from mustardfall import settings
 from mustardfall.bench.virtual import loop as virtual
 from mustardfall.kv import protocol
+from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import datagrams
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import notices
+from mustardfall.membership import relay as relay_lib
 from mustardfall.platform import followers as followers_lib
+from mustardfall.routing import directory
 from tests import platformcase
 from tests import test_server_entries
 
 _ROUTERS = 78
+_LARGE = 195
 _IN_FORCE_S = 2.0
 """Within which a change must be known to all."""
 
@@ -71,6 +76,8 @@
     self.away = False
     self.deaf = False
     """Whether watches that wait now never hear of a change."""
+    self.refused = set()
+    """Hosts that are turned away."""
 
   def put(self, key: str, value: dict) -> None:
     self.revision += 1
@@ -87,29 +94,62 @@
     found = [r for k, r in self._records.items() if k.startswith(prefix)]
     return self.revision, found
 
-  async def watch(self, prefix, start_revision, idle_s):
-    after = start_revision - 1
-    while True:
-      self.calls += 1
-      with anyio.move_on_after(idle_s) as scope:
-        while self.revision <= after or self.deaf:
-          await self._changed.wait()
-      if scope.cancelled_caught and self.deaf:
-        raise errors.KvUnavailableError("watch: silent")
-      for key, record in list(self._records.items()):
-        if key.startswith(prefix) and record.mod_revision > after:
-          yield protocol.Event(False, record)
-      after = self.revision
+  async def poll(self, prefix, after, wait_s):
+    self.calls += 1
+    if self.away:
+      raise errors.KvUnavailableError("away")
+    with anyio.move_on_after(wait_s) as scope:
+      while self.deaf or not self._since(prefix, after):
+        await self._changed.wait()
+    if scope.cancelled_caught and self.deaf:
+      raise errors.KvUnavailableError("watch: silent")
+    found = self._since(prefix, after)
+    return self.revision, [protocol.Event(False, record) for record in found]
+
+  def _since(self, prefix, after):
+    return [
+        record
+        for key, record in self._records.items()
+        if key.startswith(prefix) and record.mod_revision > after
+    ]
+
+
+class _Host:
+  """The store as one host reaches it."""
+
+  def __init__(self, store: _Store, name: str) -> None:
+    self._store, self._name = store, name
+
+  def _check(self):
+    if self._name in self._store.refused:
+      self._store.calls += 1
+      raise errors.KvUnavailableError("refused")
+
+  async def get_prefix(self, prefix):
+    self._check()
+    return await self._store.get_prefix(prefix)
+
+  async def poll(self, prefix, after, wait_s):
+    self._check()
+    return await self._store.poll(prefix, after, wait_s)
 
 
 class _Gateway:
   """What the followers tell, as one router knows it."""
 
-  def __init__(self) -> None:
-    self.relay = _Relay()
+  def __init__(self, told, copies, view, relay) -> None:
+    self.notices = told
+    self.copies = copies
+    self.relay = relay
+    self.accounts = _Accounts(view)
+    self.directory = directory.Directory(settings.Scheduler(), virtual.Clock())
     self.states = {}
     self.version = 0
 
+  @property
+  def reads(self) -> bool:
+    return self.notices.reads
+
   async def take_endpoints(self, hosts):
     self.states = {host["name"]: host["state"] for host in hosts}
 
@@ -117,24 +157,16 @@
     self.version = new.version
 
 
-class _Relay:
-  """What others would be told; they have nothing to tell."""
+class _Accounts(NamedTuple):
+  """Who is up."""
 
-  def __init__(self) -> None:
-    self.noted = {}
-    """Documents and when they were last noted as read."""
-
-  def note(self, name, text):
-    self.noted[name] = (text, anyio.current_time())
-
-  async def fetch(self, name):
-    del name
+  members: members_lib.Members
 
 
 class _Fleet:
   """All routers' followers before one store."""
 
-  def __init__(self) -> None:
+  def __init__(self, routers: int) -> None:
     self.net = _Net()
     self.store = _Store()
     self.store.put("op/config", platformcase.configuration(version=1))
@@ -142,29 +174,40 @@
       self.store.put(f"servers/i-{number}", _entry(number, "ready"))
     self.routers = {}
     self._scopes = {}
-    everyone = [_member(i) for i in range(_ROUTERS)]
+    everyone = [_member(i) for i in range(routers)]
+    for me in everyone:
+      self.store.put(members_lib.PREFIX + me.name, me._asdict())
     clock = virtual.Clock()
+    self._relays = {}
     for me in everyone:
       view = members_lib.Members(
           None, me, settings.Membership(), clock, events.Bus()
       )
-      view._replace(everyone)
-      told = notices.Notices(self.net.port(me.name), view, clock)
-      gateway = _Gateway()
+      view.take(everyone)
+      copies = copies_lib.Copies(clock)
+      told = notices.Notices(self.net.port(me.name), view, copies, clock)
+      relay = relay_lib.Relay(view, self._post, copies, clock)
+      self._relays[me.url] = relay
+      gateway = _Gateway(told, copies, view, relay)
       self.routers[me.name] = gateway
       self._scopes[me.name] = anyio.CancelScope()
-      gateway.reads = told.reads
-      gateway.followers = followers_lib.Followers(
-          gateway, self.store, told, clock
-      )
+      store = _Host(self.store, me.name)
+      gateway.followers = followers_lib.Followers(gateway, store, clock)
+
+  async def _post(self, url, body, timeout_s):
+    """Calls another router, as `peers.Post` does."""
+    del timeout_s
+    await anyio.sleep(0.002)
+    address, _, _ = url.removeprefix("http://").partition("/")
+    return await self._relays[f"http://{address}"].serve(body)
 
   async def run(self, name: str) -> None:
     """Runs a router until it is killed."""
     followers = self.routers[name].followers
     with self._scopes[name]:
       async with anyio.create_task_group() as tg:
-        tg.start_soon(followers.follow_servers)
-        tg.start_soon(followers.follow_configuration)
+        for loop in followers.loops():
+          tg.start_soon(loop)
 
   def kill(self, name: str) -> None:
     self._scopes[name].cancel()
@@ -184,12 +227,12 @@
   return members_lib.Member(f"front-a-{i}", "e", url, f"dc{i % 3}", "here")
 
 
-def in_fleet(test):
+def in_fleet(test, routers=_ROUTERS):
   """Runs a test method beside a fleet that has been up for five seconds."""
 
   def run(self):
     async def day():
-      fleet = _Fleet()
+      fleet = _Fleet(routers)
       async with anyio.create_task_group() as tg:
         for name in fleet.routers:
           tg.start_soon(fleet.run, name)
@@ -203,6 +246,11 @@
   return run
 
 
+def in_large_fleet(test):
+  """The same with the routers of a large deployment."""
+  return in_fleet(test, _LARGE)
+
+
 class NoticesTest(testtools.TestCase):
 
   @in_fleet
@@ -265,11 +313,11 @@
     # it had just been read.
     fleet.store.put("op/config", platformcase.configuration(version=7))
     await anyio.sleep(_IN_FORCE_S)
-    now = anyio.current_time()
     for gateway in fleet.routers.values():
-      text, noted_at = gateway.relay.noted["op/config"]
-      self.assertEqual(7, json.loads(text)["version"])
-      self.assertTrue(now - noted_at < _IN_FORCE_S, now - noted_at)
+      answer = await gateway.relay.serve({"names": ["op/config"]})
+      self.assertEqual(7, answer["op/config"]["document"]["version"])
+      age_s = answer["op/config"]["age_s"]
+      self.assertTrue(age_s < _IN_FORCE_S, age_s)
 
   @in_fleet
   async def test_a_watch_that_fell_silent_is_made_good_by_notices(self, fleet):
@@ -287,3 +335,53 @@
     await anyio.sleep(6.0)
     fleet.store.away = False
     await self._leave(fleet)
+
+  @in_large_fleet
+  async def test_a_change_is_told_with_the_notice(self, fleet):
+    """Guards against a call of every router to the store at each change."""
+    before = fleet.store.calls
+    for version in range(2, 6):
+      fleet.store.put("op/config", platformcase.configuration(version=version))
+      await anyio.sleep(0.5)
+    await self._leave(fleet)
+    self.assertEqual({5}, {g.version for g in fleet.routers.values()})
+    # Four changes and one server that leaves: one call each of all would be
+    # five times the fleet.
+    calls = fleet.store.calls - before
+    self.assertTrue(calls <= _LARGE / 2, calls)
+
+  @in_large_fleet
+  async def test_routers_that_are_refused_do_not_storm_the_store(self, fleet):
+    """Guards against calls by the thousand while the store refuses some."""
+    names = list(fleet.routers)
+    fleet.store.refused = set(names[::3])
+    before = fleet.store.calls
+    await anyio.sleep(8.0)
+    calls = fleet.store.calls - before
+    # A call a second and router at most, were all of a third to ask.
+    self.assertTrue(calls <= 8 * _LARGE / 3, calls)
+
+  @in_large_fleet
+  async def test_readers_that_are_refused_are_stood_in_for(self, fleet):
+    """Guards against all routers reading once the readers cannot."""
+    fleet.store.refused = set(fleet.readers())
+    before = fleet.store.calls
+    await anyio.sleep(1.0)
+    fleet.store.put("op/config", platformcase.configuration(version=3))
+    await self._leave(fleet)
+    await anyio.sleep(5.0)
+    self.assertEqual({3}, {g.version for g in fleet.routers.values()})
+    calls = fleet.store.calls - before
+    self.assertTrue(calls <= 8 * _LARGE, calls)
+
+  @in_large_fleet
+  async def test_store_that_comes_back_is_not_stormed(self, fleet):
+    """Guards against a fleet that fills the store's rate while it is down."""
+    fleet.store.away = True
+    before = fleet.store.calls
+    await anyio.sleep(6.0)
+    calls = fleet.store.calls - before
+    # Three documents, each asked for once in two seconds by each router.
+    self.assertTrue(calls <= 3 * 3 * _LARGE, calls)
+    fleet.store.away = False
+    await self._leave(fleet)
--- a/tests/test_server_entries.py
+++ b/tests/test_server_entries.py
@@ -9,6 +9,7 @@
 
 from mustardfall import settings
 from mustardfall.kv import protocol
+from mustardfall.membership import copies as copies_lib
 from mustardfall.platform import documents
 from mustardfall.platform import followers as followers_lib
 from mustardfall.routing import configuration
@@ -89,9 +90,24 @@
 
 
 class _Relay:
+  """Others, who know nothing."""
 
-  def note(self, name, text, age_s=0.0):
-    json.loads(text)
+  async def fetch(self, name):
+    del name
+
+
+class _Notices:
+  """Nobody tells anything."""
+
+  tells = False
+
+  def agrees(self, name):
+    del name
+    return True
+
+
+class _Accounts:
+  members = None
 
 
 class _Gateway:
@@ -99,7 +115,10 @@
   def __init__(self) -> None:
     self.clock = clock_lib.FakeClock()
     self.directory = directory.Directory(settings.Scheduler(), self.clock)
+    self.copies = copies_lib.Copies(self.clock)
+    self.notices = _Notices()
     self.relay = _Relay()
+    self.accounts = _Accounts()
 
   async def take_endpoints(self, hosts):
     self.directory.take_endpoints(hosts)
@@ -111,12 +130,12 @@
     self.store = _Store()
     self.gateway = _Gateway()
     self.followers = followers_lib.Followers(
-        self.gateway, self.store, None, self.gateway.clock
+        self.gateway, self.store, self.gateway.clock
     )
 
   def read(self) -> list[str]:
     """Reads the list once; returns the servers that may get work."""
-    anyio.run(self.followers.read_servers)
+    anyio.run(self.followers.servers.read)
     fitting = self.gateway.directory.endpoints.fitting("pool", "")
     return sorted(row.name for row in fitting)
 
