Endpoints of a large fleet are tracked by one router each

A router sends an engine one request in half a minute; reports of loads reached eight of 194 others at a time and counted for 1.5 s, so that each knew a fifth of what was in flight, next to no prefix that others had sent, and no engine's speed.

Telling all of each large prompt would grow with the fleet.

What one sends grows with its own requests. Small fleets tell all as before. Reports to a sample go on at a quarter of the bytes, for when a tracker gives no answer; not all begin at the same receiver.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -29,12 +29,14 @@
 from mustardfall.membership import loadshare
 from mustardfall.membership import notices as notices_lib
 from mustardfall.membership import relay as relay_lib
+from mustardfall.membership import trackers as trackers_lib
 from mustardfall.proxy import calls
 from mustardfall.proxy import forwarder as forwarder_lib
 from mustardfall.proxy import front
 from mustardfall.proxy import internal
 from mustardfall.proxy import links as links_lib
 from mustardfall.proxy import messages
+from mustardfall.proxy import placer as placer_lib
 from mustardfall.proxy import room as room_lib
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
@@ -113,6 +115,12 @@
     self.load_share = loadshare.LoadShare(
         self.loads, self.accounts.members, self.datagrams, clock
     )
+    self.trackers = trackers_lib.Trackers(
+        self.accounts.members, self.datagrams, clock
+    )
+    self._placer = placer_lib.Placer(
+        config, self.directory, self.load_share, self.trackers
+    )
     self.copies = copies_lib.Copies(clock)
     self.notices = notices_lib.Notices(
         self.datagrams, self.accounts.members, self.copies, clock
@@ -223,7 +231,7 @@
           self.links,
           tasks,
           self.instruments,
-          self.load_share,
+          self._placer,
       )
       self.front = front.Front(
           self._dialect,
@@ -300,6 +308,7 @@
       self.accounts.pool.tick(now - last)
       self.directory.endpoints.tick(now)
       self.loads.add_up(now)
+      self.trackers.forget()
       await self.links.close_idle()
       last = now
 
--- a/mustardfall/membership/loadshare.py
+++ b/mustardfall/membership/loadshare.py
@@ -17,14 +17,12 @@
 within this time few of them pick the same endpoint unknown to each other."""
 _QUIET_S = 0.5
 """A report is sent at least this often, so that silence means death."""
-_CLOSE_FLEET = 12
-"""Other routers that are all told at each change. In a larger fleet each has
-so small a part of an endpoint's load that a sample of the others will do."""
 _TOLD_AT_ONCE = 8
 """Routers of a larger fleet told by one report, all in turn."""
-_BYTES_PER_S = 6_000
+_BYTES_PER_S = 1_500
 """Told by a router of a larger fleet, at most, whatever its size: of the 7 KB
-a second that it may spend on control."""
+a second that it may spend on control. There each endpoint is tracked by one
+router, and this is what is known when that one gives no answer."""
 
 
 class LoadShare:
@@ -49,8 +47,10 @@
     self._datagrams = datagrams
     self._clock = clock
     self._changed = anyio.Event()
-    self._turn = 0
-    """Where in the list of others the next report goes on."""
+    me = members_lib.rank(members.me.name)
+    self._turn = int.from_bytes(me)
+    """Where in the list of others the next report goes on. Not all begin at
+    the same one: it would hear from all, and the rest from nobody."""
     datagrams.connect(datagrams_lib.Kind.LOADS, self._take)
 
   def note(self) -> None:
@@ -75,7 +75,7 @@
     """Tells others; returns the bytes that count for the bound."""
     raw = loads_lib.encode(self._loads.report())
     others = self._members.others
-    if len(others) <= _CLOSE_FLEET:
+    if not self._members.is_large:
       await self._datagrams.tell(datagrams_lib.Kind.LOADS, raw, others)
       return 0
     told = self._next(others)
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -16,13 +16,13 @@
 from mustardfall import errors
 from mustardfall import metrics
 from mustardfall import settings
-from mustardfall.membership import loadshare
 from mustardfall.proxy import admission as admission_lib
 from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import front
 from mustardfall.proxy import job as job_lib
 from mustardfall.proxy import links as links_lib
 from mustardfall.proxy import messages
+from mustardfall.proxy import placer as placer_lib
 from mustardfall.proxy import records as records_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import streams
@@ -75,7 +75,7 @@
     links: connections to endpoints.
     tasks: where work that outlives a request runs.
     instruments: counters and histograms.
-    load_share: told of what is sent to endpoints.
+    placer: chooses endpoints.
   """
 
   def __init__(
@@ -88,14 +88,14 @@
       links: links_lib.Links,
       tasks: abc.TaskGroup,
       instruments: metrics.Instruments,
-      load_share: loadshare.LoadShare,
+      placer: placer_lib.Placer,
   ) -> None:
     self._config = config
     self._clock = clock
     self._dialect = dialect
     self._directory = directory
     self._links = links
-    self._load_share = load_share
+    self._placer = placer
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -147,7 +147,7 @@
 
   async def _try_endpoints(self, job: job_lib.Job) -> None:
     while True:
-      place = self._choose(job)
+      place = await self._placer.choose(job)
       if place is None:
         await self._give_up(job)
         return
@@ -160,13 +160,6 @@
         await self._give_up(job)
         return
 
-  def _choose(self, job: job_lib.Job) -> placement.Place | None:
-    rows = self._directory.endpoints.fitting(job.service.name, "")
-    fresh = [row for row in rows if row.name not in job.tried]
-    return placement.choose(
-        fresh or rows, job_lib.prompt_of(job.request), self._config.datacentre
-    )
-
   def _may_try_again(self, job: job_lib.Job) -> bool:
     if job.responder.started and not job.route.resumable:
       return False
@@ -202,6 +195,7 @@
     except errors.EndpointUnreachableError as exc:
       job.connects += 1
       row.failures += 2
+      self._placer.note_unreachable(row)
       raise _Again(str(exc)) from exc
     exchange = exchange_lib.Exchange(
         self._links,
@@ -211,21 +205,21 @@
         self._dialect.encode_request(job.request, self._send_of(job, row)),
         job.body,
     )
-    row.in_flight += 1
-    reading = job_lib.Reading(row, place.reading_s)
-    prompt = job_lib.prompt_of(job.request)
-    self._load_share.note_sent(row.life, prompt.prefix)
+    visit = self._placer.begin(job, place)
     ran_before, job.may_have_run = job.may_have_run, True
     job.sends += 1
+    failed = False
     try:
-      await self._relay(job, place, exchange, ran_before, reading)
+      await self._relay(job, place, exchange, ran_before, visit)
     except errors.BrokenAnswerError as exc:
+      failed = True
       row.failures += 1
       raise _Again(str(exc)) from exc
+    except _Again:
+      failed = True
+      raise
     finally:
-      row.in_flight -= 1
-      reading.end()
-      self._load_share.note()
+      visit.end(failed)
       await exchange.close()
 
   def _send_of(self, job: job_lib.Job, row: endpoints.Row) -> messages.Send:
@@ -247,7 +241,7 @@
       place: placement.Place,
       exchange: exchange_lib.Exchange,
       ran_before: bool,
-      reading: job_lib.Reading,
+      visit: placer_lib.Visit,
   ) -> None:
     row = place.row
     sent_at = self._clock.monotonic()
@@ -260,11 +254,10 @@
       # It may have failed at once, which says nothing of its speed.
       waited_s = self._clock.monotonic() - sent_at
       if waited_s > place.answer_s:
-        self._learn(job, place, waited_s)
+        visit.note_first(waited_s)
       raise
-    self._learn(job, place, self._clock.monotonic() - sent_at)
-    reading.end()
-    self._load_share.note()
+    visit.note_first(self._clock.monotonic() - sent_at)
+    visit.end_reading()
     if answer.load is not None:
       row.running = answer.load.running
       row.waiting = answer.load.waiting
@@ -283,13 +276,6 @@
     else:
       await self._relay_whole(job, row, exchange, answer)
 
-  def _learn(
-      self, job: job_lib.Job, place: placement.Place, took_s: float
-  ) -> None:
-    """Learns an engine's speed from how long its answer took, or did not come."""
-    if job.request.parts:
-      self._directory.endpoints.learn(place.row, place.answer_s, took_s)
-
   async def _relay_whole(
       self,
       job: job_lib.Job,
--- a/mustardfall/routing/placement.py
+++ b/mustardfall/routing/placement.py
@@ -9,10 +9,13 @@
 order takes over.
 """
 
+from collections.abc import Mapping
 import hashlib
+import random
 from typing import NamedTuple
 
 from mustardfall.routing import endpoints
+from mustardfall.routing import tracking
 
 _RUNNING_S = 0.01
 """What a running request of a plain service is held to add to the next one's
@@ -44,6 +47,14 @@
 """Another data centre: some 1 ms more each way, and its bytes cost money.
 Small, so that it decides only between endpoints that are equally busy."""
 
+_WEIGHED = 3
+"""Candidates that are weighed against each other at once."""
+_BUSY_S = 0.1
+"""A wait that is worth weighing more candidates."""
+_KEPT_TOGETHER_TOKENS = 1_000
+"""Shared tokens that are worth keeping at one endpoint: 16 ms of reading. A
+shorter part is read anywhere in less time than what it would wait for."""
+
 
 class Prompt(NamedTuple):
   """What places a generation: the prefix that it shares with others."""
@@ -116,6 +127,114 @@
   return tokens * _READ_S_PER_TOKEN + pairs * _ATTEND_S_PER_PAIR
 
 
+class Candidate(NamedTuple):
+  """An endpoint that a request may go to."""
+
+  row: endpoints.Row
+  rank: int
+  """Its place in the order of the prompt's prefix."""
+
+
+def candidates(
+    rows: list[endpoints.Row],
+    prompt: Prompt,
+    datacentre: str,
+    rng: random.Random,
+) -> list[list[Candidate]]:
+  """Returns the endpoints to weigh against each other, in rounds.
+
+  Those first in the order of a prefix that is worth keeping together, then
+  the next ones, should all of these be busy. Where nothing is gained by that,
+  a few at random, of the own data centre first.
+  """
+  if prompt.shared_tokens >= _KEPT_TOGETHER_TOKENS:
+    ordered = sorted(rows, key=lambda row: _weight(prompt.prefix, row.name))
+  else:
+    ordered = rng.sample(rows, len(rows))
+    ordered.sort(key=lambda row: row.datacentre != datacentre)
+  ranked = [Candidate(row, rank) for rank, row in enumerate(ordered)]
+  first, second = ranked[:_WEIGHED], ranked[_WEIGHED:]
+  if prompt.shared_tokens < _KEPT_TOGETHER_TOKENS:
+    rng.shuffle(second)
+  return [first, second[:_WEIGHED]]
+
+
+def choose_tracked(
+    found: list[Candidate],
+    standings: Mapping[str, tracking.Standing],
+    prompt: Prompt,
+    datacentre: str,
+) -> Place | None:
+  """Returns the candidate that should answer soonest; None without any.
+
+  Args:
+    found: the candidates.
+    standings: how they stand, by their lives; where one is missing, what this
+      router knows itself counts.
+    prompt: what the request shares.
+    datacentre: the router's own.
+  """
+  held = any(_is_held(one, standings, prompt) for one in found)
+  costs = [
+      (_tracked_cost_s(one, standings, held, prompt, datacentre), number)
+      for number, one in enumerate(found)
+  ]
+  if not costs:
+    return None
+  best = found[min(costs)[1]]
+  own_s = reading_s(_is_held(best, standings, prompt), prompt)
+  return Place(best.row, own_s, tracked_wait_s(best, standings, prompt) + own_s)
+
+
+def _is_held(
+    one: Candidate, standings: Mapping[str, tracking.Standing], prompt: Prompt
+) -> bool:
+  standing = standings.get(one.row.life)
+  if standing is not None and standing.held:
+    return True
+  return holds(one.row, one.rank, prompt)
+
+
+def tracked_wait_s(
+    one: Candidate, standings: Mapping[str, tracking.Standing], prompt: Prompt
+) -> float:
+  """Returns the seconds that what is at a candidate takes before a request."""
+  standing = standings.get(one.row.life)
+  if standing is None:
+    return wait_s(one.row, prompt)
+  each_s = _DECODING_S if prompt.prefix else _RUNNING_S
+  return standing.in_flight * each_s + standing.reading_s
+
+
+def _tracked_cost_s(
+    one: Candidate,
+    standings: Mapping[str, tracking.Standing],
+    held: bool,
+    prompt: Prompt,
+    datacentre: str,
+) -> float:
+  """Returns what choosing a candidate is held to cost, see `cost_s`."""
+  standing = standings.get(one.row.life)
+  if standing is None:
+    return cost_s(one.row, one.rank, held, prompt, datacentre)
+  is_held = _is_held(one, standings, prompt)
+  read_s = reading_s(is_held, prompt)
+  cost = 0.0 if one.row.datacentre == datacentre else _FAR_S
+  if not held:
+    cost += min(one.rank, _MOST_RANKS) * _RANK_S
+  elif not is_held:
+    read_s *= _READ_AGAIN
+  wait = tracked_wait_s(one, standings, prompt)
+  return (
+      cost + wait + standing.slowness * read_s + standing.failures * _FAILURE_S
+  )
+
+
+def is_busy(place: Place, prompt: Prompt) -> bool:
+  """Whether more candidates should be weighed before a request waits there."""
+  return place.answer_s - place.reading_s > _BUSY_S and bool(prompt.prefix)
+
+
 def choose(
     rows: list[endpoints.Row], prompt: Prompt, datacentre: str
 ) -> Place | None:
