Long answers wait for room whole instead of filling it in part

Ruled out: refusing at the first byte (the request has run by then, its answer is ready and must be delivered); a larger room (the host's limit is given).

An answer that tells its length holds all of it ahead, as soon as there is room, and is not read before; one that could never fit fails at once. One without a length is counted as it comes, as before.

--- a/mustardfall/proxy/exchange.py
+++ b/mustardfall/proxy/exchange.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator, Callable
+from typing import Protocol
 
 import anyio
 import h11
@@ -27,6 +28,16 @@
 )
 
 
+class Room(Protocol):
+  """Where an answer is held until it is whole."""
+
+  def hold(self, size: int) -> bool:
+    """Holds `size` more bytes; returns False if there is no room now."""
+
+  async def hold_whole(self, size: int) -> bool:
+    """Holds `size` bytes once there is room; False: there never will be."""
+
+
 class Exchange:
   """Sends a request on a connection and reads the answer.
 
@@ -64,6 +75,8 @@
     """Whether the answer has been read to its very end."""
     self._idle_s: float | None = None
     self._last_use = False
+    self._length = 0
+    """Bytes of the answer's body, if it says so."""
     self.received = False
     """Whether any byte came back."""
 
@@ -143,6 +156,7 @@
         raise errors.BrokenAnswerError("no answer before the end")
       answer = decode(event.status_code, list(event.headers))
       if answer.request_id in (request_id, ""):
+        self._length = messages.length_of(event.headers)
         return answer
       await self._pass_over(event)
     raise errors.BrokenAnswerError("answers of other requests only")
@@ -192,25 +206,26 @@
         self._clean = True
         return
 
-  async def read_body(
-      self, most: int, hold: Callable[[int], bool] = lambda size: True
-  ) -> bytes:
+  async def read_body(self, most: int, room: Room | None = None) -> bytes:
     """Returns the whole body.
 
     Args:
       most: bytes that it may have.
-      hold: asked for room for so many more bytes.
+      room: where it is held; None: it is not counted.
 
     Raises:
       errors.BrokenAnswerError: it ended early, is longer than `most`, or
         there is no room for it.
     """
     out = bytearray()
+    length = min(self._length, most)
+    if room is not None and length and not await room.hold_whole(length):
+      raise errors.BrokenAnswerError(f"no room for {length} bytes")
     async for data in self.body():
       out += data
       if len(out) > most:
         raise errors.BrokenAnswerError(f"body over {most} bytes")
-      if not hold(len(data)):
+      if room is not None and not length and not room.hold(len(data)):
         raise errors.BrokenAnswerError(f"no room after {len(out)} bytes")
     return bytes(out)
 
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -283,7 +283,7 @@
       exchange: exchange_lib.Exchange,
       answer: messages.Answer,
   ) -> None:
-    body = await exchange.read_body(_MOST_BODY_BYTES, job.responder.hold)
+    body = await exchange.read_body(_MOST_BODY_BYTES, job.responder)
     if answer.status >= _SERVER_ERROR:
       row.failures += 1
       job.failure = (answer, body)
--- a/mustardfall/proxy/front.py
+++ b/mustardfall/proxy/front.py
@@ -63,6 +63,14 @@
     """Holds `size` bytes of an answer; returns False if there is no room."""
     return self._session.hold_answer(size)
 
+  async def hold_whole(self, size: int) -> bool:
+    """Holds a whole answer of `size` bytes, as soon as there is room.
+
+    Returns:
+      False: there will never be.
+    """
+    return await self._session.hold_whole_answer(size)
+
   async def answer(
       self, status: int, headers: list[messages.Header], body: bytes = b""
   ) -> None:
@@ -390,6 +398,19 @@
     """Holds `size` bytes of an answer; returns False if they don't fit."""
     return self._front.make_room(self._held, room_lib.COPIES * size)
 
+  async def hold_whole_answer(self, size: int) -> bool:
+    """Holds an answer, waiting for room; returns False if it never fits.
+
+    Answers that each held what has come of them so far would fill the room
+    together, and none would ever be whole.
+    """
+    room = self._front.room
+    if not room.can_ever_fit(room_lib.COPIES * size):
+      return False
+    while not self.hold_answer(size):
+      await room.wait()
+    return True
+
   async def refuse_connection(self) -> None:
     """Tells the caller, before it is read, that there is no room for it."""
     await self._refuse(Responder(self), errors.BusyError("full", _COME_BACK_S))
@@ -398,7 +419,7 @@
   async def _read_body(self, head: h11.Request) -> bytes:
     limits = self._front.limits()
     body = bytearray()
-    told = min(_length_of(head), limits.body_bytes)
+    told = min(messages.length_of(head.headers), limits.body_bytes)
     self._take_body(told)
     while True:
       with anyio.move_on_after(limits.idle_timeout.total_seconds()) as scope:
@@ -456,14 +477,6 @@
         await self._stream.receive(_READ_BYTES)
 
 
-def _length_of(head: h11.Request) -> int:
-  """Returns the length of the body that a head announces, 0: it does not."""
-  for name, value in head.headers:
-    if name == b"content-length":
-      return int(value)
-  return 0
-
-
 def _asks_close(head: h11.Request) -> bool:
   for name, value in head.headers:
     if name == b"connection" and b"close" in value.lower():
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -4,12 +4,21 @@
 say what the headers mean.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 Header = tuple[bytes, bytes]
 """A header's lower-case name and its value."""
 
 
+def length_of(headers: Iterable[Header]) -> int:
+  """Returns the length of the body that headers announce, 0: they do not."""
+  for name, value in headers:
+    if name == b"content-length":
+      return int(value)
+  return 0
+
+
 class PromptPart(NamedTuple):
   """A part of a prompt; requests that share it name the same id."""
 
--- a/mustardfall/proxy/room.py
+++ b/mustardfall/proxy/room.py
@@ -8,6 +8,8 @@
 import logging
 import resource
 
+import anyio
+
 from mustardfall import settings
 
 logger = logging.getLogger(__name__)
@@ -57,6 +59,7 @@
     self.most_connections = most_connections
     self.held_bytes = 0
     self.connections = 0
+    self._freed = anyio.Event()
 
   @property
   def is_over(self) -> bool:
@@ -83,6 +86,21 @@
     """Whether `size` more bytes may be held within a part of the room."""
     return self.held_bytes + size <= self._most_bytes * share
 
+  def can_ever_fit(self, size: int) -> bool:
+    """Whether `size` bytes would fit if nothing else were held."""
+    return size <= self._most_bytes
+
+  def count(self, size: int) -> None:
+    """Counts `size` more bytes as held; fewer where it is negative."""
+    self.held_bytes += size
+    if size < 0:
+      self._freed.set()
+      self._freed = anyio.Event()
+
+  async def wait(self) -> None:
+    """Waits until somebody holds less."""
+    await self._freed.wait()
+
 
 class Holding:
   """What one connection, or the request on it, holds; close it in the end."""
@@ -114,7 +132,7 @@
 
   def _add(self, size: int) -> None:
     self._bytes += size
-    self._room.held_bytes += size
+    self._room.count(size)
 
   def give_way(self) -> None:
     """Holds nothing any more, in favour of others."""
