Routers that come and go by the dozen cost the others little

The ring takes points out and in by slices, keeping points at which two meet; it is laid only once an owner is looked for; candidates are sorted only while somebody is suspected.

--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -96,6 +96,11 @@
     self.rank = 0
     """This router's place among those of its region, see `rank`."""
     self._ring = ring.Ring()
+    self._ring_is_old = True
+    """Whether it does not hold the routers that may own budgets yet."""
+    self._find_owners = functools.lru_cache(_OWNERS_CACHED)(
+        lambda name: self._ring.find(name, _CANDIDATES)
+    )
     self._set_near()
 
   def _set_near(self) -> None:
@@ -112,12 +117,19 @@
     if near == self._near:
       return  # what was looked up still holds
     self._near = near
-    self._ring.set(near)
-    self._owners_of = functools.lru_cache(_OWNERS_CACHED)(self._find_owners)
+    self._ring_is_old = True
+
+  def _owners_of(self, name: str) -> list[str]:
+    """Returns the owner of `name`, then its deputies.
 
-  def _find_owners(self, name: str) -> list[str]:
-    """Returns the owner of `name`, then its deputies."""
-    return self._ring.find(name, _CANDIDATES)
+    The ring is laid only once it is needed: members come and go by the
+    dozen, and an owner is looked for a few times a second.
+    """
+    if self._ring_is_old:
+      self._ring_is_old = False
+      self._ring.set(self._near)
+      self._find_owners.cache_clear()
+    return self._find_owners(name)
 
   @property
   def lives(self) -> dict[str, Member]:
@@ -149,7 +161,8 @@
   def candidates(self, name: str) -> list[Member]:
     """Returns the owner and its deputies, those that are suspected last."""
     found = [self._by_name[near] for near in self._owners_of(name)]
-    found.sort(key=lambda m: self.is_suspected(m.life))
+    if self._suspected:
+      found.sort(key=lambda m: self.is_suspected(m.life))
     return found
 
   def is_suspected(self, life: str) -> bool:
@@ -162,7 +175,11 @@
     Its lease lapses only after many seconds. Asking it all that time
     would cost each request that draws on its budgets a timeout.
     """
-    self._suspected[life] = self._clock.monotonic() + _SUSPECT_S
+    now = self._clock.monotonic()
+    for other, until in list(self._suspected.items()):
+      if until <= now:
+        del self._suspected[other]
+    self._suspected[life] = now + _SUSPECT_S
 
   def has_gone(self, life: str) -> bool:
     """Whether `life` has been absent for the whole grace time.
--- a/mustardfall/membership/ring.py
+++ b/mustardfall/membership/ring.py
@@ -22,29 +22,50 @@
     self._points: dict[str, list[int]] = {}
     """Each router's points, in order."""
     self._names: dict[int, str] = {}
-    """The router at each point; where two meet, the first by name."""
+    """The router at each point; where several meet, the first by name."""
+    self._met: dict[int, list[str]] = {}
+    """All routers of points where several meet, by name."""
     self._sorted: list[int] = []
 
   def set(self, names: Iterable[str]) -> None:
     """Has the ring hold just these routers."""
     wanted = set(names)
     gone = self._points.keys() - wanted
-    for name in gone:
-      del self._points[name]
     if gone:
-      self._names, self._sorted = {}, []
-    for name in wanted - self._points.keys():
+      self._remove(gone)
+    come = wanted - self._points.keys()
+    if come:
+      self._add(come)
+
+  def _remove(self, names: Iterable[str]) -> None:
+    empty = []
+    for name in names:
+      for point in self._points.pop(name):
+        met = self._met.get(point)
+        if met is None:
+          del self._names[point]
+          empty.append(point)
+          continue
+        met.remove(name)
+        self._names[point] = met[0]
+        if len(met) == 1:
+          del self._met[point]
+    self._sorted = _without(self._sorted, sorted(empty))
+
+  def _add(self, names: Iterable[str]) -> None:
+    new = []
+    for name in names:
       self._points[name] = _points(name)
-    for name, points in self._points.items():
-      if self._names.get(points[0]) != name:
-        self._lay(name, points)
-
-  def _lay(self, name: str, points: list[int]) -> None:
-    """Lays a router's points on the ring."""
-    for point in points:
-      self._names[point] = min(name, self._names.get(point, name))
-    # Both parts are in order, so that sorting only has to merge them.
-    self._sorted = sorted(self._sorted + points)
+      for point in self._points[name]:
+        other = self._names.setdefault(point, name)
+        if other is name:
+          new.append(point)
+          continue
+        met = self._met.setdefault(point, [other])
+        bisect.insort(met, name)
+        self._names[point] = met[0]
+    # The points before are in order, so that sorting merges the new ones in.
+    self._sorted = sorted(self._sorted + sorted(new))
 
   def find(self, key: str, count: int) -> list[str]:
     """Returns the next `count` routers on the ring from a key, or all."""
@@ -63,6 +84,17 @@
       yield self._names[ring[(begin + number) % len(ring)]]
 
 
+def _without(points: list[int], gone: list[int]) -> list[int]:
+  """Returns points without some of them, both in order."""
+  kept: list[int] = []
+  begin = 0
+  for point in gone:
+    end = bisect.bisect_left(points, point, begin)
+    kept += points[begin:end]
+    begin = end + 1
+  return kept + points[begin:]
+
+
 def _digest(text: str) -> bytes:
   return hashlib.md5(text.encode(), usedforsecurity=False).digest()
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -36,6 +36,9 @@
 from mustardfall.util import clock as clock_lib
 
 _ROUTERS = 78
+_LARGE = 195
+_REFUSED_S = 9.0
+"""For which the store turns hosts away; they come back for as long."""
 _ENDPOINTS = 73
 _CONTROL_BYTES_PER_S = 7_000
 _CONTROL_SHARE = 0.01
@@ -215,6 +218,26 @@
     spent_s = time.process_time() - began
     self.assertTrue(spent_s <= _CONTROL_SHARE * _START_S, spent_s)
 
+  def test_a_third_that_leaves_and_comes_back_costs_little(self):
+    """Guards against a ring laid anew by all for each router that goes."""
+    # The store turns a third of the hosts away until their leases lapse.
+    everyone = [_member(i) for i in range(_LARGE)]
+    view = members_lib.Members(
+        None,
+        _member(_LARGE - 1),
+        settings.Membership(),
+        clock_lib.FakeClock(),
+        events.Bus(),
+    )
+    view.take(everyone)
+    view.owner("acme")
+    began = time.process_time()
+    for gone in [*range(_LARGE // 3), *reversed(range(_LARGE // 3))]:
+      view.take(everyone[gone:])
+      view.owner("acme")
+    spent_s = time.process_time() - began
+    self.assertTrue(spent_s <= 2 * _CONTROL_SHARE * _REFUSED_S, spent_s)
+
   def test_clocks_are_compared_with_few_calls(self):
     # Routers that have just started answer late, so the comparison is never
     # as close as it should be. It was made again with all of them each
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -55,6 +55,8 @@
 class _Members:
   """Stands for `members.Members`, with a view that the test sets."""
 
+  is_large = False
+
   def __init__(self, world, name):
     self._world = world
     self.me = world.member(name)
