Second sends, refills and log lines of a large fleet are bounded as a whole

Ruled out: a smaller ratio of retries (it is per request and holds at any size); fewer refills by a lower mark (budgets would run dry in cuts).

What may be saved up is the fleet's, divided by the routers that are up; a refill that would bring less than a tenth of what is to be held is not asked for; in a large fleet reports go out on change only; one line names the routers that have gone. `mustardfall experiment placement` plays the model.

Measured: tests/test_retries.py (9 to 300 routers all of whose requests fail: within ratio and slack; by arithmetic the burst of before was 27 x 195 = 5,265).

--- a/mustardfall/bench/virtual/engines.py
+++ b/mustardfall/bench/virtual/engines.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import dataclasses
 import heapq
+import itertools
 import math
 import random
 import statistics
@@ -167,6 +168,7 @@
     self._read_again = 0
     self._times: dict[str, list[tuple[int, float]]] = {}
     self._events: list[tuple[float, int, Callable[[float], None]]] = []
+    self._order = itertools.count()
     self._sizes = self._draw_prefixes()
 
   def _draw_prefixes(self) -> dict[str, list[int]]:
@@ -182,7 +184,7 @@
 
   def later(self, at: float, step: Callable[[float], None]) -> None:
     """Has something happen at a time."""
-    heapq.heappush(self._events, (at, len(self._events) + self.messages, step))
+    heapq.heappush(self._events, (at, next(self._order), step))
 
   def play(self) -> Result:
     """Plays the day to its end."""
@@ -199,9 +201,8 @@
               engine, "slow_x", self._day.slow_x
           ),
       )
-    order = 0
     while self._events:
-      at, order, step = heapq.heappop(self._events)
+      at, _, step = heapq.heappop(self._events)
       step(at)
     return self._result()
 
--- a/mustardfall/budget/drawing.py
+++ b/mustardfall/budget/drawing.py
@@ -385,6 +385,9 @@
     if owner is not None:
       await self._ask(owner, budget, least, want, customer)
       return
+    if not (blind or self._granter.is_worth_a_refill(budget)):
+      self._refill_at[budget] = now + _REFILL_PAUSE_S
+      return
     margin = self._known.policy_of(customer).margin
     await self._granter.grant(budget, least, want, margin)
     if self._runs_low(budget):
--- a/mustardfall/budget/granting.py
+++ b/mustardfall/budget/granting.py
@@ -19,6 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
+_LEAST_REFILL = 0.1
+"""Part of what is to be held that a refill brings at least."""
 _NO_BUDGET = ledger.Ledger(
     limit=0, spent=0, grants={}, lost={}, lost_before=0, parts={}, ops=[]
 )
@@ -135,6 +137,19 @@
       return 1.0 / self._members.regions
     return 1.0
 
+  def is_worth_a_refill(self, budget: str) -> bool:
+    """Whether a refill would bring enough to be worth a call to the KV.
+
+    A budget runs low here while requests in flight have most of what is held
+    set aside; until they have ended no more may be held.
+    """
+    limit = self._known.limit_of(budget)
+    if limit is None:
+      return True
+    view = self._known.view(budget, limit)
+    target = holding.target(view, self._config)
+    return target - view.held >= target * _LEAST_REFILL
+
   async def grant(
       self,
       budget: str,
--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -306,5 +306,39 @@
     raise click.ClickException("a budget was overspent")
 
 
+@experiment.command(name="placement")
+@click.option(
+    "--policies",
+    multiple=True,
+    default=("hashed", "two", "sampled", "tracked"),
+    show_default=True,
+    help="How endpoints are chosen (repeatable).",
+)
+@click.option("--seeds", default=200, show_default=True)
+@click.option("--first-seed", default=0, show_default=True)
+@click.option("--workers", default=4, show_default=True)
+@click.option("--report", type=click.Path(path_type=pathlib.Path))
+def experiment_placement(
+    policies: tuple[str, ...],
+    seeds: int,
+    first_seed: int,
+    workers: int,
+    report: pathlib.Path | None,
+) -> None:
+  """Prints worth, late first tokens and messages of a large fleet."""
+  from mustardfall.bench import placements  # noqa: PLC0415
+  from mustardfall.bench.virtual import engines  # noqa: PLC0415
+
+  unknown = set(policies) - set(engines.POLICIES)
+  if unknown:
+    raise click.ClickException(f"no such policy: {', '.join(sorted(unknown))}")
+  numbers = range(first_seed, first_seed + seeds)
+  played = placements.run(list(policies), numbers, workers)
+  if report is not None:
+    for path in placements.write(played, report):
+      click.echo(f"written: {path}", err=True)
+  click.echo(placements.to_table(played))
+
+
 if __name__ == "__main__":
   main()
--- a/mustardfall/membership/loadshare.py
+++ b/mustardfall/membership/loadshare.py
@@ -16,7 +16,8 @@
 """Least time between two reports. Nine routers send some 75 streams a second;
 within this time few of them pick the same endpoint unknown to each other."""
 _QUIET_S = 0.5
-"""A report is sent at least this often, so that silence means death."""
+"""In a small fleet a report is sent at least this often, so that silence means
+death."""
 _TOLD_AT_ONCE = 8
 """Routers of a larger fleet told by one report, all in turn."""
 _BYTES_PER_S = 1_500
@@ -65,8 +66,10 @@
   async def run(self) -> None:
     """Tells others until cancelled."""
     while True:
-      with anyio.move_on_after(_QUIET_S):
+      with anyio.move_on_after(_QUIET_S) as quiet:
         await self._changed.wait()
+      if quiet.cancelled_caught and self._members.is_large:
+        continue  # the next report reaches others than the one before did
       self._changed = anyio.Event()
       told_bytes = await self._tell()
       await anyio.sleep(max(_PACE_S, told_bytes / _BYTES_PER_S))
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -7,7 +7,7 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 import functools
 import hashlib
 import json
@@ -37,6 +37,8 @@
 CLOSE_FLEET = 12
 """Routers up to which each can afford to tell all others, and to draw on the KV
 itself; in a larger fleet few act for the others."""
+_LOGGED = 8
+"""Routers named in one log line."""
 _RETRY_S = 0.5
 _SUSPECT_S = 2.0
 """How long a router that did not answer is passed over."""
@@ -274,12 +276,14 @@
     if by_name == self._by_name:
       return
     lives = {m.life: m for m in by_name.values()}
-    for life in self._lives.keys() - lives.keys():
+    gone = self._lives.keys() - lives.keys()
+    if gone:
+      _log_gone(gone)
+    for life in gone:
       self._absent_since[life] = self._clock.monotonic()
       self._suspected.pop(life, None)
       if life.rpartition(":")[0] in by_name:
         self._replaced[life] = None
-      logger.info("router gone", extra={"life": life})
     while len(self._replaced) > _REPLACED_REMEMBERED:
       self._replaced.popitem(last=False)
     for life in lives.keys() - self._lives.keys():
@@ -298,6 +302,12 @@
   return hashlib.blake2b(name.encode(), digest_size=8).digest()
 
 
+def _log_gone(lives: Set[str]) -> None:
+  """Logs who has gone: one line, however many have."""
+  named = sorted(lives)[:_LOGGED]
+  logger.info("routers gone", extra={"count": len(lives), "lives": named})
+
+
 def from_row(row: Mapping[str, Any]) -> Member:
   """Returns a router as a table of its fields tells it.
 
--- a/mustardfall/platform/site.py
+++ b/mustardfall/platform/site.py
@@ -14,16 +14,13 @@
 
 from mustardfall import errors
 from mustardfall import settings
+from mustardfall.membership import members as members_lib
 
 logger = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "MUSTARDFALL_SETTINGS"
 """Environment variable with the path of the platform's settings file."""
 
-_HOSTS = 12
-"""Routers that the fleet's shared figures are divided by: today's nine and
-the three that may be added. Too many divides more finely than it must;
-too few would let the fleet pass its bound."""
 _RETRY_SAFETY = 0.75
 """Part of the allowed retry ratio that is used: the platform counts in
 sliding windows, and a burst may straddle two."""
@@ -175,7 +172,9 @@
       "limits": {"memory_mb": limits.memory_mb, "files": limits.max_fds},
       "proxy": {
           "retry_ratio": bounds.retry_ratio * _RETRY_SAFETY,
-          "retry_burst": bounds.retry_slack * _RETRY_SAFETY / _HOSTS,
+          "retry_burst": bounds.retry_slack
+          * _RETRY_SAFETY
+          / members_lib.CLOSE_FLEET,
       },
   }
   return Site(
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -16,6 +16,7 @@
 from mustardfall import errors
 from mustardfall import metrics
 from mustardfall import settings
+from mustardfall.membership import members as members_lib
 from mustardfall.proxy import admission as admission_lib
 from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import front
@@ -99,6 +100,7 @@
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
+    self._members = accounts.members
     self._records = records_lib.Records(clock, instruments)
     self._retries: dict[str, retries.RetryBudget] = {}
 
@@ -129,10 +131,18 @@
     budget = self._retries.get(service)
     if budget is None:
       config = self._config.proxy
-      budget = retries.RetryBudget(config.retry_ratio, config.retry_burst)
+      budget = retries.RetryBudget(config.retry_ratio, self._retry_burst)
       self._retries[service] = budget
     return budget
 
+  def _retry_burst(self) -> float:
+    """Returns the second sends that this router may save up for a service."""
+    return retries.part_of_burst(
+        self._config.proxy.retry_burst,
+        members_lib.CLOSE_FLEET,
+        len(self._members.lives),
+    )
+
   # Serving.
 
   async def _serve(self, job: job_lib.Job) -> None:
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -136,7 +136,8 @@
   retry_ratio: float = pydantic.Field(default=0.15, ge=0)
   """Second sends per request and service, over time."""
   retry_burst: float = pydantic.Field(default=4.0, ge=0)
-  """Second sends that may be saved up, per service."""
+  """Second sends that may be saved up, per service, in a fleet of up to 12
+  routers; the routers of a larger one save up no more together."""
   metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port that serves the metrics as text; 0: none."""
 
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,52 @@
+"""Second sends of a whole fleet stay within what its endpoints can take.
+
+Pattern: servers fail part of their requests for some seconds while 195 routers
+send to them. What all routers together may send once more does not grow with
+their number.
+"""
+
+import testtools
+
+from mustardfall.membership import members as members_lib
+from mustardfall.routing import retries
+
+_SLACK = 430.0
+"""Second sends that a service bears at once, beside a part of its requests."""
+_SAFETY = 0.75
+_RATIO = 0.2
+
+
+class RetryTest(testtools.TestCase):
+
+  def _made(self, routers: int, requests_each: int) -> int:
+    """Returns the retries of a fleet all of whose requests fail."""
+    burst = _SLACK * _SAFETY / members_lib.CLOSE_FLEET
+    made = 0
+    for _ in range(routers):
+      budget = retries.RetryBudget(
+          _RATIO * _SAFETY,
+          lambda: retries.part_of_burst(
+              burst, members_lib.CLOSE_FLEET, routers
+          ),
+      )
+      for _ in range(requests_each):
+        budget.deposit()
+        made += budget.withdraw()
+    return made
+
+  def test_retries_of_a_fleet_do_not_grow_with_its_routers(self):
+    """Guards against a storm of second sends when all routers' servers fail."""
+    for routers, each in ((9, 68), (77, 34), (195, 12), (300, 8)):
+      made = self._made(routers, each)
+      allowed = _RATIO * routers * each + _SLACK
+      self.assertTrue(made <= allowed, (routers, made, allowed))
+
+  def test_one_retry_can_always_be_saved_up(self):
+    budget = retries.RetryBudget(
+        0.15, lambda: retries.part_of_burst(27.0, 12, 5_000)
+    )
+    self.assertTrue(budget.withdraw())
+    self.assertFalse(budget.withdraw())
+    for _ in range(8):
+      budget.deposit()
+    self.assertTrue(budget.withdraw())
--- a/tests/test_tracking.py
+++ b/tests/test_tracking.py
@@ -7,9 +7,15 @@
 appraisals of 50,000 while other engines are idle.
 """
 
+import json
+import pathlib
+import tempfile
+
 import anyio
+from click import testing
 import testtools
 
+from mustardfall import cli
 from mustardfall import events
 from mustardfall import metrics
 from mustardfall import overhead
@@ -89,6 +95,28 @@
       self.assertTrue(result.messages_per_s <= 16, result.messages_per_s)
 
 
+class ExperimentTest(testtools.TestCase):
+
+  def test_a_seed_is_played_and_reported(self):
+    with tempfile.TemporaryDirectory() as folder:
+      outcome = testing.CliRunner().invoke(
+          cli.main,
+          [
+              *("experiment", "placement", "--policies", "tracked"),
+              *("--seeds", "1", "--workers", "1", "--report", folder),
+          ],
+      )
+      self.assertEqual(0, outcome.exit_code, outcome.output)
+      rows = json.loads((pathlib.Path(folder) / "figures.json").read_text())
+    self.assertEqual(3, len(rows))
+    self.assertIn("calm: tracked", outcome.output)
+
+  def test_same_seed_same_day(self):
+    day = engines.Day(seconds=5.0)
+    twice = [engines.Player(day, "tracked", 3).play() for _ in range(2)]
+    self.assertEqual(twice[0], twice[1])
+
+
 class TrackerTest(testtools.TestCase):
 
   def test_prompts_on_their_way_are_counted_at_once(self):
