--- a/mustardfall/membership/notices.py
+++ b/mustardfall/membership/notices.py
@@ -10,6 +10,7 @@
 
 import json
 from typing import Any, NamedTuple
+import zlib
 
 import anyio
 
@@ -31,6 +32,8 @@
 _MOST_BYTES = 1_300
 """Of a datagram, so that it is sent in one packet. Changes that make it longer
 are not told; who has not heard of them reads for itself."""
+_MOST_CONTENT_BYTES = 65_536
+"""Of what it unpacks to."""
 
 
 class Heard(NamedTuple):
@@ -144,11 +147,11 @@
       copy = self._copies.find(name)
       age_s = round(now - copy.as_of, 3)
       told[name] = [copy.digest, age_s, *changes.get(name, ())]
-    return json.dumps(told, separators=(",", ":")).encode()
+    return zlib.compress(json.dumps(told, separators=(",", ":")).encode())
 
   def _take(self, raw: bytes) -> None:
     now = self._clock.monotonic()
-    for name, (digest, age_s, *change) in json.loads(raw).items():
+    for name, (digest, age_s, *change) in _decode(raw).items():
       heard = Heard(str(digest), now - float(age_s))
       last = self._heard.get(name)
       if last is None or heard.as_of > last.as_of:
@@ -168,3 +171,19 @@
       document = deltas.apply(copy.document, change[1])
       if deltas.digest(document) == heard.digest:
         self._copies.put(name, document, heard.as_of)
+
+
+def _decode(raw: bytes) -> dict[str, Any]:
+  """Returns what a notice tells.
+
+  Raises:
+    ValueError: it is none, or unpacks to too much.
+  """
+  unpacker = zlib.decompressobj()
+  try:
+    content = unpacker.decompress(raw, _MOST_CONTENT_BYTES)
+  except zlib.error as exc:
+    raise ValueError(str(exc)) from exc
+  if not unpacker.eof:
+    raise ValueError("cut short, or too long")
+  return json.loads(content)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -10,6 +10,7 @@
 
 import json
 from typing import NamedTuple
+import zlib
 
 import anyio
 import testtools
@@ -385,3 +386,23 @@
     self.assertTrue(calls <= 3 * 3 * _LARGE, calls)
     fleet.store.away = False
     await self._leave(fleet)
+
+  @in_large_fleet
+  async def test_a_third_that_registers_again_is_told(self, fleet):
+    """Guards against all reading who is up at each registration."""
+    members = [_member(i) for i in range(0, _LARGE, 3)]
+    before = fleet.store.calls
+    for member in members:
+      again = member._replace(epoch="f")
+      fleet.store.put(members_lib.PREFIX + member.name, again._asdict())
+      await anyio.sleep(0.005)
+    await anyio.sleep(3.0)
+    calls = fleet.store.calls - before
+    self.assertTrue(calls <= _LARGE / 2, calls)
+    lives = fleet.routers["front-a-1"].accounts.members.lives
+    self.assertIn("front-a-3:f", lives)
+
+  def test_notice_that_unpacks_to_too_much_is_nonsense(self):
+    """Guards against a datagram that takes a router past its memory."""
+    for raw in (zlib.compress(b" " * 10_000_000), b"", b"[]", b"\x78\x9c"):
+      self.assertRaises(ValueError, notices._decode, raw)
