Changes told of routers and servers that are new verify, whatever their order

A row that came anew was put at the end of a told list, while readers have it in order of names; the digests differed, and every router read the list after all.

A digest says nothing of the order of named rows. A change of the members is applied to whichever version is kept, so that a router that starts among many need not read for each of them.

--- a/mustardfall/membership/deltas.py
+++ b/mustardfall/membership/deltas.py
@@ -35,8 +35,14 @@
 
 
 def digest(document: Document) -> str:
-  """Returns what stands for a document's content."""
-  text = json.dumps(document, sort_keys=True, separators=(",", ":"))
+  """Returns what stands for a document's content.
+
+  The order of named rows says nothing: they are found by what is in them.
+  """
+  ordered = {
+      field: _by_name(value) or value for field, value in document.items()
+  }
+  text = json.dumps(ordered, sort_keys=True, separators=(",", ":"))
   return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).hexdigest()
 
 
@@ -60,22 +66,22 @@
 def apply(before: Document, delta: Delta) -> Document:
   """Returns the later version.
 
-  Rows stay where they were and new ones follow the others: where the later
-  version has them in another order, its digest tells.
+  Applied to another version than it was made for, it changes what it can: the
+  digest tells whether the result is the later version.
 
   Raises:
     KeyError, TypeError: the delta is none, or of another document.
   """
   after = before | delta["fields"]
   for field in delta["gone"]:
-    del after[field]
+    after.pop(field, None)
   for field, changes in delta["rows"].items():
     rows = _by_name(before[field])
     if rows is None:
       raise TypeError(f"{field} has no named rows")
     rows |= {row["name"]: row for row in changes["put"]}
     for name in changes["cut"]:
-      del rows[name]
+      rows.pop(name, None)
     after[field] = list(rows.values())
   return after
 
--- a/mustardfall/membership/notices.py
+++ b/mustardfall/membership/notices.py
@@ -44,14 +44,6 @@
   """When its teller knew the document to be current, monotonic seconds."""
 
 
-class Change(NamedTuple):
-  """A change to be told: what turns version `before` into the current one."""
-
-  before: str
-  """Digest of the version before."""
-  delta: deltas.Delta
-
-
 class Notices:
   """Tells and hears which documents are current.
 
@@ -126,13 +118,13 @@
     """Tells the region's other routers the digests of all documents."""
     await self._send({})
 
-  async def tell_change(self, name: str, change: Change) -> None:
+  async def tell_change(self, name: str, change: deltas.Delta) -> None:
     """Tells them at once what has changed of a document."""
     await self._send({name: change})
     await anyio.sleep(_TELL_AGAIN_S)
     await self._send({name: change})
 
-  async def _send(self, changes: dict[str, Change]) -> None:
+  async def _send(self, changes: dict[str, deltas.Delta]) -> None:
     region = self._members.me.region
     near = [m for m in self._members.others if m.region == region]
     content = self._encode(changes)
@@ -140,13 +132,15 @@
       content = self._encode({})
     await self._datagrams.tell(datagrams_lib.Kind.NOTICE, content, near)
 
-  def _encode(self, changes: dict[str, Change]) -> bytes:
+  def _encode(self, changes: dict[str, deltas.Delta]) -> bytes:
     now = self._clock.monotonic()
     told = {}
     for name in self._copies.names:
       copy = self._copies.find(name)
       age_s = round(now - copy.as_of, 3)
-      told[name] = [copy.digest, age_s, *changes.get(name, ())]
+      told[name] = [copy.digest, age_s]
+      if name in changes:
+        told[name].append(changes[name])
     return zlib.compress(json.dumps(told, separators=(",", ":")).encode())
 
   def _take(self, raw: bytes) -> None:
@@ -167,10 +161,17 @@
       return
     if copy.digest == heard.digest:
       self._copies.confirm(name, heard.as_of)
-    elif change and change[0] == copy.digest:
-      document = deltas.apply(copy.document, change[1])
+    elif change:
+      try:
+        document = deltas.apply(copy.document, change[0])
+      except KeyError:
+        return  # of a version with other fields than the one kept here
       if deltas.digest(document) == heard.digest:
         self._copies.put(name, document, heard.as_of)
+      elif name == members_lib.PREFIX:
+        # Registrations come by the dozen while this router has only some of
+        # them; each that is known is one that need not be read.
+        self._copies.put(name, document, copy.as_of)
 
 
 def _decode(raw: bytes) -> dict[str, Any]:
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -13,7 +13,6 @@
 from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import deltas
 from mustardfall.membership import members as members_lib
-from mustardfall.membership import notices as notices_lib
 from mustardfall.platform import documents
 from mustardfall.platform import sources
 from mustardfall.platform import store as store_lib
@@ -146,8 +145,7 @@
     if not self._notices.tells:
       return
     if before is not None and before.digest != copy.digest:
-      delta = deltas.diff(before.document, document)
-      change = notices_lib.Change(before.digest, delta)
+      change = deltas.diff(before.document, document)
       await self._notices.tell_change(self._name, change)
     elif self._name == documents.SERVERS_PREFIX:
       # The list is read most often; the others' digests go with it.
