--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -28,6 +28,9 @@
 """How much later than asked a watch may answer before it is taken for
 dead: connections can go silent for good."""
 
+_MOST_ENTRIES = 32
+"""Of one transaction."""
+
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 412
@@ -191,12 +194,22 @@
     return _record(self._parse(reply, target, _Item))
 
   async def get_many(self, keys: list[str]) -> dict[str, protocol.Record]:
-    """Returns the records found at `keys`."""
+    """Returns the records found at `keys`.
+
+    A transaction without changes, on condition that none of them exists, tells
+    of up to 32 in one call.
+    """
     found = {}
-    for key in keys:
-      record = await self.get(key)
-      if record is not None:
-        found[key] = record
+    if len(keys) == 1:
+      record = await self.get(keys[0])
+      return {keys[0]: record} if record is not None else {}
+    for begin in range(0, len(keys), _MOST_ENTRIES):
+      absent = [
+          protocol.Compare(key, "MOD", 0)
+          for key in keys[begin : begin + _MOST_ENTRIES]
+      ]
+      result = await self.txn(absent, [])
+      found |= {record.key: record for record in result.records}
     return found
 
   async def get_prefix(self, prefix: str) -> tuple[int, list[protocol.Record]]:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,7 @@
 """The client of the platform's store, against the emulated one."""
 
+import json
+
 import anyio
 import testtools
 
@@ -64,6 +66,19 @@
     self.assertEqual(b"3", (await client.get("k")).value)
     self.assertIsNone(await client.get("none"))
 
+  @in_store
+  async def test_many_keys_are_read_with_one_call(self, server, client):
+    for number in range(0, 40, 2):
+      server.put(f"budget/{number:02}", {"n": number})
+    revision, calls = server.revision, client.calls
+    keys = [f"budget/{number:02}" for number in range(40)]
+    found = await client.get_many(keys)
+    self.assertEqual(keys[::2], sorted(found))
+    self.assertEqual({"n": 4}, json.loads(found["budget/04"].value))
+    self.assertEqual({}, await client.get_many(["none/1", "none/2"]))
+    self.assertEqual(3, client.calls - calls)
+    self.assertEqual(revision, server.revision)
+
   @in_store
   async def test_all_pages_are_read(self, server, client):
     for number in range(120):
