A change that is told late takes nothing back

Cause, found by reading: a reader that the store refuses tells its copies with their ages; a change among them was applied to any copy that it fitted, also to one that was known to be current later. A configuration could have gone back in a router's copies (not in force: versions only rise there).

What was current earlier than the copy kept here is passed over.

Measured: the test fails on the version before.

--- a/mustardfall/membership/notices.py
+++ b/mustardfall/membership/notices.py
@@ -157,8 +157,8 @@
   def _update(self, name: str, heard: Heard, change: list[Any]) -> None:
     """Brings the copy kept here up to what was heard, as far as that goes."""
     copy = self._copies.find(name)
-    if copy is None:
-      return
+    if copy is None or heard.as_of <= copy.as_of:
+      return  # what is known here was current later than what is told
     if copy.digest == heard.digest:
       self._copies.confirm(name, heard.as_of)
     elif change:
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -22,6 +22,7 @@
 from mustardfall.kv import protocol
 from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import datagrams
+from mustardfall.membership import deltas
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import notices
 from mustardfall.membership import relay as relay_lib
@@ -419,6 +420,19 @@
       self.assertEqual(8, len(gateway.states))
       self.assertEqual(_LARGE + 4, len(gateway.accounts.members.lives))
 
+  @in_fleet
+  async def test_a_change_told_late_takes_nothing_back(self, fleet):
+    """Guards against an older configuration put in the place of a newer."""
+    fleet.store.put("op/config", platformcase.configuration(version=5))
+    await anyio.sleep(1.0)
+    gateway = next(g for g in fleet.routers.values() if not g.reads)
+    newest = gateway.copies.find("op/config")
+    older = newest.document | {"version": 4}
+    change = deltas.diff(newest.document, older)
+    told = {"op/config": [deltas.digest(older), 2.0, change]}
+    gateway.notices._take(zlib.compress(json.dumps(told).encode()))
+    self.assertEqual(5, gateway.copies.find("op/config").document["version"])
+
   def test_notice_that_unpacks_to_too_much_is_nonsense(self):
     """Guards against a datagram that takes a router past its memory."""
     for raw in (zlib.compress(b" " * 10_000_000), b"", b"[]", b"\x78\x9c"):
