What one datagram tells of ages and times is bounded

Cause, found by reading the change once more: a notice with an age below zero was current in the future, so that its receiver read nothing for itself any more; notices of other names were kept without bound; a note of a prompt that takes 10^12 s to read had its endpoint passed over for good. All three can come from one router of another version.

Ages are zero at least, also of documents that are asked for; only documents that are known are noted; a prompt's reading counts 10 s at most.

--- a/mustardfall/membership/notices.py
+++ b/mustardfall/membership/notices.py
@@ -146,7 +146,10 @@
   def _take(self, raw: bytes) -> None:
     now = self._clock.monotonic()
     for name, (digest, age_s, *change) in _decode(raw).items():
-      heard = Heard(str(digest), now - float(age_s))
+      if self._copies.find(name) is None:
+        continue  # it is read first; other names are nothing to keep
+      # One that was current in the future would stand for every later one.
+      heard = Heard(str(digest), now - max(0.0, float(age_s)))
       last = self._heard.get(name)
       if last is None or heard.as_of > last.as_of:
         self._heard[name] = heard
--- a/mustardfall/membership/relay.py
+++ b/mustardfall/membership/relay.py
@@ -89,7 +89,7 @@
       told = answer.get(name)
       if not told:
         return
-      document, age_s = dict(told["document"]), float(told["age_s"])
+      document, age_s = dict(told["document"]), max(0.0, float(told["age_s"]))
     except (
         errors.PeerUnavailableError,
         AttributeError,
--- a/mustardfall/routing/tracking.py
+++ b/mustardfall/routing/tracking.py
@@ -11,6 +11,9 @@
 
 _CACHED_S = 15.0
 """How long an unused prefix is taken to stay in an endpoint's cache."""
+_MOST_READING_S = 10.0
+"""Longer than an engine reads the longest prompt that fits into its memory; a
+router that tells more would have the endpoint passed over for good."""
 _STAY_S = 8.0
 """A request whose end was not heard of is taken to have ended after this."""
 _QUIET_S = 60.0
@@ -107,7 +110,8 @@
     found = self._find(endpoint, now)
     found.requests[request] = now
     begin = max(now, found.read_at)
-    found.read_at = begin + reading_s * found.slowness
+    most_s = min(max(0.0, reading_s), _MOST_READING_S)
+    found.read_at = begin + most_s * found.slowness
     if prefix:
       found.prefixes.pop(prefix, None)
       found.prefixes[prefix] = now
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -433,6 +433,17 @@
     gateway.notices._take(zlib.compress(json.dumps(told).encode()))
     self.assertEqual(5, gateway.copies.find("op/config").document["version"])
 
+  @in_fleet
+  async def test_notice_from_the_future_is_not_relied_on(self, fleet):
+    """Guards against a router that reads nothing any more for one datagram."""
+    deaf = next(g for g in fleet.routers.values() if not g.reads)
+    copy = deaf.copies.find("servers/")
+    told = {"servers/": [copy.digest, -1e9], "x": ["d", 0], "y": ["d", -1e9]}
+    deaf.notices._take(zlib.compress(json.dumps(told).encode()))
+    fleet.net.lose = lambda sender: True
+    await self._leave(fleet)
+    self.assertEqual(3, len(deaf.notices._heard))
+
   def test_notice_that_unpacks_to_too_much_is_nonsense(self):
     """Guards against a datagram that takes a router past its memory."""
     for raw in (zlib.compress(b" " * 10_000_000), b"", b"[]", b"\x78\x9c"):
--- a/tests/test_tracking.py
+++ b/tests/test_tracking.py
@@ -145,6 +145,14 @@
     after = tracker.stand("i", "", 19.0).slowness
     self.assertTrue(after <= 1.2, after)
 
+  def test_nonsense_of_one_router_does_not_close_an_endpoint(self):
+    """Guards against an endpoint that is passed over for one datagram."""
+    tracker = tracking.Tracker()
+    for reading_s in (1e12, float("inf"), float("nan"), -1e12):
+      tracker.note_sent("i", f"r{reading_s}", "p", reading_s, 10.0)
+    found = tracker.stand("i", "p", 10.0)
+    self.assertTrue(0.0 <= found.reading_s <= 40.0, found)
+
   def test_failures_fade(self):
     tracker = tracking.Tracker()
     tracker.note_end("i", "r", True, 10.0)
