A router that starts again begins with a quarter of its second sends

What was left of the same class: each life began with all of its part saved up, so that a fleet that is killed in series made its slack anew each time, and the part followed a count that falls while leases lapse. Class: a bound of each process taken for one of the fleet.

Ruled out: requests answered 421 by a server at a taken-over address; each is paid where it is sent on, as any other.

Change: a life begins with a quarter of its burst, and the most routers of the last minute or two count.

Tests: two tests of what becomes of a request sent to a second server have the router serve some requests first, which pay for it. The test of a fleet of 5,000 asked for a second send of a router that has served nothing; it now asserts that there is none before it was earned, and one for each time it was.

--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -100,7 +100,8 @@
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
-    self._members = accounts.members
+    members = accounts.members
+    self._fleet = retries.FleetSize(clock, lambda: len(members.lives))
     self._records = records_lib.Records(clock, instruments)
     self._retries: dict[str, retries.RetryBudget] = {}
 
@@ -140,7 +141,7 @@
     return retries.part_of_burst(
         self._config.proxy.retry_burst,
         members_lib.CLOSE_FLEET,
-        len(self._members.lives),
+        self._fleet.most(),
     )
 
   # Serving.
--- a/mustardfall/routing/retries.py
+++ b/mustardfall/routing/retries.py
@@ -7,14 +7,19 @@
 
 from collections.abc import Callable
 
+from mustardfall.util import clock as clock_lib
+
 _RATIO = 0.2
 """Retries allowed per request, over time."""
 _BURST = 20.0
 """Retries that may be saved up."""
-
-
 _LEAST_BURST = 1.0
 """A router that could not save up one retry would never make any."""
+_START_SHARE = 0.25
+"""Part of its burst that a router starts with. With all of it, a fleet that is
+killed again and again would make its burst anew each time."""
+_FLEET_REMEMBERED_S = 60.0
+"""How long a larger fleet is remembered at least."""
 
 
 def part_of_burst(burst: float, planned: int, routers: int) -> float:
@@ -28,6 +33,33 @@
   return max(_LEAST_BURST, burst * planned / max(planned, routers))
 
 
+class FleetSize:
+  """The most routers that were up lately.
+
+  Leases lapse while the store refuses hosts that go on serving. Were these
+  left out, the others would divide the fleet's retries among too few.
+
+  Args:
+    clock: the time source.
+    count: returns how many routers are known to be up.
+  """
+
+  def __init__(self, clock: clock_lib.Clock, count: Callable[[], int]) -> None:
+    self._clock = clock
+    self._count = count
+    self._most = self._most_before = 0
+    self._since = clock.monotonic()
+
+  def most(self) -> int:
+    """Returns the most of the last one to two minutes."""
+    now = self._clock.monotonic()
+    if now - self._since >= _FLEET_REMEMBERED_S:
+      self._most_before, self._most = self._most, 0
+      self._since = now
+    self._most = max(self._most, self._count())
+    return max(self._most, self._most_before)
+
+
 class RetryBudget:
   """Counts what may be retried.
 
@@ -43,7 +75,7 @@
   ) -> None:
     self._ratio = ratio
     self._burst = burst
-    self._saved = burst()
+    self._saved = burst() * _START_SHARE
 
   def deposit(self) -> None:
     """Counts one request."""
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -5,10 +5,13 @@
 their number.
 """
 
+import datetime
+
 import testtools
 
 from mustardfall.membership import members as members_lib
 from mustardfall.routing import retries
+from mustardfall.util import clock as clock_lib
 
 _SLACK = 430.0
 """Second sends that a service bears at once, beside a part of its requests."""
@@ -24,7 +27,8 @@
     Args:
       routers: how many there are.
       requests_each: what each is sent.
-      lives: how often all are started within that.
+      lives: how often all are started within that; the first life has saved
+        up all that it may.
     """
     burst = _SLACK * _SAFETY / members_lib.CLOSE_FLEET
     made = 0
@@ -36,6 +40,9 @@
                 burst, members_lib.CLOSE_FLEET, routers
             ),
         )
+        if number % requests_each == 0:
+          for _ in range(10 * requests_each):
+            budget.deposit()
       budget.deposit()
       made += budget.withdraw()
     return made
@@ -56,10 +63,27 @@
 
   def test_one_retry_can_always_be_saved_up(self):
     budget = retries.RetryBudget(
-        0.15, lambda: retries.part_of_burst(27.0, 12, 5_000)
+        0.15,
+        lambda: retries.part_of_burst(27.0, 12, 5_000),
     )
-    self.assertTrue(budget.withdraw())
+    for _ in range(2):
+      self.assertFalse(budget.withdraw())
+      for _ in range(8):
+        budget.deposit()
+      self.assertTrue(budget.withdraw())
     self.assertFalse(budget.withdraw())
-    for _ in range(8):
-      budget.deposit()
-    self.assertTrue(budget.withdraw())
+
+  def test_fleet_whose_leases_lapse_saves_up_no_more(self):
+    """Guards against a third that is cut off and the others saving up for it."""
+    clock = clock_lib.FakeClock()
+    up = [77]
+    fleet = retries.FleetSize(clock, lambda: up[0])
+    self.assertEqual(77, fleet.most())
+    up[0] = 50
+    for _ in range(5):
+      clock.advance(datetime.timedelta(seconds=10))
+      self.assertEqual(77, fleet.most())
+    for _ in range(3):
+      clock.advance(datetime.timedelta(seconds=60))
+      fleet.most()
+    self.assertEqual(50, fleet.most())
