A change that no datagram holds is passed on from router to router

What callers saw (CONFIG): requests refused with 404, or sent on as the version before said, after a change of 1,520 routes; late answers doubled at once.

Cause: a change that does not fit into a datagram was not told, so that all routers read the whole document: 430 KB each, of which 13.8 KB are news. 68 hosts with links of 5 to 100 Mbit/s did so at the same moment, beside their streams.

Three are asked, the last of them readers, before the store is read. A lost datagram is made good in the same way.

Way weighed: the change in eleven datagrams from two readers to all, 0.9 MB over one reader's link by arithmetic, where each lost one costs a read.

--- a/mustardfall/membership/deltas.py
+++ b/mustardfall/membership/deltas.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 from typing import Any, TypedDict
+import zlib
 
 Document = dict[str, Any]
 """A JSON object."""
@@ -46,6 +47,31 @@
   return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).hexdigest()
 
 
+def pack(value: Any) -> bytes:
+  """Returns a JSON value in as few bytes as it can be told."""
+  return zlib.compress(json.dumps(value, separators=(",", ":")).encode())
+
+
+def unpack(raw: bytes, most: int) -> Any:
+  """Returns what was packed.
+
+  Args:
+    raw: see `pack`.
+    most: bytes that it may unpack to.
+
+  Raises:
+    ValueError: it is none, or unpacks to too much.
+  """
+  unpacker = zlib.decompressobj()
+  try:
+    content = unpacker.decompress(raw, most)
+  except zlib.error as exc:
+    raise ValueError(str(exc)) from exc
+  if not unpacker.eof:
+    raise ValueError("cut short, or too long")
+  return json.loads(content)
+
+
 def diff(before: Document, after: Document) -> Delta:
   """Returns what turns `before` into `after`, see `apply`."""
   found = Delta(fields={}, gone=sorted(before.keys() - after.keys()), rows={})
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -95,6 +95,8 @@
     self._in_touch_since: float | None = None
     self._lease = 0
     self._near: list[str] = []
+    self.ranked: list[Member] = []
+    """The region's routers in the order of `rank`."""
     self.rank = 0
     """This router's place among those of its region, see `rank`."""
     self._ring = ring.Ring()
@@ -109,13 +111,11 @@
     """Notes which routers may own budgets."""
     # By name, not by life: a router that starts again owns what it owned, and
     # nobody's budgets change hands twice for it.
-    near = [
-        m.name for m in self._by_name.values() if m.region == self.me.region
-    ]
+    region = [m for m in self._by_name.values() if m.region == self.me.region]
     # Few owners batch more: KV writes grow with owners, not with routers.
-    ranked = sorted(near, key=rank)
-    self.rank = ranked.index(self.me.name)
-    near = ranked[: self._config.owners or None]
+    self.ranked = sorted(region, key=lambda m: rank(m.name))
+    self.rank = self.ranked.index(self.me)
+    near = [m.name for m in self.ranked[: self._config.owners or None]]
     if near == self._near:
       return  # what was looked up still holds
     self._near = near
--- a/mustardfall/membership/notices.py
+++ b/mustardfall/membership/notices.py
@@ -8,9 +8,7 @@
 off is replaced by deputies that tell the others again.
 """
 
-import json
 from typing import Any, NamedTuple
-import zlib
 
 import anyio
 
@@ -31,7 +29,11 @@
 """News is told twice: one datagram in some hundreds is lost."""
 _MOST_BYTES = 1_300
 """Of a datagram, so that it is sent in one packet. Changes that make it longer
-are not told; who has not heard of them reads for itself."""
+are not told; who is behind asks another router for them."""
+_BRANCHES = 4
+"""Routers that ask the same one for a change."""
+_MOST_ASKED = 3
+"""Routers that one asks in turn."""
 _MOST_CONTENT_BYTES = 65_536
 """Of what it unpacks to."""
 
@@ -94,6 +96,27 @@
     place = (self._members.rank - _READERS) / _DEPUTIES
     return silence_s * (_FIRST_DEPUTY + (1 - _FIRST_DEPUTY) * place)
 
+  def sources(self) -> list[members_lib.Member]:
+    """Returns the routers to ask in turn for a change that was not told.
+
+    They form a tree below the readers, so that none serves more than a few.
+    """
+    ranked = self._members.ranked
+    place = self._members.rank
+    found = []
+    while place >= _READERS:
+      place = (place - _READERS) // _BRANCHES
+      found.append(ranked[place])
+    # The last one has read the change itself; the other reader has, too.
+    found = [*found[: _MOST_ASKED - 1], *found[-1:], *ranked[:_READERS]]
+    distinct = {m.life: m for m in found if m.life != self._members.me.life}
+    return list(distinct.values())[:_MOST_ASKED]
+
+  def digest(self, name: str) -> str:
+    """Returns the digest of the latest version told, empty without any."""
+    heard = self._heard.get(name)
+    return heard.digest if heard is not None else ""
+
   def silent_s(self, name: str) -> float:
     """Returns for how long others have told nothing about a document."""
     heard = self._heard.get(name)
@@ -141,7 +164,7 @@
       told[name] = [copy.digest, age_s]
       if name in changes:
         told[name].append(changes[name])
-    return zlib.compress(json.dumps(told, separators=(",", ":")).encode())
+    return deltas.pack(told)
 
   def _take(self, raw: bytes) -> None:
     now = self._clock.monotonic()
@@ -178,16 +201,5 @@
 
 
 def _decode(raw: bytes) -> dict[str, Any]:
-  """Returns what a notice tells.
-
-  Raises:
-    ValueError: it is none, or unpacks to too much.
-  """
-  unpacker = zlib.decompressobj()
-  try:
-    content = unpacker.decompress(raw, _MOST_CONTENT_BYTES)
-  except zlib.error as exc:
-    raise ValueError(str(exc)) from exc
-  if not unpacker.eof:
-    raise ValueError("cut short, or too long")
-  return json.loads(content)
+  """Returns what a notice tells; raises ValueError where it is none."""
+  return deltas.unpack(raw, _MOST_CONTENT_BYTES)
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -13,6 +13,7 @@
 from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import deltas
 from mustardfall.membership import members as members_lib
+from mustardfall.membership import relay as relay_lib
 from mustardfall.platform import documents
 from mustardfall.platform import sources
 from mustardfall.platform import store as store_lib
@@ -21,8 +22,8 @@
 logger = logging.getLogger(__name__)
 
 _BEHIND_S = 0.3
-"""How long a router whose copy is not the one told of waits for the change:
-another reader may tell it, or it comes with the next datagram."""
+"""How long a router whose copy is not the one told of does not read it: others
+may know the change, or another reader tells it with the next datagram."""
 _RETRY_GROWTH = 2.0
 """Each read that fails puts off the next by so many times more."""
 _SPREAD = 0.3
@@ -80,6 +81,8 @@
   async def run(self) -> None:
     """Keeps the document current until cancelled."""
     while True:
+      if self._is_behind and await self._catch_up():
+        continue
       if not self._is_due():
         await self._listen()
       elif await self.read():
@@ -101,6 +104,23 @@
       return False
     return self._clock.monotonic() - behind_since >= _BEHIND_S
 
+  @property
+  def _is_behind(self) -> bool:
+    """Whether others told of a version without telling what has changed."""
+    return self._behind_since is not None and not self._notices.reads
+
+  async def _catch_up(self) -> bool:
+    """Takes what has changed from another router; whether one had it."""
+    for member in self._notices.sources():
+      want = self._notices.digest(self._name)
+      found = await self._relay.ask(member, self._name, want)
+      if found is not None:
+        await self._keep_fetched(found)
+      if self._notices.agrees(self._name):
+        self._behind_since = None
+        return True
+    return False
+
   async def _listen(self) -> None:
     """Waits for a notice, or for the time to read."""
     left_s = self._patience_s() - self._notices.silent_s(self._name)
@@ -154,8 +174,13 @@
   async def _ask_others(self) -> None:
     """Takes another router's copy where it is fresher than the own one."""
     found = await self._relay.fetch(self._name)
+    if found is not None:
+      await self._keep_fetched(found)
+
+  async def _keep_fetched(self, found: relay_lib.Fetched) -> None:
+    """Keeps what another router knows, where it is fresher."""
     copy = self._copies.find(self._name)
-    if found is None or (copy is not None and copy.as_of >= found.as_of):
+    if copy is not None and copy.as_of >= found.as_of:
       return
     self._copies.put(self._name, found.document, found.as_of)
     await self._take_current()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -382,6 +382,16 @@
     each = (fleet.bytes - before) / _ROUTERS
     self.assertTrue(each <= _CHANGE_BYTES, each)
 
+  @in_fleet
+  async def test_a_large_change_passes_routers_that_died(self, fleet):
+    """Guards against routers below a dead one that stay at the old version."""
+    ranked = sorted(fleet.routers, key=members_lib.rank)
+    for name in (ranked[0], *ranked[2:4], ranked[7]):
+      fleet.kill(name)
+    fleet.store.put("op/config", test_slow_links.grown_configuration(2))
+    await anyio.sleep(_IN_FORCE_S)
+    self.assertEqual({2}, {g.version for g in fleet.routers.values()})
+
   @in_large_fleet
   async def test_routers_that_are_refused_do_not_storm_the_store(self, fleet):
     """Guards against calls by the thousand while the store refuses some."""
