A review reads its earlier lives' renewals itself

Cause, by reading and by the tests: a review waits up to 1.5 s for the renewals of earlier lives, which came only with the first promise that the new life made itself. A router that has stood in for an owner before and owns nothing now makes none: each of its reviews waited the whole time, and then judged without them, which writes more off. Class: waiting for what nobody is going to do.

Change: a review reads the key itself, one call for a life.

Evidence: the three tests of it wait 1.5 s on the code before, and pass.

Ruled out here: the registration of later lives (heard of through the tree now).

--- a/mustardfall/budget/renewals.py
+++ b/mustardfall/budget/renewals.py
@@ -10,17 +10,23 @@
 """
 
 from collections.abc import Callable, Mapping
+import logging
 from typing import NamedTuple, TypedDict
 
 import anyio
 
+from mustardfall import errors
 from mustardfall import settings
 from mustardfall.budget import allotment
 from mustardfall.kv import change as change_lib
 from mustardfall.kv import writer as writer_lib
 from mustardfall.util import clock as clock_lib
 
+logger = logging.getLogger(__name__)
+
 PREFIX = "renewal/"
+_READ_AGAIN_S = 0.1
+"""Between two reads of a store that did not answer."""
 _LIVES_KEPT = 4
 """Earlier lives whose last renewal is kept: a router that dies again before
 it has judged the life before leaves both to the next."""
@@ -40,6 +46,16 @@
   moment: clock_lib.Moment
 
 
+class Look(NamedTuple):
+  """Changes nothing; its writer reads what is there."""
+
+
+@change_lib.apply.register
+def _(change: Look, value: Renewals | None) -> Renewals | None:
+  del change, value
+  return None
+
+
 @change_lib.apply.register
 def _(change: Renew, value: Renewals | None) -> Renewals | None:
   lives = dict(value["lives"]) if value is not None else {}
@@ -100,11 +116,24 @@
 
   async def earlier(self, timeout_s: float) -> Mapping[str, clock_lib.Moment]:
     """Returns the last renewals of earlier lives, as far as known by then."""
-    if self._config.reports:
+    if self._config.reports and not self._read.is_set():
       with anyio.move_on_after(timeout_s):
-        await self._read.wait()
+        await self._read_earlier()
     return self._earlier
 
+  async def _read_earlier(self) -> None:
+    """Reads them: this life may never have a promise of its own to renew."""
+    while not self._read.is_set():
+      try:
+        found = await self._writer.submit(self.key, Look())
+      except (errors.KvUnavailableError, errors.KvUnknownError) as exc:
+        logger.debug("renewals not read: %s", exc)
+        await anyio.sleep(_READ_AGAIN_S)
+        continue
+      if found is not None:
+        self.take(found)
+      self._read.set()
+
   def renew(self) -> None:
     """Renews soon, if all promises hold and the last renewal was heard of.
 
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -7,9 +7,12 @@
 
 import datetime
 
+import anyio
 import testtools
 
+from mustardfall import errors
 from mustardfall import settings
+from mustardfall.bench.virtual import loop as virtual
 from mustardfall.budget import allotment
 from mustardfall.budget import ceilings
 from mustardfall.budget import ledger
@@ -29,10 +32,20 @@
 
   def __init__(self):
     self.posted = []
+    self.value = None
+    self.failures = 0
 
   def post(self, key, asked):
     self.posted.append((key, asked))
 
+  async def submit(self, key, asked):
+    del key
+    await anyio.sleep(0.004)
+    if self.failures:
+      self.failures -= 1
+      raise errors.KvUnavailableError("away")
+    return change.apply(asked, self.value) or self.value
+
 
 class RenewTest(testtools.TestCase):
 
@@ -114,3 +127,38 @@
   def test_nothing_promised_nothing_renewed(self):
     self.table.rows["a:1:1"].promises.clear()
     self.assertEqual(0, self._renew())
+
+  def _read_earlier(self):
+    """Returns the earlier lives' renewals, and the seconds that took."""
+
+    async def _day():
+      began = anyio.current_time()
+      found = await self.renewer.earlier(1.5)
+      return dict(found), anyio.current_time() - began
+
+    result = []
+
+    async def _run():
+      result.append(await _day())
+
+    virtual.run(_run)
+    return result[0]
+
+  def test_router_that_promised_nothing_reads_earlier_renewals(self):
+    """Guards against tokens of the dead that wait for a read nobody makes."""
+    self.writer.value = change.apply(renewals.Renew("a:0", _at(5.0)), None)
+    found, took_s = self._read_earlier()
+    self.assertEqual({"a:0": _at(5.0)}, found)
+    self.assertTrue(took_s < 0.1, took_s)
+
+  def test_router_without_earlier_lives_waits_for_none(self):
+    found, took_s = self._read_earlier()
+    self.assertEqual({}, found)
+    self.assertTrue(took_s < 0.1, took_s)
+
+  def test_renewals_are_read_again_while_the_store_is_away(self):
+    self.writer.value = change.apply(renewals.Renew("a:0", _at(5.0)), None)
+    self.writer.failures = 3
+    found, took_s = self._read_earlier()
+    self.assertEqual({"a:0": _at(5.0)}, found)
+    self.assertTrue(took_s < 0.5, took_s)
