--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -38,6 +38,8 @@
   unsigned: bool = False
   padding: int = 0
   """Bytes more in a plain answer."""
+  crash_on: bytes | None = None
+  """A request whose body holds this ends the server once its answer begins."""
   encoded: bool = False
 
 
@@ -81,14 +83,26 @@
     self.behaviour = Behaviour()
     self.seen: list[Seen] = []
     self.connections = 0
+    self.ended = anyio.Event()
+    """Set once the server has crashed; its port is closed then."""
+    self._scope = anyio.CancelScope()
 
   async def serve(self, port: int) -> None:
     """Serves on loopback until cancelled."""
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", local_port=port
     )
-    async with listener:
-      await listener.serve(self._serve_connection)
+    with self._scope:
+      async with listener:
+        self._listener = listener
+        await listener.serve(self._serve_connection)
+
+  async def crash(self) -> None:
+    """Ends the server with all its connections, its port first."""
+    self._scope.cancel()
+    with anyio.CancelScope(shield=True):
+      await self._listener.aclose()
+    self.ended.set()
 
   async def _serve_connection(self, stream: abc.SocketStream) -> None:
     self.connections += 1
@@ -145,7 +159,11 @@
     self.seen.append(seen)
     async with anyio.create_task_group() as tg:
       tg.start_soon(_note_close, stream, seen, tg.cancel_scope)
-      await _Answering(stream, seen, behaviour, self.id).run()
+      answering = _Answering(stream, seen, behaviour, self.id)
+      if behaviour.crash_on and behaviour.crash_on in seen.body:
+        await answering.begin()
+        await self.crash()
+      await answering.run()
       tg.cancel_scope.cancel()
     parser.send(
         h11.Response(status_code=200, headers=[("content-length", "0")])
@@ -190,7 +208,13 @@
     self._how = how
     self._id = id_
 
+  async def begin(self) -> None:
+    """Writes the head of an answer whose rest never comes."""
+    await anyio.sleep(self._how.work_s)
+    await self._stream.send(_head(200, self._headers(), 1_000) + b"\r\n")
+
   async def run(self) -> None:
+    """Writes the whole answer."""
     how = self._how
     await anyio.sleep(how.work_s)
     if how.cut_after == 0:
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 from typing import Any
 
 import anyio
@@ -133,6 +134,8 @@
     self.stop = anyio.Event()
     self.port = 0
     self.ended = False
+    self.crashes = 0
+    """Servers that requests have ended."""
     self.store_port = 0
     self._tasks = None
 
@@ -154,6 +157,26 @@
     self.list_server(id_, port)
     return server
 
+  async def keep_servers(self, crash_on: bytes, back_s: float = 0.3) -> None:
+    """Has servers that a request ends come back under new ids."""
+    for number in itertools.count():
+      ended = [
+          server for server in self.servers.values() if server.ended.is_set()
+      ]
+      for server in ended:
+        del self.servers[server.id]
+        self.crashes += 1
+        self.store.remove(f"servers/{server.id}")
+        self._tasks.start_soon(self._add_later, number, crash_on, back_s)
+      await anyio.sleep(0.01)
+
+  async def _add_later(
+      self, number: int, crash_on: bytes, back_s: float
+  ) -> None:
+    await anyio.sleep(back_s)
+    again = self.add_server(f"i-again{number}-{self.crashes}")
+    again.behaviour.crash_on = crash_on
+
   async def add_gateway(
       self, name: str, stop: anyio.Event | None = None, started=None
   ) -> gateway_lib.Gateway:
