Requests that end the endpoints that run them are quarantined

Cause: nothing connected one attempt with the next. Class: a failure that follows the request is treated as the endpoint's.

Change: an answer that breaks off has the router connect once more; refused, the endpoint has ended, and the end counts against team, method, path and body. Three apart have it quarantined for ten minutes, on all routers, also those that start later. What succeeds, and what ran on several endpoints that ended together, is not suspected. It is refused at once with 503 and the time until it may be tried.

The router repeats at most two datagrams a second.

Ruled out: that second sends of our own are most of it (those fell to one a request with the second sends used up, and servers ended all the same). Open: a team that makes many such requests ends three endpoints for each; docs/design/quarantine.md.

--- a/mustardfall/errors.py
+++ b/mustardfall/errors.py
@@ -56,3 +56,7 @@
 
 class BrokenAnswerError(Error):
   """An endpoint's answer ended early or is not one: it may have run."""
+
+
+class SilentEndpointError(BrokenAnswerError):
+  """An endpoint gave no answer for too long; nothing says that it ended."""
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -30,9 +30,11 @@
 from mustardfall.membership import notices as notices_lib
 from mustardfall.membership import relay as relay_lib
 from mustardfall.membership import trackers as trackers_lib
+from mustardfall.membership import verdicts as verdicts_lib
 from mustardfall.proxy import calls
 from mustardfall.proxy import forwarder as forwarder_lib
 from mustardfall.proxy import front
+from mustardfall.proxy import guard as guard_lib
 from mustardfall.proxy import internal
 from mustardfall.proxy import links as links_lib
 from mustardfall.proxy import messages
@@ -42,6 +44,7 @@
 from mustardfall.routing import directory as directory_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import loads as loads_lib
+from mustardfall.routing import quarantine
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -125,6 +128,15 @@
     self.notices = notices_lib.Notices(
         self.datagrams, self.accounts.members, self.copies, clock
     )
+    self.quarantine = quarantine.Table(clock)
+    self.verdicts = verdicts_lib.Verdicts(
+        self.quarantine,
+        self.accounts.members,
+        self.datagrams,
+        self.notices,
+        self.kv,
+        clock,
+    )
     self.relay = relay_lib.Relay(
         self.accounts.members, self._post, self.copies, clock
     )
@@ -232,6 +244,7 @@
           tasks,
           self.instruments,
           self._placer,
+          guard_lib.Guard(self.quarantine, self.verdicts, self.links),
       )
       self.front = front.Front(
           self._dialect,
@@ -249,6 +262,7 @@
           *self.accounts.loops(),
           self.datagrams.run,
           self.load_share.run,
+          self.verdicts.run,
           self.overhead.run,
           self._run_systems,
       ):
--- a/mustardfall/membership/datagrams.py
+++ b/mustardfall/membership/datagrams.py
@@ -39,6 +39,8 @@
   SURVEY = b"q"
   STANDING = b"a"
   TRACK = b"t"
+  SUSPECT = b"s"
+  VERDICT = b"v"
 
 
 Take = Callable[[bytes], None]
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -17,6 +17,7 @@
 from mustardfall.proxy import streams
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
+from mustardfall.routing import quarantine
 from mustardfall.util import clock as clock_lib
 
 _CURRENT_S = 2.0
@@ -90,6 +91,9 @@
         arrived=arrived,
         deadline=arrived + time_s,
         joiner=streams.Joiner(request.last_event),
+        fingerprint=quarantine.fingerprint(
+            team.name if team else "", request.method, request.target, body
+        ),
     )
 
   def _check_current(self, version: int) -> None:
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -20,6 +20,7 @@
 from mustardfall.proxy import admission as admission_lib
 from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import front
+from mustardfall.proxy import guard as guard_lib
 from mustardfall.proxy import job as job_lib
 from mustardfall.proxy import links as links_lib
 from mustardfall.proxy import messages
@@ -77,6 +78,7 @@
     tasks: where work that outlives a request runs.
     instruments: counters and histograms.
     placer: chooses endpoints.
+    guard: keeps requests that end endpoints from them.
   """
 
   def __init__(
@@ -90,6 +92,7 @@
       tasks: abc.TaskGroup,
       instruments: metrics.Instruments,
       placer: placer_lib.Placer,
+      guard: guard_lib.Guard,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -97,6 +100,7 @@
     self._directory = directory
     self._links = links
     self._placer = placer
+    self._guard = guard
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -119,6 +123,7 @@
       await self._refuse(request, responder, refusal)
       return
     try:
+      self._guard.check(job)
       await self._serve(job)
     except refusals.RefusalError as refusal:
       await self._refuse(request, responder, refusal, job)
@@ -159,6 +164,7 @@
   async def _try_endpoints(self, job: job_lib.Job) -> None:
     while True:
       place = await self._placer.choose(job)
+      self._guard.check(job)
       if place is None:
         await self._give_up(job)
         return
@@ -219,12 +225,16 @@
     visit = self._placer.begin(job, place)
     ran_before, job.may_have_run = job.may_have_run, True
     job.sends += 1
+    sent_at = self._clock.monotonic()
     failed = False
     try:
       await self._relay(job, place, exchange, ran_before, visit)
     except errors.BrokenAnswerError as exc:
       failed = True
       row.failures += 1
+      if not isinstance(exc, errors.SilentEndpointError):
+        ran_s = self._clock.monotonic() - sent_at
+        await self._guard.note_broken(job, row, ran_s)
       raise _Again(str(exc)) from exc
     except _Again:
       failed = True
@@ -295,6 +305,7 @@
       answer: messages.Answer,
   ) -> None:
     body = await exchange.read_body(_MOST_BODY_BYTES, job.responder)
+    self._guard.note_answered(job)
     if answer.status >= _SERVER_ERROR:
       row.failures += 1
       job.failure = (answer, body)
@@ -328,6 +339,7 @@
       raise errors.BrokenAnswerError(str(exc)) from exc
     if splitter.rest:
       raise errors.BrokenAnswerError("ended within an event")
+    self._guard.note_answered(job)
     await self._pass_on(job, answer, b"")
     await job.responder.end()
     self._records.note_end(job, "answered", answer.status)
@@ -361,7 +373,7 @@
     with anyio.move_on_after(limit_s if another else math.inf) as scope:
       yield
     if scope.cancelled_caught:
-      raise errors.BrokenAnswerError(f"silent for {limit_s:.2f} s")
+      raise errors.SilentEndpointError(f"silent for {limit_s:.2f} s")
 
   async def _pass_on(
       self, job: job_lib.Job, answer: messages.Answer, data: bytes
--- /dev/null
+++ b/mustardfall/proxy/guard.py
@@ -0,0 +1,86 @@
+"""Keeps requests that end endpoints from the endpoints."""
+
+import logging
+
+from mustardfall import errors
+from mustardfall.membership import verdicts as verdicts_lib
+from mustardfall.proxy import job as job_lib
+from mustardfall.proxy import links as links_lib
+from mustardfall.proxy import refusals
+from mustardfall.routing import endpoints
+from mustardfall.routing import quarantine
+from mustardfall.util import sockets
+
+logger = logging.getLogger(__name__)
+
+_CONNECT_S = 0.1
+"""How long an endpoint that broke an answer off is given to take a connection;
+a port that nobody listens on refuses it within some ms."""
+
+
+class Guard:
+  """Looks at how sends end, and refuses requests that are quarantined.
+
+  Args:
+    table: the quarantined requests.
+    verdicts: tells other routers.
+    links: connections to endpoints.
+  """
+
+  def __init__(
+      self,
+      table: quarantine.Table,
+      verdicts: verdicts_lib.Verdicts,
+      links: links_lib.Links,
+  ) -> None:
+    self._table = table
+    self._verdicts = verdicts
+    self._links = links
+
+  def check(self, job: job_lib.Job) -> None:
+    """Refuses a quarantined request.
+
+    Raises:
+      refusals.RefusalError: it must not be sent to any endpoint now.
+    """
+    left_s = self._table.left_s(job.fingerprint)
+    if not left_s:
+      return
+    if job.may_have_run:
+      raise refusals.failed()
+    raise refusals.quarantined(left_s)
+
+  def note_answered(self, job: job_lib.Job) -> None:
+    """Notes that an endpoint ran a request to its end."""
+    self._verdicts.note_success(job.fingerprint)
+
+  async def note_broken(
+      self, job: job_lib.Job, row: endpoints.Row, ran_s: float
+  ) -> None:
+    """Notes that an answer broke off; counts it if the endpoint has ended.
+
+    Connections also break while the endpoint goes on: it has too many, a link
+    loses packets, an answer is lost. Only one that listens no more has ended.
+    """
+    try:
+      link = await self._links.acquire(row.url, _CONNECT_S, fresh=True)
+    except errors.EndpointUnreachableError as exc:
+      if not sockets.is_refused(exc):
+        return
+    else:
+      await self._links.release(link, None)
+      return
+    team = job.team.name if job.team else ""
+    logger.info(
+        "endpoint ended under a request",
+        extra={
+            "request": job.request.id,
+            "fingerprint": job.fingerprint,
+            "endpoint": row.life,
+            "address": row.url,
+            "ran_s": round(ran_s, 3),
+        },
+    )
+    self._verdicts.note_end(
+        quarantine.Suspect(job.fingerprint, team, row.life, ran_s)
+    )
--- a/mustardfall/proxy/job.py
+++ b/mustardfall/proxy/job.py
@@ -25,6 +25,8 @@
   deadline: float
   """When the router answers at the latest, monotonic seconds."""
   joiner: streams.Joiner
+  fingerprint: str
+  """What it has in common with others like it, see `routing.quarantine`."""
   reservation: allotment.Reservation | None = None
   sends: int = 0
   connects: int = 0
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -74,6 +74,11 @@
   return RefusalError(429, "budget cannot cover it now", retry_after_s, facts)
 
 
+def quarantined(retry_after_s: float) -> RefusalError:
+  """It ended the endpoints that ran it; this time it was not sent to any."""
+  return RefusalError(503, "request is quarantined", retry_after_s)
+
+
 def no_endpoint(retry_after_s: float) -> RefusalError:
   """No endpoint would take it."""
   return RefusalError(503, "no endpoint free", retry_after_s)
--- a/mustardfall/util/sockets.py
+++ b/mustardfall/util/sockets.py
@@ -96,6 +96,15 @@
   return stream
 
 
+def is_refused(exc: BaseException | None) -> bool:
+  """Whether a connection was refused, since nobody listens on its port."""
+  while exc is not None:
+    if isinstance(exc, ConnectionRefusedError):
+      return True
+    exc = exc.__cause__
+  return False
+
+
 def is_readable(stream: abc.SocketStream) -> bool:
   """Whether bytes, or the peer's close, wait on an idle connection."""
   raw = stream.extra(abc.SocketAttribute.raw_socket)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -45,3 +45,40 @@
     self.assertTrue(world.crashes <= _CRASHES, world.crashes)
     self.assertEqual(503, answers[-1].status)
     self.assertTrue(float(answers[-1].headers["retry-after"]) > 1)
+
+  @test_gateway.in_world(servers=tuple(f"i-{n}" for n in range(8)))
+  async def test_others_are_served_beside_it(self, world):
+    """Guards against refusing what only ran beside such a request."""
+    await test_gateway.save_up_second_sends(world)
+    self._poison(world)
+    answers = []
+
+    async def _send_others(number):
+      for n in range(12):
+        body = f"other{number}-{n}".encode()
+        answers.append(await self._send(world, f"o{number}-{n}", body))
+        await anyio.sleep(0.05)
+
+    async with anyio.create_task_group() as tg:
+      tg.start_soon(world.keep_servers, _POISON)
+      async with anyio.create_task_group() as callers:
+        callers.start_soon(self._send_often, world, 12)
+        for number in range(4):
+          callers.start_soon(_send_others, number)
+      tg.cancel_scope.cancel()
+    self.assertTrue(world.crashes <= _CRASHES, world.crashes)
+    served = sum(answer.status == 200 for answer in answers)
+    self.assertTrue(served >= 0.95 * len(answers), served)
+    self.assertEqual(1, len(world.gateway.quarantine.verdicts()))
+
+  @test_gateway.in_world(servers=("i-1", "i-2", "i-3"))
+  async def test_lost_answers_of_servers_that_go_on_do_not_count(self, world):
+    """Guards against refusing a request for connections that break."""
+    for server in world.servers.values():
+      server.behaviour.cut_after = 0
+    for answer in await self._send_often(world, 6):
+      self.assertEqual(502, answer.status)
+    for server in world.servers.values():
+      server.behaviour.cut_after = None
+    answer = await self._send(world, "after")
+    self.assertEqual(200, answer.status)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -38,7 +38,7 @@
   return found["spent"] - held + own
 
 
-async def _save_up_second_sends(world):
+async def save_up_second_sends(world):
   """Has the router serve some requests, which pay for second sends."""
   for n in range(24):
     answer = await world.call("/look/a", f"paid{n}")
@@ -85,7 +85,7 @@
   async def test_refused_request_goes_to_another_server(self, world):
     # One server is full and says that it did not run the request. Even a
     # request that may run once goes to the other, where attempts allow.
-    await _save_up_second_sends(world)
+    await save_up_second_sends(world)
     world.servers["i-1"].behaviour.not_run = True
     world.servers["i-2"].behaviour.not_run = True
     answer = await world.call("/book/a", "r1")
@@ -193,7 +193,7 @@
   async def test_broken_stream_goes_on_at_another_server(self, world):
     # A server stops in the middle of the third event. The rest comes from
     # another one, within the same answer; no event is missing or doubled.
-    await _save_up_second_sends(world)
+    await save_up_second_sends(world)
     for server in world.servers.values():
       server.behaviour.events = 6
     world.servers["i-1"].behaviour.cut_after = 2
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,233 @@
+"""All routers learn which requests end endpoints, whatever is lost.
+
+Pattern: a request that ends each endpoint that runs it comes again at any of 68
+routers. Some datagrams are lost, the store may be away, and routers start anew.
+"""
+
+import json
+import random
+
+import anyio
+import testtools
+
+from mustardfall import errors
+from mustardfall import events
+from mustardfall import settings
+from mustardfall.bench.virtual import loop as virtual
+from mustardfall.kv import protocol
+from mustardfall.membership import copies
+from mustardfall.membership import members as members_lib
+from mustardfall.membership import notices as notices_lib
+from mustardfall.membership import verdicts as verdicts_lib
+from mustardfall.routing import quarantine
+
+_ROUTERS = 68
+_CONTACT_S = 3.0
+"""Within which all routers must know."""
+
+
+class _Net:
+  """Carries datagrams between routers, all but some of them."""
+
+  def __init__(self) -> None:
+    self.lost = 0.0
+    self.random = random.Random(5)
+    self.ports = {}
+    self.sent = 0
+
+
+class _Port:
+  """Stands for `datagrams.Datagrams`."""
+
+  is_open = True
+
+  def __init__(self, net: _Net, name: str) -> None:
+    self._net = net
+    self._takers = {}
+    net.ports[name] = self
+
+  def connect(self, kind, take):
+    self._takers[kind] = take
+
+  def post(self, kind, content, member):
+    self._net.sent += 1
+    is_there = member.name in self._net.ports
+    if is_there and self._net.random.random() >= self._net.lost:
+      self._net.ports[member.name]._takers[kind](content)
+
+  async def tell(self, kind, content, told):
+    for member in told:
+      self.post(kind, content, member)
+
+
+class _Store:
+  """Keeps what was put; may be away."""
+
+  def __init__(self) -> None:
+    self.records = {}
+    self.away = False
+    self.calls = 0
+
+  async def _call(self):
+    self.calls += 1
+    await anyio.sleep(0.004)
+    if self.away:
+      raise errors.KvUnavailableError("away")
+
+  async def grant_lease(self, ttl_s):
+    del ttl_s
+    await self._call()
+    return 7
+
+  async def put(self, key, value, lease=0):
+    await self._call()
+    self.records[key] = protocol.Record(key, value, 1, lease)
+
+  async def get_prefix(self, prefix):
+    await self._call()
+    found = [r for k, r in self.records.items() if k.startswith(prefix)]
+    return 1, found
+
+
+class _Fleet:
+  """The verdicts of all routers."""
+
+  def __init__(self, tasks) -> None:
+    self.net = _Net()
+    self.store = _Store()
+    self.tables = {}
+    self.verdicts = {}
+    self._tasks = tasks
+    self._scopes = {}
+    for number in range(_ROUTERS):
+      self.start(number)
+
+  def start(self, number: int) -> None:
+    clock = virtual.Clock()
+    me = _member(number)
+    view = members_lib.Members(
+        None, me, settings.Membership(), clock, events.Bus()
+    )
+    view.take([_member(n) for n in range(_ROUTERS)])
+    port = _Port(self.net, me.name)
+    table = self.tables[number] = quarantine.Table(clock)
+    told = notices_lib.Notices(port, view, copies.Copies(clock), clock)
+    self.verdicts[number] = verdicts_lib.Verdicts(
+        table, view, port, told, self.store, clock
+    )
+    self._scopes[number] = anyio.CancelScope()
+    self._tasks.start_soon(self._run, number)
+
+  async def _run(self, number: int) -> None:
+    with self._scopes[number]:
+      await self.verdicts[number].run()
+
+  def restart_all(self) -> None:
+    for number in range(_ROUTERS):
+      self._scopes[number].cancel()
+      self.start(number)
+
+  async def end_endpoints(self, request: str, number: int, offset=0) -> None:
+    """Has endpoints end under a request, each seen by another router."""
+    for n in range(offset, offset + number):
+      suspect = quarantine.Suspect(request, "acme", f"{request}-{n}", 0.1)
+      self.verdicts[(7 * n) % _ROUTERS].note_end(suspect)
+      await anyio.sleep(0.35)
+
+  def unaware(self, request: str) -> list[int]:
+    return [n for n, table in self.tables.items() if not table.left_s(request)]
+
+
+def _member(i: int) -> members_lib.Member:
+  url = f"http://10.1.0.{i}:8229"
+  return members_lib.Member(f"front-a-{i}", "e", url, f"dc{i % 3}", "here")
+
+
+def in_fleet(test):
+  """Runs a test in virtual time beside the verdicts of all routers."""
+
+  def run(self):
+    async def day():
+      async with anyio.create_task_group() as tg:
+        fleet = _Fleet(tg)
+        await anyio.sleep(1.5)
+        await test(self, fleet)
+        tg.cancel_scope.cancel()
+
+    virtual.run(day)
+
+  run.__name__ = test.__name__
+  return run
+
+
+class VerdictsTest(testtools.TestCase):
+
+  @in_fleet
+  async def test_all_know_soon(self, fleet):
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    self.assertEqual([], fleet.unaware("x"))
+
+  @in_fleet
+  async def test_all_know_in_time_while_a_fifth_is_lost(self, fleet):
+    """Guards against a router that missed the datagrams and sends it on."""
+    fleet.net.lost = 0.2
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    await anyio.sleep(_CONTACT_S)
+    self.assertEqual([], fleet.unaware("x"))
+
+  @in_fleet
+  async def test_all_know_while_the_store_is_away(self, fleet):
+    fleet.store.away = True
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    await anyio.sleep(_CONTACT_S)
+    self.assertEqual([], fleet.unaware("x"))
+
+  @in_fleet
+  async def test_all_know_again_after_all_have_died(self, fleet):
+    """Guards against a request that is let in again by a loss of power."""
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    before = fleet.store.calls
+    fleet.restart_all()
+    self.assertEqual(_ROUTERS, len(fleet.unaware("x")))
+    await anyio.sleep(_CONTACT_S)
+    self.assertEqual([], fleet.unaware("x"))
+    self.assertTrue(fleet.store.calls - before <= 4, fleet.store.calls)
+
+  @in_fleet
+  async def test_two_that_ended_say_nothing_to_the_others(self, fleet):
+    await fleet.end_endpoints("x", quarantine.LIMIT - 1)
+    await anyio.sleep(_CONTACT_S)
+    self.assertEqual(_ROUTERS, len(fleet.unaware("x")))
+
+  @in_fleet
+  async def test_request_that_succeeds_is_let_in_again_everywhere(self, fleet):
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    fleet.verdicts[11].note_success("x")
+    await anyio.sleep(0.3)
+    self.assertEqual(_ROUTERS, len(fleet.unaware("x")))
+    await anyio.sleep(_CONTACT_S)
+    self.assertEqual(_ROUTERS, len(fleet.unaware("x")))
+
+  @in_fleet
+  async def test_unreadable_entries_hide_no_other(self, fleet):
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    for number, value in enumerate((b"", b"3", b"[1]", b"[1, 2, {}]", b"\xff")):
+      key = f"{verdicts_lib.PREFIX}{number}"
+      fleet.store.records[key] = protocol.Record(key, value, 1, 0)
+    fleet.restart_all()
+    await anyio.sleep(_CONTACT_S)
+    self.assertEqual([], fleet.unaware("x"))
+
+  @in_fleet
+  async def test_what_is_repeated_does_not_grow_with_the_fleet(self, fleet):
+    await fleet.end_endpoints("x", quarantine.LIMIT)
+    await anyio.sleep(1.0)
+    before = fleet.net.sent
+    await anyio.sleep(10.0)
+    each = (fleet.net.sent - before) / _ROUTERS / 10.0
+    self.assertTrue(each <= 2, each)
+
+  def test_verdicts_are_small(self):
+    verdict = quarantine.Verdict("f" * 24, "team4711", 599.9)
+    each = len(json.dumps(verdict))
+    self.assertTrue(each * verdicts_lib._TOLD_AT_ONCE <= 1_300, each)
