--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,5 +1,6 @@
 """The deployed program starts where nothing but its own packages is there."""
 
+import importlib.util
 import json
 import os
 import pathlib
@@ -34,6 +35,7 @@
       env = {"PATH": path, "HOME": str(home)}
       deploy = tomllib.loads((sources / "deploy/system.toml").read_text())
       self._run(deploy["build"], sources, env, _BUILD_S, shell=True)
+      self._check_compiled(sources / "mustardfall")
       command = [sys.executable, "-m", "mustardfall.emulator"]
       command += [
           "--requests",
@@ -46,6 +48,17 @@
     summary = json.loads(output.splitlines()[-1])
     self.assertEqual({"200": 4}, summary["statuses"])
 
+  def _check_compiled(self, package):
+    """Guards against processes that compile the program at each start."""
+    missing = [
+        source
+        for source in package.rglob("*.py")
+        if not pathlib.Path(
+            importlib.util.cache_from_source(str(source))
+        ).exists()
+    ]
+    self.assertEqual([], missing)
+
   def test_build_that_was_cut_is_made_anew(self):
     # No process started: a build was cut while it moved packages into place,
     # and the next one found the folder newer than the list and passed over
@@ -57,6 +70,7 @@
       installer = home / "bin" / "python3"
       installer.write_text(
           "#!/bin/sh\n"
+          '[ "$2" = pip ] || exit 0\n'
           "echo run >> runs\n"
           'while [ "$1" != --target ]; do shift; done\n'
           'mkdir -p "$2" && touch "$2/half"\n'
