What other routers tell of documents and requests is checked

Cause, found by reading the change once more: names of any length were kept from datagrams, and a question for documents with fields of other types raised an error that the handler of other routers' calls did not take for malformed.

Change: names of 200 characters at most; such a call is answered 400. The test of calls and datagrams that make no sense sends these, too; not run on the code before.

--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -34,6 +34,8 @@
 """Verdicts in one datagram; each takes some 60 bytes."""
 _MOST_CONTENT_BYTES = 16_384
 """Of what a datagram unpacks to."""
+_MOST_NAME = 200
+"""Characters of a name that is told."""
 _TELL_AGAIN_S = 0.05
 """News is told twice: one datagram in some hundreds is lost."""
 
@@ -115,16 +117,13 @@
 
   def _take_suspect(self, raw: bytes) -> None:
     fingerprint, team, endpoint, ran_s = json.loads(raw)
-    self._judge(
-        quarantine.Suspect(
-            str(fingerprint), str(team), str(endpoint), float(ran_s)
-        )
-    )
+    _check(fingerprint, team, endpoint)
+    self._judge(quarantine.Suspect(fingerprint, team, endpoint, float(ran_s)))
 
   def _take_verdicts(self, raw: bytes) -> None:
     for fingerprint, team, left_s in deltas.unpack(raw, _MOST_CONTENT_BYTES):
-      verdict = quarantine.Verdict(str(fingerprint), str(team), float(left_s))
-      self._table.take(verdict)
+      _check(fingerprint, team)
+      self._table.take(quarantine.Verdict(fingerprint, team, float(left_s)))
 
   async def run(self) -> None:
     """Tells, writes and repeats verdicts until cancelled."""
@@ -193,15 +192,21 @@
     for record in records:
       try:
         written = _Written(*json.loads(record.value))
+        _check(written.fingerprint, written.team)
         left_s = float(written.until_s) - now_s
       except (TypeError, ValueError) as exc:
         extra = {"entry": record.key, "error": repr(exc)}
         logger.error("verdict unreadable", extra=extra)
         continue
-      verdict = quarantine.Verdict(
-          str(written.fingerprint), str(written.team), left_s
-      )
+      verdict = quarantine.Verdict(written.fingerprint, written.team, left_s)
       if left_s > 0 and self._table.take(verdict):
         found.append(verdict)
     await self._tell(found, self._members.others)
     return True
+
+
+def _check(*names: str) -> None:
+  """Checks what was told by name; raises ValueError where it is no name."""
+  for name in names:
+    if not isinstance(name, str) or len(name) > _MOST_NAME:
+      raise ValueError("no name")
--- a/mustardfall/proxy/internal.py
+++ b/mustardfall/proxy/internal.py
@@ -82,7 +82,7 @@
       return
     try:
       answer = await endpoint(json.loads(body or b"{}"))
-    except (KeyError, TypeError, ValueError) as exc:
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
       logger.warning(
           "peer call malformed",
           extra={"path": request.path, "error": repr(exc)},
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,8 +9,10 @@
 import collections
 import contextlib
 import itertools
+import json
 import signal
 import socket
+import zlib
 
 import anyio
 import testtools
@@ -437,10 +439,15 @@
     raws = [b"", b"l", b"n", b"x", b"l[1]", b"n[]", b'n{"a": "x"}']
     raws += [b"l" + b"[" * 9000, b"n" + b"[" * 9000, b"\xff" * 500]
     raws += [b'l["r",1,{"i":[1,2]},{"i":[3]}]', b'l[{},[],"x",3]']
+    raws += [b"s", b"s[]", b's["f", 1, {}, "x"]', b's["f","t","e",NaN]']
+    for told in (3, [], [3], [[1, 2, 3]], [["f", "t", "x"]], {"f": "t"}):
+      raws.append(b"v" + zlib.compress(json.dumps(told).encode()))
     for raw in raws:
       where = ("127.0.0.1", world.router.settings["port_range"][0])
       udp.sendto(raw, where)
     bodies = [b"", b"3", b"[]", b"null", b'{"budget": 3}', b"[" * 20_000]
+    bodies += [b'{"names": ["op/config"], "want": 3, "have": [1]}']
+    bodies += [b'{"names": ["op/config"], "want": {"op/config": 3}}']
     bodies += [b'{"ended": 3}', b'{"ended": [{"part": 1}]}', b'{"names": 3}']
     for path in ("reserve", "settle", "recall", "review", "documents", "clock"):
       for body in bodies:
