--- a/mustardfall/membership/deltas.py
+++ b/mustardfall/membership/deltas.py
@@ -46,8 +46,9 @@
 class Digester:
   """Digests successive versions of a document.
 
-  Rows that the version shares with the one before are not encoded again. Equal
-  ones are: 1 and 1.0 are told as other texts, and other routers digest those.
+  Rows that the version shares with the one before are not encoded again. Rows
+  that are only equal are: 1 equals 1.0, and their texts differ, which other
+  routers digest.
   """
 
   def __init__(self) -> None:
