A request that only ran beside is cleared without a call to the store

Cause, found by reading the change once more: each request that had run where an endpoint ended, and succeeded at the next one, was told to all routers twice and written to the KV, two calls each for some twenty requests an endpoint.

Change: only one that was quarantined is told to all; of the others the three that judge them hear. Measured: the test of 24 that ran beside fails on the code before.

--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -92,8 +92,17 @@
 
   def note_success(self, fingerprint: str) -> None:
     """Notes that an endpoint ran a request to its end."""
-    if self._table.note_success(fingerprint):
-      self._publish(quarantine.Verdict(fingerprint, "", 0.0))
+    was_quarantined = bool(self._table.left_s(fingerprint))
+    if not self._table.note_success(fingerprint):
+      return
+    sound = quarantine.Verdict(fingerprint, "", 0.0)
+    if was_quarantined:
+      self._publish(sound)
+      return
+    # Dozens run at an endpoint that ends, and most succeed at the next one.
+    content = deltas.pack([sound])
+    for judge in self._judges(fingerprint):
+      self._datagrams.post(datagrams_lib.Kind.VERDICT, content, judge)
 
   def _judges(self, fingerprint: str) -> list[members_lib.Member]:
     """Returns the other routers that count what ends under a request."""
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -208,6 +208,21 @@
     await anyio.sleep(_CONTACT_S)
     self.assertEqual(_ROUTERS, len(fleet.unaware("x")))
 
+  @in_fleet
+  async def test_those_that_ran_beside_cost_little(self, fleet):
+    """Guards against calls to the store for all that ran where one ended."""
+    for number in range(24):
+      suspect = quarantine.Suspect(f"beside{number}", "acme", "e", 0.5)
+      fleet.verdicts[number].note_end(suspect)
+    calls, sent = fleet.store.calls, fleet.net.sent
+    for number in range(24):
+      fleet.verdicts[number].note_success(f"beside{number}")
+    await anyio.sleep(1.5)
+    self.assertEqual(calls, fleet.store.calls)
+    self.assertTrue(fleet.net.sent - sent <= 3 * 24, fleet.net.sent - sent)
+    await fleet.end_endpoints("beside1", quarantine.LIMIT - 1, offset=20)
+    self.assertEqual(_ROUTERS, len(fleet.unaware("beside1")))
+
   @in_fleet
   async def test_unreadable_entries_hide_no_other(self, fleet):
     await fleet.end_endpoints("x", quarantine.LIMIT)
