--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -27,6 +27,7 @@
       arrived=0.0,
       deadline=5.0,
       joiner=types.SimpleNamespace(passed=passed),
+      fingerprint="",
       **more,
   )
 
