--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -95,8 +95,8 @@
     self._in_touch_since: float | None = None
     self._lease = 0
     self._near: list[str] = []
-    self.ranked: list[Member] = []
-    """The region's routers in the order of `rank`."""
+    self._ranked: list[str] = []
+    """Names of the region's routers in the order of `rank`."""
     self.rank = 0
     """This router's place among those of its region, see `rank`."""
     self._ring = ring.Ring()
@@ -111,11 +111,13 @@
     """Notes which routers may own budgets."""
     # By name, not by life: a router that starts again owns what it owned, and
     # nobody's budgets change hands twice for it.
-    region = [m for m in self._by_name.values() if m.region == self.me.region]
+    near = [
+        m.name for m in self._by_name.values() if m.region == self.me.region
+    ]
+    self._ranked = sorted(near, key=rank)
+    self.rank = self._ranked.index(self.me.name)
     # Few owners batch more: KV writes grow with owners, not with routers.
-    self.ranked = sorted(region, key=lambda m: rank(m.name))
-    self.rank = self.ranked.index(self.me)
-    near = [m.name for m in self.ranked[: self._config.owners or None]]
+    near = self._ranked[: self._config.owners or None]
     if near == self._near:
       return  # what was looked up still holds
     self._near = near
@@ -143,6 +145,11 @@
     """The other routers that are up, as last heard."""
     return [m for m in self._lives.values() if m != self.me]
 
+  @property
+  def ranked(self) -> list[Member]:
+    """The region's routers in the order of `rank`."""
+    return [self._by_name[name] for name in self._ranked]
+
   @property
   def is_large(self) -> bool:
     """Whether the fleet is too large for all to act with all."""
