Evacuate a data centre and take it back

Ways weighed for how routers learn of it: a watch of its own on each router (80 waiting reads, priced each), a document of its own beside the configuration (a second watch of each reader, a second digest in each notice), or a field of the document that is followed anyway, whose watch already covers `op/`. The last: no further call to the store, and the readers' notices, deputies and the relay bring it to routers that the store turns away. The field holds a slash, which no field of the configuration does, and is left out while nothing is evacuated, so that digests agree with routers of the version before.

The choice itself is in the endpoints' table, for both front ends: endpoints of an evacuated data centre are not eligible. Streams in flight end there. In mustardfall's own catalogue evacuations have keys of their own, so that applying a catalogue file does not end one: `mustardfall catalogue evacuate`.

--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -13,6 +13,7 @@
 from mustardfall import errors
 from mustardfall import settings
 from mustardfall.budget import ledger
+from mustardfall.catalogue import evacuations
 from mustardfall.catalogue import model
 from mustardfall.catalogue import store
 from mustardfall.kv import client as kv_client
@@ -132,6 +133,32 @@
   click.echo(yaml.safe_dump(data, sort_keys=False))
 
 
+@catalogue.command(name="evacuate")
+@click.argument("datacentre")
+@click.option(
+    "--back", is_flag=True, help="Take the data centre back into service."
+)
+@_kv_option
+def catalogue_evacuate(datacentre: str, back: bool, kv_url: str) -> None:
+  """Stops sending requests to the endpoints of DATACENTRE.
+
+  Requests in flight there continue, and its hosts go on serving callers.
+  """
+  change = evacuations.take_back if back else evacuations.evacuate
+  try:
+    changed = anyio.run(
+        _call_with_kv, kv_url, lambda kv: change(kv, datacentre)
+    )
+    evacuated = anyio.run(_call_with_kv, kv_url, evacuations.read)
+  except (errors.KvUnavailableError, errors.KvUnknownError) as exc:
+    raise click.ClickException(
+        f"{datacentre}: not confirmed: {exc}; repeat the command"
+    ) from exc
+  if back and not changed:
+    raise click.ClickException(f"{datacentre} is not evacuated")
+  click.echo(json.dumps({"evacuated": sorted(evacuated)}))
+
+
 @main.group()
 def budget() -> None:
   """Shows and tops up budgets."""
--- a/mustardfall/platform/documents.py
+++ b/mustardfall/platform/documents.py
@@ -18,7 +18,12 @@
 
 logger = logging.getLogger(__name__)
 
-CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = OPERATOR_PREFIX + "config"
+EVACUATIONS_PREFIX = OPERATOR_PREFIX + "evacuate/"
+"""Prefix of the keys that name evacuated zones. Also the field in which the
+followed configuration document lists these zones; it holds a slash, so that it
+differs from all fields of the configuration."""
 SERVERS_PREFIX = "servers/"
 
 _ADDRESS_PATTERN = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
@@ -278,6 +283,37 @@
   )
 
 
+def encode_evacuations(keys: Iterable[str]) -> dict[str, list[str]]:
+  """Returns the field of the configuration document for evacuated zones.
+
+  The presence of a zone's key is the request, whatever value it holds.
+
+  Args:
+    keys: all keys under `OPERATOR_PREFIX`.
+
+  Returns:
+    No field while no zone is evacuated.
+  """
+  zones = [
+      key.removeprefix(EVACUATIONS_PREFIX)
+      for key in keys
+      if key.startswith(EVACUATIONS_PREFIX)
+  ]
+  if "" in zones:
+    logger.error("evacuation of no zone", extra={"key": EVACUATIONS_PREFIX})
+  named = sorted(zone for zone in zones if zone)
+  return {EVACUATIONS_PREFIX: named} if named else {}
+
+
+def decode_evacuations(document: Mapping[str, Any]) -> frozenset[str] | None:
+  """Returns the evacuated data centres; None if the field is unreadable."""
+  zones = document.get(EVACUATIONS_PREFIX, [])
+  if isinstance(zones, list) and all(isinstance(zone, str) for zone in zones):
+    return frozenset(zones)
+  logger.error("evacuations unreadable", extra={"zones": repr(zones)[:200]})
+  return None
+
+
 class ServerListDecoder:
   """Decodes the server list; logs each revision of an invalid entry once."""
 
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -271,6 +271,9 @@
     copy = self._gateway.copies.find(documents.CONFIGURATION_KEY)
     if not document or copy is None:
       return
+    evacuated = documents.decode_evacuations(document)
+    if evacuated is not None:
+      self._gateway.directory.apply_evacuations(evacuated)
     self._gateway.directory.confirm_configuration(copy.as_of)
     if copy.digest == self._decoded_digest:
       return
--- a/mustardfall/platform/sources.py
+++ b/mustardfall/platform/sources.py
@@ -129,7 +129,9 @@
 
 
 class Configuration(_WatchedPrefix):
-  """The operators' configuration.
+  """The operators' configuration and the zones that they have evacuated.
+
+  Both are one document: one watch reads them, and one notice announces them.
 
   Args:
     kv: the platform's store.
@@ -139,11 +141,10 @@
   name = documents.CONFIGURATION_KEY
   max_silence_s = 2.2
   """Slightly longer than a reader takes to detect a silent connection."""
-  _PREFIX = "op/"
   _POLL_TIMEOUT_S = 0.8
 
   def __init__(self, kv: store_lib.Store, clock: clock_lib.Clock) -> None:
-    super().__init__(kv, clock, self._PREFIX, self._POLL_TIMEOUT_S)
+    super().__init__(kv, clock, documents.OPERATOR_PREFIX, self._POLL_TIMEOUT_S)
     self._document: deltas.Document = {}
     self._decoded_record: protocol.Record | None = None
     """The record from which `_document` was decoded."""
@@ -162,7 +163,10 @@
     if record is not self._decoded_record:
       self._document = _decode_object(record) if record is not None else {}
       self._decoded_record = record
-    return self._document, self._read_at
+    if not self._document:
+      return {}, self._read_at
+    evacuations = documents.encode_evacuations(records)
+    return self._document | evacuations, self._read_at
 
 
 class Members(_WatchedPrefix):
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -21,6 +21,7 @@
 from mustardfall import metrics
 from mustardfall import settings
 from mustardfall.budget import policy
+from mustardfall.catalogue import evacuations
 from mustardfall.catalogue import store
 from mustardfall.kv import client as kv_client
 from mustardfall.routing import endpoints
@@ -79,6 +80,9 @@
     self.peers = self.accounts.peers
     self.pool = self.accounts.pool
     self.endpoints = endpoints.Table(config.scheduler)
+    self.evacuations = evacuations.Follower(
+        self.kv, self._apply_evacuations, config.membership.watch_idle_s
+    )
     self.scheduler = scheduler.Scheduler(config, self.endpoints, self.clock)
     self._poller = hostlist.Poller(self.http, config.hosts_url)
     self.orders = orders.Orders(
@@ -100,6 +104,10 @@
   def _count(self, name: str) -> None:
     self.counts[name] += 1
 
+  def _apply_evacuations(self, evacuated: frozenset[str]) -> None:
+    if self.endpoints.evacuate(evacuated):
+      self.bus.emit(events.Name.ENDPOINTS_CHANGED, self.endpoints)
+
   def _get_policy(self, customer: str) -> policy.Policy:
     return self.catalogue.current.policy_of(customer)
 
@@ -192,6 +200,7 @@
           *self.accounts.loops(),
           self.accounts.members.follow,
           self.catalogue.follow,
+          self.evacuations.follow,
           self._replace_record_lease,
           self._poll_hosts,
           self._run_ticks,
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -1,9 +1,9 @@
 """What a router knows of the deployment: configuration and endpoints.
 
-Both are read from the store by followers. The directory decides which updates
-are applied: the configuration's version never decreases, and an endpoint that
-is missing right after an outage of the store is kept until it has had time to
-register again.
+Both, and the data centres that operators have evacuated, are read from the
+store by followers. The directory decides which updates are applied: the
+configuration's version never decreases, and an endpoint that is missing right
+after an outage of the store is kept until it has had time to register again.
 """
 
 import datetime
@@ -98,6 +98,10 @@
     self._hosts = listed
     return self.endpoints.update(list(listed.values()))
 
+  def apply_evacuations(self, evacuated: frozenset[str]) -> bool:
+    """Applies the set of evacuated data centres; returns whether it changed."""
+    return self.endpoints.evacuate(evacuated)
+
   def drop(self, name: str) -> None:
     """Removes an endpoint at whose address another server answers."""
     self._hosts.pop(name, None)
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -122,6 +122,8 @@
   def __init__(self, config: settings.Scheduler, cold: bool = False) -> None:
     self._config = config
     self.rows: dict[str, Row] = {}
+    self.evacuated: frozenset[str] = frozenset()
+    """Data centres whose endpoints are sent no requests."""
     self._new_rows_are_cold = cold
 
   def update(self, hosts: list[EndpointEntry]) -> bool:
@@ -141,6 +143,27 @@
     self._new_rows_are_cold = self._new_rows_are_cold or bool(hosts)
     return changed
 
+  def evacuate(self, evacuated: frozenset[str]) -> bool:
+    """Sets the evacuated data centres; returns whether they changed.
+
+    Their endpoints are not eligible until the data centre is taken back;
+    requests in flight there continue.
+    """
+    before = self.evacuated
+    if evacuated == before:
+      return False
+    self.evacuated = evacuated
+    extra = {
+        "evacuated": sorted(evacuated - before),
+        "taken_back": sorted(before - evacuated),
+    }
+    logger.info("data centres evacuated", extra=extra)
+    listed = {row.datacentre for row in self.rows.values()}
+    if evacuated - listed:
+      extra = {"datacentres": sorted(evacuated - listed)}
+      logger.error("evacuated data centre has no endpoints", extra=extra)
+    return True
+
   def _new_row(self, host: EndpointEntry) -> Row:
     return Row(
         name=host["name"],
@@ -164,6 +187,8 @@
   ) -> list[Row]:
     """Returns the live endpoints that can serve a request.
 
+    Endpoints of an evacuated data centre are left out.
+
     Args:
       kind: "engine" or "service".
       model: the requested model (engines only).
@@ -174,6 +199,7 @@
         for r in self.rows.values()
         if r.kind == kind
         and r.state == "live"
+        and r.datacentre not in self.evacuated
         and r.name not in avoid
         and (kind != "engine" or model in r.models)
     ]
