Limit the requests to cold endpoints over all routers

An endpoint that has just started bears `cold_per_s` requests a second for `cold_start_s` and crashes at a rate well above. `cold_left_ms` was decoded and dropped, the service's figures were not decoded.

Ways weighed, at 9, 80, 300 and 760 hosts: - permits by the two trackers of an endpoint: exact while they agree, but a datagram and a wait before each send, and no bound while trackers change or are cut off; - none at all while warm ones have room: the endpoint stays without a cache, and all routers come at once when it is warm; - a few routers for each cold endpoint by rendezvous hashing, at intervals. Chosen: no message and no clock but each router's own.

A data centre that is taken back counts as cold from when the router learns of it; its endpoints' own reports come a heartbeat later. A started router that never read the members sends to no cold endpoint, or all hosts that restart while the store is away would take all of them for their own.

An impossible `cold_left_ms` no longer makes the endpoint unusable; it is logged and ignored. An unreadable rate is logged, and the service used without one.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -32,6 +32,7 @@
 from mustardfall.membership import relay as relay_lib
 from mustardfall.membership import trackers as trackers_lib
 from mustardfall.membership import verdicts as verdicts_lib
+from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import crash_guard as crash_guard_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
@@ -134,8 +135,15 @@
     self.trackers = trackers_lib.Trackers(
         self.accounts.members, self.datagrams, clock
     )
+    self._cold_start_limiter = cold_start_limiter_lib.ColdStartLimiter(
+        self.accounts.members, clock
+    )
     self._endpoint_selector = endpoint_selector_lib.EndpointSelector(
-        config, self.directory, self.load_share, self.trackers
+        config,
+        self.directory,
+        self.load_share,
+        self.trackers,
+        self._cold_start_limiter,
     )
     self.copies = copies_lib.Copies(clock)
     self.notices = notices_lib.Notices(
@@ -348,6 +356,7 @@
       self.directory.endpoints.tick(now)
       self.loads.recompute_totals(now)
       self.trackers.prune()
+      self._cold_start_limiter.prune()
       await self.connection_pool.close_expired()
       last = now
 
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -96,6 +96,10 @@
     """Lives that were followed by a later life of the same router, oldest
     first."""
     self._connected_since: float | None = None
+    self.was_listed = False
+    """Whether the list of routers was ever read."""
+    self.names: tuple[str, ...] = (me.name,)
+    """Names of all routers that are up, as last known."""
     self._lease = 0
     self._owner_names: list[str] = []
     self._ranked: list[str] = []
@@ -272,6 +276,7 @@
       self._connected_since = None
     elif self._connected_since is None:
       self._connected_since = self._clock.monotonic()
+    self.was_listed = self.was_listed or is_connected
 
   def _apply_event(self, event: protocol.Event) -> None:
     members = dict(self._by_name)
@@ -301,6 +306,7 @@
     for life in lives.keys() - self._lives.keys():
       self._absent_since.pop(life, None)
     self._by_name, self._lives = by_name, lives
+    self.names = tuple(sorted(by_name))
     self._update_ranks()
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
--- a/mustardfall/platform/documents.py
+++ b/mustardfall/platform/documents.py
@@ -30,6 +30,10 @@
 _HEADER_VALUE_PATTERN = r"^[\x21-\x7e]+$"
 """Visible ASCII characters, which a header value holds without encoding."""
 _MAX_PORT = 65_535
+_MAX_COLD_S = 600.0
+"""Longest time for which an endpoint may be cold."""
+_MAX_COLD_RATE = 1e6
+"""Highest rate of a cold endpoint, requests per second."""
 _ROUTE_KINDS = {
     "safe": configuration.Kind.IDEMPOTENT,
     "unsafe": configuration.Kind.ONCE,
@@ -60,7 +64,7 @@
   version: str
   slots: _NonNegativeInt
   state: Literal["ready", "draining"]
-  cold_left_ms: _NonNegativeFloat
+  cold_left_ms: Annotated[float, pydantic.Field(allow_inf_nan=False)]
   seq: _NonNegativeInt
   born: _NonNegativeInt | None = None
   """Start of the server process, Unix milliseconds. A restarted server keeps
@@ -105,6 +109,8 @@
   name: str
   max_conns: _NonNegativeInt | None = None
   engine: _EnginePart | None = None
+  cold_start_s: Any = None
+  cold_per_s: Any = None
 
 
 class _TenantPart(_JsonModel):
@@ -256,7 +262,30 @@
           memory_tokens=engine.kv_capacity or 0,
           tokens_per_event=engine.stride or 1,
       ),
+      cold_start=datetime.timedelta(
+          seconds=_decode_cold_start(data, "cold_start_s", _MAX_COLD_S)
+      ),
+      cold_rate=_decode_cold_start(data, "cold_per_s", _MAX_COLD_RATE),
+  )
+
+
+def _decode_cold_start(
+    data: _ServicePart, field: str, max_value: float
+) -> float:
+  """Returns a field of a service's cold start; logs an invalid one, returns 0.
+
+  The service is used all the same: its routes need it.
+  """
+  value = getattr(data, field)
+  if value is None:
+    return 0.0
+  if isinstance(value, (int, float)) and 0 <= value <= max_value:
+    return float(value)
+  logger.error(
+      "cold start of a service unreadable",
+      extra={"service": data.name, "field": field, "value": repr(value)[:80]},
   )
+  return 0.0
 
 
 def _decode_team(raw: Any) -> configuration.Team:
@@ -335,20 +364,25 @@
     hosts = []
     for record in records:
       name = record.key.removeprefix(SERVERS_PREFIX)
+      error = ""
       try:
-        hosts.append(
-            _build_host(name, _ServerEntry.model_validate_json(record.value))
-        )
+        data = _ServerEntry.model_validate_json(record.value)
+        hosts.append(_build_host(name, data))
+        if not 0 <= data.cold_left_ms <= _MAX_COLD_S * 1000:
+          error = f"cold_left_ms: {data.cold_left_ms} is ignored"
       except ValueError as exc:
         hosts.append(_build_unusable_host(name))
-        self._logged_revisions[record.key] = record.mod_revision
-        if already_logged.get(record.key) != record.mod_revision:
-          extra = {
-              "entry": record.key,
-              "revision": record.mod_revision,
-              "error": _format_error(exc),
-          }
-          logger.error("server entry unreadable", extra=extra)
+        error = _format_error(exc)
+      if not error:
+        continue
+      self._logged_revisions[record.key] = record.mod_revision
+      if already_logged.get(record.key) != record.mod_revision:
+        extra = {
+            "entry": record.key,
+            "revision": record.mod_revision,
+            "error": error,
+        }
+        logger.error("server entry unreadable", extra=extra)
     return hosts
 
 
@@ -358,7 +392,7 @@
 
 
 def _build_host(name: str, data: _ServerEntry) -> endpoints.EndpointEntry:
-  return endpoints.EndpointEntry(
+  host = endpoints.EndpointEntry(
       name=_SERVER_ID.validate_python(name),
       url=data.address,
       datacentre=data.zone,
@@ -367,6 +401,9 @@
       state=_ENDPOINT_STATES[data.state],
       started_ms=data.born,
   )
+  if 0 < data.cold_left_ms <= _MAX_COLD_S * 1000:
+    host["cold_ms"] = data.cold_left_ms
+  return host
 
 
 def _build_unusable_host(name: str) -> endpoints.EndpointEntry:
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -5,6 +5,7 @@
 from mustardfall import settings
 from mustardfall.membership import loadshare as loadshare_lib
 from mustardfall.membership import trackers as trackers_lib
+from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import directory as directory_lib
 from mustardfall.routing import endpoints
@@ -82,6 +83,7 @@
     load_share: reports load to all routers of a small fleet.
     trackers: query and report load in a large fleet, where two routers track
       each endpoint.
+    cold_start_limiter: limits the requests to cold endpoints.
   """
 
   def __init__(
@@ -90,11 +92,13 @@
       directory: directory_lib.Directory,
       load_share: loadshare_lib.LoadShare,
       trackers: trackers_lib.Trackers,
+      cold_start_limiter: cold_start_limiter_lib.ColdStartLimiter,
   ) -> None:
     self._datacentre = config.datacentre
     self._directory = directory
     self._load_share = load_share
     self._trackers = trackers
+    self._cold_start_limiter = cold_start_limiter
     self._random = random.Random()
 
   async def select(
@@ -102,9 +106,23 @@
   ) -> placement_lib.Placement | None:
     """Returns the endpoint expected to respond first; None if there is none.
 
-    Endpoints that the request was not sent to yet are preferred.
+    Endpoints that the request was not sent to yet are preferred. The caller
+    has to send the request to the endpoint: a permit for a cold one is used up.
     """
+    limiter = self._cold_start_limiter
     rows = self._directory.endpoints.eligible(context.service.name, "")
+    rows = limiter.filter_permitted(rows, context.service)
+    while True:
+      placement = await self._select_among(rows, context)
+      if placement is None or limiter.acquire(placement.row, context.service):
+        return placement
+      rows = [row for row in rows if row is not placement.row]
+
+  async def _select_among(
+      self,
+      rows: list[endpoints.Row],
+      context: request_context_lib.RequestContext,
+  ) -> placement_lib.Placement | None:
     untried = [row for row in rows if row.name not in context.tried_endpoints]
     prompt = request_context_lib.prompt_for_placement(context.request)
     if not self._trackers.is_used:
--- a/mustardfall/routing/configuration.py
+++ b/mustardfall/routing/configuration.py
@@ -74,6 +74,10 @@
   max_connections: int
   """Connections that one endpoint accepts from all routers together."""
   engine: Engine | None
+  cold_start: datetime.timedelta = datetime.timedelta()
+  """How long an endpoint is cold after its start."""
+  cold_rate: float = 0.0
+  """Requests per second that a cold endpoint bears; 0: as many as others."""
 
 
 class Team(NamedTuple):
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -96,11 +96,25 @@
     if now < self._keep_missing_until:
       listed = {**self._hosts, **listed}
     self._hosts = listed
-    return self.endpoints.update(list(listed.values()))
+    changed = self.endpoints.update(list(listed.values()))
+    self.endpoints.update_cold(listed.values(), now)
+    return changed
 
   def apply_evacuations(self, evacuated: frozenset[str]) -> bool:
-    """Applies the set of evacuated data centres; returns whether it changed."""
-    return self.endpoints.evacuate(evacuated)
+    """Applies the set of evacuated data centres; returns whether it changed.
+
+    The endpoints of a data centre that is taken back count as cold at first,
+    since their own reports of it arrive later.
+    """
+    taken_back = self.endpoints.evacuated - evacuated
+    changed = self.endpoints.evacuate(evacuated)
+    services = self.configuration.services if self.configuration else {}
+    now = self._clock.monotonic()
+    for datacentre in taken_back:
+      for service in services.values():
+        cold_s = service.cold_start.total_seconds()
+        self.endpoints.mark_cold(datacentre, service.name, cold_s, now)
+    return changed
 
   def drop(self, name: str) -> None:
     """Removes an endpoint at whose address another server answers."""
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -5,6 +5,7 @@
 load that endpoints report lags behind.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import logging
 from typing import Literal, NotRequired, TypedDict
@@ -55,6 +56,8 @@
   """Defaults to `live`."""
   started_ms: NotRequired[int | None]
   """When its process started, Unix ms, if the list says so."""
+  cold_ms: NotRequired[float]
+  """How much longer it says to be cold, ms; left out if it is warm."""
 
 
 @dataclasses.dataclass
@@ -97,6 +100,10 @@
   """When each request that has no first token yet was sent, by its id."""
   started_ms: int | None = None
   """When its process started, Unix ms, if the list says so."""
+  cold_until: float = -float("inf")
+  """Until when it bears only a low rate of requests, monotonic seconds."""
+  reported_cold_ms: float = 0.0
+  """How much longer it was cold according to the last list, ms."""
 
   @property
   def life(self) -> str:
@@ -177,6 +184,28 @@
         started_ms=host.get("started_ms"),
     )
 
+  def update_cold(self, hosts: Iterable[EndpointEntry], now: float) -> None:
+    """Records which endpoints are cold according to a list.
+
+    A list may be applied again later, so that a time counts from when it was
+    first seen.
+    """
+    for host in hosts:
+      cold_ms = host.get("cold_ms", 0.0)
+      row = self.rows.get(host["name"])
+      if row is None or cold_ms == row.reported_cold_ms:
+        continue
+      row.reported_cold_ms = cold_ms
+      _extend_cold(row, cold_ms / 1000, now)
+
+  def mark_cold(
+      self, datacentre: str, kind: str, cold_s: float, now: float
+  ) -> None:
+    """Treats a data centre's endpoints of one kind as cold for `cold_s`."""
+    for row in self.rows.values():
+      if row.datacentre == datacentre and row.kind == kind:
+        _extend_cold(row, cold_s, now)
+
   def find_life(self, life: str) -> Row | None:
     """Returns the row with this `life`, or None if it is not listed."""
     row = self.rows.get(life) or self.rows.get(life.rpartition(":")[0])
@@ -293,6 +322,13 @@
           self.adapt_limit(row, waited, now)
 
 
+def _extend_cold(row: Row, cold_s: float, now: float) -> None:
+  if cold_s > 0 and now >= row.cold_until:
+    extra = {"endpoint": row.life, "address": row.url, "for_s": cold_s}
+    logger.info("endpoint cold", extra=extra)
+  row.cold_until = max(row.cold_until, now + cold_s)
+
+
 def _has_restarted(row: Row, host: EndpointEntry) -> bool:
   """Whether the endpoint in `row` has restarted according to `host`.
 
