Wait for the right router's member list in a test of evacuation

Ruled out: the relay (answers copies up to 2.5 s old; an existing test of it waits for the second router's list and holds).

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -81,8 +81,7 @@
     # evacuated endpoints either.
     async def _test(env):
       away = await env.add_gateway("front-2")
-      members = env.gateway.accounts.members
-      await env.wait_until(lambda: len(members.lives) == 2)
+      await env.wait_until(lambda: len(away.accounts.members.lives) == 2)
       env.store.faults.rejected_hosts.add("front-2")
       env.store.put(EVACUATION_KEY, {})
       await env.wait_until(lambda: away.directory.endpoints.evacuated)
