Say with each refusal for want of tokens what decided it

The owner's answer to a request for tokens that it does not grant now carries its figures, and the line has both: the router's own and those of the router asked last, with their age, outcome, limit and whether the store is in reach.

A holder logs a row with each report of its use (`budget held`, 16 rows a round at most), and `mustardfall budget where BUDGET LOG...` adds up from the logs where the tokens were at a moment.

Ruled out: a line for each change of a row (thousands a second on a busy owner).

--- a/mustardfall/budget/acquiring.py
+++ b/mustardfall/budget/acquiring.py
@@ -271,6 +271,7 @@
     part = self._table.new_id()
     request = peers_lib.ReserveRequest(budget, customer, part, least, want)
     answer = await self._peers.reserve(router, request)
+    self._budget_view.note_answer(budget, router.life, least, answer)
     if answer is None:
       # The router may have delegated the part and its reply may have been lost.
       # The part is settled as unused, which returns it; no request drew on it.
--- a/mustardfall/budget/budget_view.py
+++ b/mustardfall/budget/budget_view.py
@@ -1,7 +1,7 @@
 """What a router knows of the budgets that it shares with other routers."""
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import Any, Literal, NamedTuple
 
 from mustardfall import settings
 from mustardfall.budget import allotment
@@ -10,6 +10,7 @@
 from mustardfall.budget import ledger
 from mustardfall.budget import policy as policy_lib
 from mustardfall.membership import members as members_lib
+from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
 
 
@@ -36,6 +37,20 @@
   """Parts of this router's grants that other routers hold."""
 
 
+class OwnerAnswer(NamedTuple):
+  """The last answer of another router that was asked for tokens."""
+
+  router: str
+  """Life of that router."""
+  least: int
+  """Tokens asked for."""
+  outcome: Literal["granted", "refused", "exhausted", "unsure", "no answer"]
+  facts: dict[str, Any] | None
+  """What that router knows of the budget, see `BudgetSnapshot`."""
+  at: float
+  """When it was received, monotonic seconds."""
+
+
 _INITIAL_EXHAUSTED_S = 0.5
 """How long a budget is first treated as exhausted. The time doubles each time
 this is found again, since each check costs a call."""
@@ -92,6 +107,8 @@
     """Tokens to hold by budget, computed since the last read or tick."""
     self._exhausted: dict[str, _Exhausted] = {}
     """Budgets that were found exhausted."""
+    self._answers: dict[str, OwnerAnswer] = {}
+    """Last answer of another router, by budget."""
 
   def update(self, budget: str, state: ledger.Ledger) -> None:
     """Records a ledger that was read."""
@@ -121,6 +138,48 @@
         handed_on=sum(p.tokens for row in rows for p in row.parts.values()),
     )
 
+  def note_answer(
+      self,
+      budget: str,
+      router: str,
+      least: int,
+      answer: peers_lib.ReserveReply | None,
+  ) -> None:
+    """Records another router's answer to a request for tokens."""
+    outcome = "refused"
+    if answer is None:
+      outcome = "no answer"
+    elif answer.tokens:
+      outcome = "granted"
+    elif answer.exhausted:
+      outcome = "exhausted"
+    elif answer.unsure:
+      outcome = "unsure"
+    facts = None if answer is None else answer.facts
+    now = self._clock.monotonic()
+    self._answers[budget] = OwnerAnswer(router, least, outcome, facts, now)
+
+  def describe(self, budget: str) -> dict[str, Any]:
+    """Returns what decides on a request for tokens, for the log.
+
+    `ledger` has this router's own knowledge, `asked` that of the router that
+    was asked last. Either may be None.
+    """
+    limit = self.limit_of(budget)
+    snapshot = self.snapshot(budget)
+    answer = self._answers.get(budget)
+    asked = None
+    if answer is not None:
+      age_s = round(self._clock.monotonic() - answer.at, 3)
+      asked = answer._asdict() | {"age_s": age_s}
+      del asked["at"]
+    return {
+        "limit": None if limit is None else limit.tokens,
+        "limit_version": None if limit is None else limit.version,
+        "ledger": None if snapshot is None else snapshot._asdict(),
+        "asked": asked,
+    }
+
   def owner(self, budget: str) -> members_lib.Member | None:
     """Returns the other router that owns the budget; None: use the KV directly."""
     if not self._config.owned:
@@ -268,6 +327,9 @@
     for budget, entry in list(self._exhausted.items()):
       if entry.until < before:
         del self._exhausted[budget]
+    for budget, answer in list(self._answers.items()):
+      if answer.at < before:
+        del self._answers[budget]
     used = self._table.rate.keys() | self._table.by_budget.keys()
     for budget in self.ledgers.keys() - used:
       del self.ledgers[budget]
--- a/mustardfall/budget/granting.py
+++ b/mustardfall/budget/granting.py
@@ -21,6 +21,8 @@
 
 _MIN_REFILL_FRACTION = 0.1
 """Smallest refill, as a fraction of the target."""
+_MAX_LOGGED_ROWS = 16
+"""Rows logged in one round of reports."""
 _EMPTY_LEDGER = ledger.Ledger(
     limit=0, spent=0, grants={}, lost={}, lost_before=0, parts={}, ops=[]
 )
@@ -120,12 +122,32 @@
 
   def report_usage(self) -> None:
     """Reports the usage of grants, each with a new ceiling."""
+    reported = []
     for row in self._table.rows.values():
       # Skipped while a higher ceiling is in flight: this one would be newer,
       # replace it in the ledger and cause the refusal of the request that the
       # higher one was issued for.
       if row.gid not in self.pending_gids and self._settler.needs_report(row):
         self._settler.report(row, self.issue_ceiling(row.budget, row, 0))
+        reported.append(row)
+    for row in reported[:_MAX_LOGGED_ROWS]:
+      self._log_held(row)
+
+  def _log_held(self, row: allotment.Row) -> None:
+    snapshot = self._budget_view.snapshot(row.budget)
+    extra = {
+        "budget": row.budget,
+        "gid": row.gid,
+        "granted": row.granted,
+        "used": row.used + sum(row.parts_used.values()),
+        "reserved": row.own_drawn - row.used,
+        "parts": sum(part.tokens for part in row.parts.values()),
+        "lost_parts": sum(row.lost_parts.values()),
+        "undrawn": row.undrawn,
+        "free": row.free,
+        "ledger": None if snapshot is None else snapshot._asdict(),
+    }
+    logger.info("budget held", extra=extra)
 
   def _share(self) -> float:
     """Returns the fraction of a budget's headroom that one grant may take.
--- a/mustardfall/budget/ownership.py
+++ b/mustardfall/budget/ownership.py
@@ -1,6 +1,7 @@
 """Delegates parts of this router's grants to other routers, as their owner."""
 
 import collections
+from typing import Any
 
 import anyio
 
@@ -78,6 +79,7 @@
       self._acquirer.refill_if_low(request.budget, request.customer)
     if handed.tokens or self._acquirer.stopping:
       return handed._replace(unsure=not handed.tokens)
+    handed = handed._replace(facts=self._facts(request.budget))
     if self._budget_view.is_exhausted(request.budget, request.least):
       return handed._replace(exhausted=True)
     if self._refusals.is_cached(request.budget, request.least):
@@ -92,7 +94,15 @@
     if handed.tokens:
       return handed
     exhausted = self._budget_view.is_exhausted(request.budget, request.least)
-    return handed._replace(unsure=not answered, exhausted=exhausted)
+    return handed._replace(
+        unsure=not answered,
+        exhausted=exhausted,
+        facts=self._facts(request.budget),
+    )
+
+  def _facts(self, budget: str) -> dict[str, Any] | None:
+    snapshot = self._budget_view.snapshot(budget)
+    return None if snapshot is None else snapshot._asdict()
 
   def _owns(self, budget: str) -> bool:
     return self._budget_view.owner(budget) is None
--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -1,9 +1,11 @@
 """The `mustardfall` command: daemons, stand-ins, operator and test commands."""
 
+import datetime
 import json
 import os
 import pathlib
 import sys
+from typing import TextIO
 import uuid
 
 import anyio
@@ -13,6 +15,7 @@
 from mustardfall import errors
 from mustardfall import settings
 from mustardfall.budget import ledger
+from mustardfall.budget import whereabouts
 from mustardfall.catalogue import evacuations
 from mustardfall.catalogue import model
 from mustardfall.catalogue import store
@@ -208,6 +211,27 @@
   click.echo(json.dumps({"op": op, "limit": updated["limit"]}))
 
 
+@budget.command(name="where")
+@click.argument("name")
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.File(errors="replace")
+)
+@click.option(
+    "--at",
+    type=click.DateTime(["%Y-%m-%d %H:%M:%S", "%Y-%m-%d %H:%M:%S.%f"]),
+    help="Moment in the logs' time; default: that of the last line.",
+)
+def budget_where(
+    name: str, logs: tuple[TextIO, ...], at: datetime.datetime | None
+) -> None:
+  """Prints where the tokens of budget NAME were, from the routers' LOGS."""
+  lines = [line for log in logs for line in whereabouts.read_lines(log, name)]
+  found = whereabouts.find(lines, at)
+  if found is None:
+    raise click.ClickException(f"no line of the logs shows budget {name}")
+  click.echo(whereabouts.to_table(found))
+
+
 @main.command()
 @click.option("--requests", "count", default=240, show_default=True)
 @click.option("--seed", default=7, show_default=True)
--- a/mustardfall/membership/peers.py
+++ b/mustardfall/membership/peers.py
@@ -53,6 +53,9 @@
   gid: str
   unsure: bool = False
   exhausted: bool = False
+  facts: dict[str, Any] | None = None
+  """What the owner knows of the budget, for the log of a refusal; see
+  `budget_view.BudgetSnapshot`."""
 
 
 class EndedPart(NamedTuple):
@@ -133,9 +136,11 @@
   tokens, gid = answer.get("tokens"), answer.get("gid")
   if type(tokens) is not int or tokens < 0 or not isinstance(gid, str):
     return None
+  facts = answer.get("facts")
   return ReserveReply(
       tokens,
       gid,
       unsure=answer.get("unsure") is True,
       exhausted=answer.get("exhausted") is True,
+      facts=facts if isinstance(facts, dict) else None,
   )
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -134,11 +134,12 @@
     if context.reservation is not None:
       return
     budget_view = self._accounts.pool.budget_view
-    snapshot = budget_view.snapshot(budget)
+    facts = budget_view.describe(budget)
+    facts["store_reachable"] = not self._accounts.store_unreachable
     if budget_view.is_exhausted(budget, usage.max_tokens):
-      raise refusals.budget_exhausted(snapshot)
+      raise refusals.budget_exhausted(facts)
     raise refusals.tokens_unavailable(
-        snapshot, self._tokens_retry_after_s(context)
+        facts, self._tokens_retry_after_s(context)
     )
 
   def _tokens_retry_after_s(
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -1,9 +1,8 @@
 """Error responses that the router itself sends, and what each guarantees."""
 
+from collections.abc import Mapping
 from typing import Any
 
-from mustardfall.budget import budget_view
-
 
 class RefusalError(Exception):
   """Ends a request with an error response from the router itself.
@@ -60,19 +59,15 @@
   return RefusalError(401, "unknown API key", facts={"version": version})
 
 
-def budget_exhausted(
-    whereabouts: budget_view.BudgetSnapshot | None,
-) -> RefusalError:
+def budget_exhausted(facts: Mapping[str, Any]) -> RefusalError:
   """The budget cannot cover the request, whatever tokens are returned."""
-  facts = whereabouts._asdict() if whereabouts else None
   return RefusalError(402, "budget used up", facts=facts)
 
 
 def tokens_unavailable(
-    whereabouts: budget_view.BudgetSnapshot | None, retry_after_s: float
+    facts: Mapping[str, Any], retry_after_s: float
 ) -> RefusalError:
   """The tokens are held by other routers, or the store is unreachable."""
-  facts = whereabouts._asdict() if whereabouts else None
   return RefusalError(429, "budget cannot cover it now", retry_after_s, facts)
 
 
