--- a/mustardfall/bench/experiment.py
+++ b/mustardfall/bench/experiment.py
@@ -79,7 +79,7 @@
   """Runs all jobs on `workers` processes; calls `on_outcome` for each."""
   outcomes = []
   with concurrent.futures.ProcessPoolExecutor(workers) as pool:
-    for outcome in pool.map(_simulate, jobs, chunksize=4):
+    for outcome in pool.map(_simulate, jobs):
       on_outcome(outcome)
       outcomes.append(outcome)
   return outcomes
--- a/mustardfall/bench/virtual/days.py
+++ b/mustardfall/bench/virtual/days.py
@@ -23,6 +23,8 @@
 requests in this time."""
 _TEAM_WEIGHTS = (19, 17, 11, 9, 6, 5.5, 5, 3.5, 3, 3)
 """Relative traffic of the teams, a few of which are large."""
+_CALLERS = 33
+"""Number of callers; each uses one host."""
 _SINGLE_HOST_TEAMS = 3
 """Number of teams whose callers all use the same host."""
 _HOSTS = tuple(f"host-{number}" for number in range(8))
@@ -110,6 +112,47 @@
 ]
 
 
+class RequestClass(pydantic.BaseModel):
+  """One kind of request; sizes are tokens."""
+
+  model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+  share: float
+  """Share of all requests."""
+  shared_tokens: int
+  own_tokens: int
+  """Mean of the prompt's own tokens."""
+  max_own_tokens: int
+  output_tokens: int
+  """Mean of the generated tokens."""
+  duration_s: float
+  """Mean duration until the end of its stream."""
+  timeout_s: float
+  """Time that its caller waits."""
+
+
+_CLASSES = (
+    RequestClass(
+        share=0.6,
+        shared_tokens=6_300,
+        own_tokens=2_890,
+        max_own_tokens=39_600,
+        output_tokens=50,
+        duration_s=0.6,
+        timeout_s=5.0,
+    ),
+    RequestClass(
+        share=0.4,
+        shared_tokens=198,
+        own_tokens=628,
+        max_own_tokens=3_310,
+        output_tokens=290,
+        duration_s=1.0,
+        timeout_s=15.0,
+    ),
+)
+"""Summaries, which have long prompts, and queries."""
+
+
 class Day(pydantic.BaseModel):
   """One simulated day; the simulation's seed determines its requests."""
 
@@ -122,6 +165,8 @@
   paid_s: float = _BUDGET_WINDOW_S
   shares: tuple[float, ...] = _TEAM_WEIGHTS
   steady: int = _SINGLE_HOST_TEAMS
+  callers: int = _CALLERS
+  classes: tuple[RequestClass, ...] = _CLASSES
   events: list[Event] = []
 
 
--- a/mustardfall/bench/virtual/simulation.py
+++ b/mustardfall/bench/virtual/simulation.py
@@ -193,11 +193,8 @@
     network = self._fleet.network
     cut_off = not network.reaches_store(host.name)
     cut_off = cut_off or network.is_refused(host.name)
-    where = host.accounts.pool.budget_view.snapshot(team)
-    if cut_off and where is not None and where.idle >= tokens:
-      return "cut off: promise too low"
     if cut_off:
-      return "cut off: too few held"
+      return self._cause_without_store(team, tokens)
     record = self._fleet.store.records.get(ledger.key(team))
     if record is None:
       return "no ledger"
@@ -219,6 +216,21 @@
       return "held by others"
     return "held by the dead" if living + dead >= tokens else "lost"
 
+  def _cause_without_store(self, team: str, tokens: int) -> str:
+    """Returns why no router that a refused caller's host reaches had tokens."""
+    rows = [
+        row
+        for host in self._fleet.hosts.values()
+        if host.accounts is not None
+        for row in host.accounts.pool.table.rows.values()
+        if row.budget == team and not row.source and not row.retiring
+    ]
+    if any(row.free >= tokens for row in rows):
+      return "cut off: free at another router"
+    if any(row.undrawn >= tokens for row in rows):
+      return "cut off: ceiling too low"
+    return "cut off: too few held"
+
   def _retry_after_s(
       self,
       host: hosts_lib.Host | None,
--- a/mustardfall/bench/virtual/traffic.py
+++ b/mustardfall/bench/virtual/traffic.py
@@ -6,20 +6,8 @@
 
 from mustardfall.bench.virtual import days
 
-_SUMMARY_SHARE = 0.6
-"""Share of requests that are summaries, which have long prompts."""
-_SUMMARY_PROMPT_TOKENS = (6_300, 2_890, 39_600)
-"""Tokens of a prompt: shared ones, the mean of its own, and at most its own."""
-_QUERY_PROMPT_TOKENS = (198, 628, 3_310)
-_MEAN_OUTPUT_TOKENS = {True: 50, False: 290}
-"""Mean number of generated tokens; True: of summaries, False: of queries."""
-_MEAN_DURATION_S = {True: 0.6, False: 1.0}
-"""Mean duration of a request until the end of its stream."""
 _PROMPT_LENGTH_SIGMA = 0.8
 """Sigma of the log-normal distribution of a prompt's own tokens."""
-_CALLER_TIMEOUT_S = {True: 5.0, False: 15.0}
-_CALLERS = 33
-"""Number of callers; each uses one host."""
 
 
 class Request(NamedTuple):
@@ -50,7 +38,7 @@
   teams = [f"team-{number}" for number in range(len(day.shares))]
   single_host_teams = set(rng.sample(teams, day.steady))
   single_host = {team: rng.choice(day.hosts) for team in single_host_teams}
-  callers = [rng.choice(day.hosts) for _ in range(_CALLERS)]
+  callers = [rng.choice(day.hosts) for _ in range(day.callers)]
   bursts = [
       event for event in day.events if isinstance(event, days.TrafficBurst)
   ]
@@ -59,12 +47,13 @@
   for _ in range(count):
     team = rng.choices(teams, day.shares)[0]
     host = single_host.get(team) or rng.choice(callers)
-    request = _draw_request(rng, rng.uniform(0.0, day.traffic_s), team, host)
+    at_s = rng.uniform(0.0, day.traffic_s)
+    request = _draw_request(rng, at_s, team, host, day.classes)
     baseline_tokens[team] += request.max_tokens
     requests.append(request)
     for event in bursts:
       if team == teams[event.rank - 1] and _is_active(request.at_s, event):
-        requests += _burst_requests(rng, request, event)
+        requests += _burst_requests(rng, request, event, day.classes)
   # Tokens that a limit pays for, per token of the usual traffic of the day.
   paid = day.spare * day.paid_s / day.traffic_s
   limits = {
@@ -79,34 +68,51 @@
 
 
 def _burst_requests(
-    rng: random.Random, request: Request, event: days.TrafficBurst
+    rng: random.Random,
+    request: Request,
+    event: days.TrafficBurst,
+    classes: tuple[days.RequestClass, ...],
 ) -> list[Request]:
   """Returns the extra requests that a burst adds for one usual request."""
   count = int(event.x - 1 + rng.random())
   times = [event.at_s + rng.uniform(0.0, event.for_s) for _ in range(count)]
   return [
-      _draw_request(rng, at_s, request.team, request.host) for at_s in times
+      _draw_request(rng, at_s, request.team, request.host, classes)
+      for at_s in times
   ]
 
 
 def _draw_request(
-    rng: random.Random, at_s: float, team: str, host: str
+    rng: random.Random,
+    at_s: float,
+    team: str,
+    host: str,
+    classes: tuple[days.RequestClass, ...],
 ) -> Request:
-  summary = rng.random() < _SUMMARY_SHARE
-  shared, mean_own, max_own = (
-      _SUMMARY_PROMPT_TOKENS if summary else _QUERY_PROMPT_TOKENS
+  class_ = _draw_class(rng, classes)
+  mu = math.log(class_.own_tokens) - _PROMPT_LENGTH_SIGMA**2 / 2
+  own = min(
+      class_.max_own_tokens, int(rng.lognormvariate(mu, _PROMPT_LENGTH_SIGMA))
   )
-  mu = math.log(mean_own) - _PROMPT_LENGTH_SIGMA**2 / 2
-  prompt = shared + min(
-      max_own, int(rng.lognormvariate(mu, _PROMPT_LENGTH_SIGMA))
-  )
-  output = max(1, int(rng.expovariate(1 / _MEAN_OUTPUT_TOKENS[summary])))
+  prompt = class_.shared_tokens + own
+  output = max(1, int(rng.expovariate(1 / class_.output_tokens)))
   return Request(
       at_s=at_s,
       team=team,
       host=host,
       max_tokens=prompt + 2 * output,
       used_tokens=prompt + output,
-      duration_s=rng.uniform(0.3, 1.7) * _MEAN_DURATION_S[summary],
-      timeout_s=_CALLER_TIMEOUT_S[summary],
+      duration_s=rng.uniform(0.3, 1.7) * class_.duration_s,
+      timeout_s=class_.timeout_s,
   )
+
+
+def _draw_class(
+    rng: random.Random, classes: tuple[days.RequestClass, ...]
+) -> days.RequestClass:
+  drawn = rng.random()
+  for class_ in classes:
+    drawn -= class_.share
+    if drawn < 0:
+      return class_
+  return classes[-1]
