--- a/mustardfall/budget/allotment.py
+++ b/mustardfall/budget/allotment.py
@@ -245,6 +245,16 @@
     rows = [self.rows[gid] for gid in self.by_budget.get(budget, ())]
     return sum(row.undrawn for row in rows if not row.retiring)
 
+  def measured_share(self, budget: str) -> float:
+    """Returns how far the budget's rate is measured, from 0 to 1."""
+    window_s = self._averaging_window_s.get(budget)
+    if window_s is None:
+      return 0.0
+    # The time before the first reservation is assumed, not measured.
+    assumed_s = self._config.rate_s * _INITIAL_QUIET_FRACTION
+    share = (window_s - assumed_s) / (self._config.rate_s - assumed_s)
+    return min(1.0, max(0.0, share))
+
   def is_below_low_mark(self, budget: str) -> bool:
     """Whether the budget's unused tokens are below the low mark.
 
--- a/mustardfall/budget/budget_view.py
+++ b/mustardfall/budget/budget_view.py
@@ -277,6 +277,7 @@
             budget, self._config.request_tokens
         ),
         holders=self._holder_count(),
+        measured=self._table.measured_share(budget),
     )
 
   def target(self, budget: str) -> int | None:
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -16,6 +16,11 @@
 might have drawn since its last report is lost with it."""
 
 
+_UNMEASURED_GROWTH = 0.5
+"""Share of the tokens to hold by which a ceiling may grow within `horizon_s`
+while the draw is not measured."""
+
+
 class SizingInput(NamedTuple):
   """The figures from which a holder sizes its share of one budget."""
 
@@ -34,6 +39,9 @@
   """Mean tokens reserved per request by this router."""
   holders: int
   """Number of routers that should hold grants of the budget."""
+  measured: float = 1.0
+  """How far `rate` is measured: 0 before the first request, 1 once it has been
+  averaged for long enough."""
 
 
 def target(sizing: SizingInput, config: settings.Allotment) -> int:
@@ -44,9 +52,7 @@
   any router. It is limited to this router's share of the available tokens: by
   its part of the draw, or an equal share if that is more.
   """
-  available = sizing.held + (
-      sizing.limit if sizing.headroom is None else sizing.headroom
-  )
+  available = _available(sizing)
   outage_draw = (
       sizing.rate * config.horizon_s
       + sizing.mean_request * config.requests_held
@@ -70,22 +76,40 @@
   runs out later. The total that all holders risk therefore falls with the
   square of the available fraction: a partition early on causes few refusals,
   and a death near the end of the budget loses little.
+
+  While the draw is not measured, the slack is as large as the acceptable loss.
   """
   expected = (
       sizing.rate * config.slack_s + sizing.mean_request * config.requests_slack
   )
-  headroom = sizing.limit if sizing.headroom is None else sizing.headroom
-  available = headroom + sizing.held
-  acceptable_loss = (
-      available * config.slack_left * available / max(sizing.limit, 1)
-  )
-  return int(min(expected, acceptable_loss * _own_share(sizing)))
+  acceptable_loss = _available(sizing) * config.slack_left * _left(sizing)
+  acceptable_loss *= _own_share(sizing)
+  unmeasured = acceptable_loss * (1 - sizing.measured)
+  return int(min(max(expected, unmeasured), acceptable_loss))
 
 
 def ceiling_growth(sizing: SizingInput, config: settings.Allotment) -> float:
-  """Returns a ceiling's growth without reports, tokens per second."""
+  """Returns a ceiling's growth without reports, tokens per second.
+
+  While the draw is not measured, the ceiling grows so that half of the tokens
+  to hold can be drawn during `horizon_s`.
+  """
+  left = _left(sizing)
   rate = max(sizing.rate, sizing.limit * _MIN_CEILING_GROWTH)
-  return round(rate * config.ceiling_rate, 1)
+  unmeasured = target(sizing, config) * left * (1 - sizing.measured)
+  unmeasured_rate = unmeasured * _UNMEASURED_GROWTH / config.horizon_s
+  return round(max(rate * config.ceiling_rate, unmeasured_rate), 1)
+
+
+def _available(sizing: SizingInput) -> int:
+  """Returns the tokens that are neither used nor held by other routers."""
+  headroom = sizing.limit if sizing.headroom is None else sizing.headroom
+  return headroom + sizing.held
+
+
+def _left(sizing: SizingInput) -> float:
+  """Returns the available tokens as a fraction of the limit."""
+  return min(1.0, _available(sizing) / max(sizing.limit, 1))
 
 
 def _own_share(sizing: SizingInput) -> float:
--- /dev/null
+++ b/tests/test_early_outage.py
@@ -0,0 +1,66 @@
+"""Outages of the store around the first and the last requests on a budget.
+
+Played by the routers' own modules in virtual time, on a small fleet.
+"""
+
+import pathlib
+
+import testtools
+
+from mustardfall.bench import experiment
+from mustardfall.bench.virtual import days
+from mustardfall.bench.virtual import simulation
+from mustardfall.budget import holding
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_DEPLOYED = experiment.read_policy(_ROOT / "deploy" / "router.yaml", None)
+_SEEDS = (1, 2, 3, 4)
+
+
+def _sizing(**more):
+  fields = {
+      "limit": 1_000_000,
+      "headroom": 500_000,
+      "held": 500_000,
+      "rate": 0.0,
+      "others_rate": 0.0,
+      "mean_request": 8_000.0,
+      "holders": 1,
+  }
+  return holding.SizingInput(**fields | more)
+
+
+class EarlyOutageTest(testtools.TestCase):
+
+  def test_store_that_goes_as_traffic_begins_refuses_few(self):
+    # Hosts hold enough tokens, but a budget that was not drawn on had a ceiling
+    # of one request: a fourth of all requests was refused though next to
+    # nothing was used. At most one in ten may be.
+    events = [
+        days.StoreOutage(at_s=1.25, for_s=6.3, how="busy"),
+        days.Partition(at_s=6.2, for_s=9.0),
+    ]
+    day = days.Day(name="early outage", traffic_s=16.0, events=events)
+    results = [simulation.simulate(day, _DEPLOYED, seed) for seed in _SEEDS]
+    falsely = sum(result.falsely for result in results)
+    requests = sum(result.requests for result in results)
+    self.assertLess(falsely, requests / 10)
+    self.assertEqual([0] * len(_SEEDS), [r.overspend for r in results])
+
+
+class CeilingTest(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    self.config = _DEPLOYED.allotment
+
+  def test_unmeasured_draw_may_use_what_may_be_lost(self):
+    unmeasured = _sizing(measured=0.0)
+    self.assertEqual(150_000, holding.slack(unmeasured, self.config))
+    measured = _sizing(rate=10_000.0)
+    self.assertEqual(38_000, holding.slack(measured, self.config))
+
+  def test_unmeasured_ceiling_grows_to_half_of_the_tokens_held(self):
+    growth = holding.ceiling_growth(_sizing(measured=0.0), self.config)
+    target = holding.target(_sizing(measured=0.0), self.config)
+    self.assertAlmostEqual(target / 2 / self.config.horizon_s, growth, delta=1)
