Ceilings that grow with the draw near a budget's end; reports by budgets

An idle holder's ceiling grows by 0.45 % of the limit a second.

- A ceiling's growth falls from 1.5 to 1 times the draw with what is left of the budget, and the least growth of idle holders falls with it.
- The time between reports grows with the routers that report, mostly the owners of budgets, and no longer with all: 1 s and not 3.3 s at 80 hosts, 24 budgets.

Tests: tests/test_early_outage.py, CeilingTest and ReportIntervalTest.

--- a/mustardfall/budget/budget_view.py
+++ b/mustardfall/budget/budget_view.py
@@ -207,6 +207,11 @@
     """Returns the configured budgets whose grants this router takes itself."""
     return (name for name in self._budgets() if self.owner(name) is None)
 
+  @property
+  def budget_count(self) -> int:
+    """The number of configured budgets; 0 if the KV alone knows them."""
+    return sum(1 for _ in self._budgets())
+
   def deputies(self, budget: str) -> list[members_lib.Member]:
     """Returns the other routers to ask, in order, if the KV does not answer."""
     if not self._config.owned and len(self._members.lives) == 1:
@@ -321,7 +326,9 @@
     drawn = sum(
         p.rate for life, p in rates.items() if life in live and life != me
     )
-    return drawn / max(self._config.ceiling_rate, 1e-9)
+    left = max(0, ledger.headroom(state)) / max(state["limit"], 1)
+    factor = holding.growth_factor(min(left, 1.0), self._config)
+    return drawn / max(factor, 1e-9)
 
   def prune(self, before: float) -> None:
     """Drops the state of budgets that have been idle since `before`."""
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -11,9 +11,9 @@
 from mustardfall.membership import members as members_lib
 
 _MIN_CEILING_GROWTH = 0.003
-"""Smallest growth of a ceiling per second, as a fraction of the budget's limit.
-It is small because a holder of an idle budget reports rarely, and all that it
-might have drawn since its last report is lost with it."""
+"""Smallest growth of a ceiling per second of an unused budget, as a fraction of
+its limit. It is small because a holder of an idle budget reports rarely, and all
+that it might have drawn since its last report is lost with it."""
 
 
 _UNMEASURED_GROWTH = 0.5
@@ -92,13 +92,25 @@
   """Returns a ceiling's growth without reports, tokens per second.
 
   While the draw is not measured, the ceiling grows so that half of the tokens
-  to hold can be drawn during `horizon_s`.
+  to hold can be drawn during `horizon_s`. Near the end of a budget, a ceiling
+  grows no faster than the draw, and that of an idle holder hardly at all: what
+  they allow in vain is lost with the holder.
   """
   left = _left(sizing)
-  rate = max(sizing.rate, sizing.limit * _MIN_CEILING_GROWTH)
+  rate = max(sizing.rate, sizing.limit * _MIN_CEILING_GROWTH * left)
   unmeasured = target(sizing, config) * left * (1 - sizing.measured)
   unmeasured_rate = unmeasured * _UNMEASURED_GROWTH / config.horizon_s
-  return round(max(rate * config.ceiling_rate, unmeasured_rate), 1)
+  return round(max(rate * growth_factor(left, config), unmeasured_rate), 1)
+
+
+def growth_factor(left: float, config: settings.Allotment) -> float:
+  """Returns a ceiling's growth as a multiple of the draw.
+
+  Args:
+    left: the available tokens as a fraction of the limit.
+    config: the multiple for an unused budget.
+  """
+  return 1 + (config.ceiling_rate - 1) * left
 
 
 def _available(sizing: SizingInput) -> int:
@@ -119,11 +131,19 @@
   return max(equal, sizing.rate / drawn) if drawn else equal
 
 
-def report_interval_s(config: settings.Allotment, routers: int) -> float:
+def report_interval_s(
+    config: settings.Allotment, routers: int, budgets: int = 0
+) -> float:
   """Returns the time between two reports of a router, seconds.
 
-  It grows with the fleet. Each report updates the ledgers of all budgets drawn
-  on by compare-and-swap. With as many writers as routers at a fixed interval,
-  most writes would conflict and be retried.
+  It grows with the number of routers that report. Each report updates the
+  ledgers of all budgets drawn on by compare-and-swap. With as many writers at a
+  fixed interval, most writes would conflict and be retried.
+
+  Args:
+    config: the interval of a small fleet.
+    routers: the number of routers that are up.
+    budgets: the number of budgets; mostly only their owners report. 0: unknown.
   """
-  return config.report_s * max(1.0, routers / members_lib.MAX_SMALL_FLEET)
+  reporting = min(routers, budgets) if budgets else routers
+  return config.report_s * max(1.0, reporting / members_lib.MAX_SMALL_FLEET)
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -218,7 +218,9 @@
     now = self._clock.monotonic()
     for row in self.table.tick(now, elapsed_s):
       self._settler.settle_row(row)
-    report_s = holding.report_interval_s(self._config, len(self._members.lives))
+    report_s = holding.report_interval_s(
+        self._config, len(self._members.lives), self.budget_view.budget_count
+    )
     if now - self._reported_at >= report_s and self._config.reports:
       self._reported_at = now
       self._granter.report_usage()
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -71,8 +71,9 @@
   ceiling_grace_s: float = pydantic.Field(default=2.0, ge=0)
   """Time after its issue or renewal for which a ceiling does not grow."""
   ceiling_rate: float = pydantic.Field(default=1.5, ge=0)
-  """After `ceiling_grace_s` a ceiling grows by this multiple of the holder's
-  average draw per second."""
+  """After `ceiling_grace_s` the ceiling of an unused budget grows by this multiple
+  of the holder's average draw per second. The multiple falls towards 1 as the
+  budget is used."""
   low_mark: float = pydantic.Field(default=0.25, ge=0, lt=1)
   """A budget is refilled in the background when its unused tokens on this
   router fall below this share of the size that a grant or part should have."""
--- a/tests/test_early_outage.py
+++ b/tests/test_early_outage.py
@@ -64,3 +64,30 @@
     growth = holding.ceiling_growth(_sizing(measured=0.0), self.config)
     target = holding.target(_sizing(measured=0.0), self.config)
     self.assertAlmostEqual(target / 2 / self.config.horizon_s, growth, delta=1)
+
+  def test_ceiling_grows_as_the_draw_near_the_end_of_a_budget(self):
+    # What a ceiling allows while its holder is dead is lost.
+    last = _sizing(headroom=10_000, held=10_000, rate=5_000.0)
+    growth = holding.ceiling_growth(last, self.config)
+    self.assertLess(growth, 1.02 * 5_000)
+    early = holding.ceiling_growth(_sizing(rate=5_000.0), self.config)
+    self.assertEqual(1.5 * 5_000, early)
+
+  def test_idle_holder_of_a_budget_near_its_end_risks_hardly_anything(self):
+    idle = _sizing(headroom=10_000, held=10_000)
+    self.assertLess(holding.ceiling_growth(idle, self.config), 100)
+
+
+class ReportIntervalTest(testtools.TestCase):
+
+  def test_reports_of_few_budgets_are_as_frequent_as_in_a_small_fleet(self):
+    # Only the owners of budgets report. The interval grew with all routers, to
+    # 3.3 s with 80, and all that was drawn since was lost with a holder.
+    config = _DEPLOYED.allotment
+    interval_s = holding.report_interval_s
+    self.assertEqual(interval_s(config, 12), interval_s(config, 80, 12))
+    self.assertEqual(interval_s(config, 24), interval_s(config, 80, 24))
+    self.assertEqual(interval_s(config, 760), interval_s(config, 760, 690_000))
+    for routers in (9, 80, 760):
+      writes = min(routers, 24) / interval_s(config, routers, 24)
+      self.assertLessEqual(writes, 400 / 10)
