Wait until the list of routers settles after an outage at the start

Cause: as the store returns, all routers register within a second, and each finds a part of the others in the list. It takes itself for the owner of most budgets, takes its grant, and all these meet by compare-and-swap. Ruled out: owners that answer "unsure" after 30 ms, suspected before; with the right owners known from the start there is no storm, at the same 30 ms.

A router whose first call to the store failed takes no grant until the list was unchanged for 0.4 s; it asks others meanwhile. One that reached the store at its start is not delayed.

Tests: tests/test_early_outage.py RestartTest (fails on the code before), tests/test_members.py SettlingTest. The names of all routers are computed when asked for: a change of the list costs what it did.

--- a/mustardfall/budget/acquiring.py
+++ b/mustardfall/budget/acquiring.py
@@ -157,6 +157,8 @@
     While the store is unavailable, a request is served only from tokens held by
     the routers, and it may be the team's first request to this router.
     """
+    if not self._members.is_settled:
+      return
     for budget in self._budget_view.owned_budgets():
       if budget not in self._table.by_budget:
         self._schedule_refill(budget, budget)
@@ -245,6 +247,8 @@
     """
     if self._can_reserve(budget, least):
       return True
+    if not self._members.is_settled:
+      return False
     pending = self._pending_grants.get(budget)
     if pending is None:
       pending = self._pending_grants[budget] = _PendingGrant()
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -41,6 +41,9 @@
 _MAX_LOGGED_LIVES = 8
 """Lives listed in one log line."""
 _RETRY_S = 0.5
+_SETTLE_S = 0.4
+"""How long the list must be unchanged before a router that started without the
+store relies on it. Routers that start together retry twice a second."""
 _SUSPECT_S = 2.0
 """How long a router that did not answer is asked only as a last resort."""
 
@@ -98,9 +101,13 @@
     self._connected_since: float | None = None
     self.was_listed = False
     """Whether the list of routers was ever read."""
-    self.names: tuple[str, ...] = (me.name,)
-    """Names of all routers that are up, as last known."""
+    self._names: tuple[str, ...] | None = None
+    """The value of `names`; None: not computed since the list changed."""
     self._lease = 0
+    self._started_without_store = False
+    """Whether the store was unavailable when this router started, and the list
+    of routers has not settled since."""
+    self._list_changed_at = -float("inf")
     self._owner_names: list[str] = []
     self._ranked: list[str] = []
     """Names of the region's routers, ordered by `rank_key`."""
@@ -148,6 +155,13 @@
     """All routers that are up, by life, as last known."""
     return self._lives
 
+  @property
+  def names(self) -> tuple[str, ...]:
+    """The sorted names of all routers that are up, as last known."""
+    if self._names is None:
+      self._names = tuple(sorted(self._by_name))
+    return self._names
+
   @property
   def others(self) -> list[Member]:
     """The other routers that are up, as last known."""
@@ -240,6 +254,8 @@
           await self._kv.put(PREFIX + self.me.name, value, self._lease)
           logger.info("registered", extra={"life": self.me.life})
       except (errors.KvUnavailableError, errors.KvUnknownError):
+        if not self.was_listed:
+          self._started_without_store = True
         await anyio.sleep(_RETRY_S)
         continue
       await anyio.sleep(self._config.ttl_s / 3)
@@ -270,13 +286,30 @@
       self.set_list_current(False)
       await anyio.sleep(_RETRY_S)
 
+  @property
+  def is_settled(self) -> bool:
+    """Whether the owners of budgets can be told from the list.
+
+    False for some tenths of a second after an outage of the store in which this
+    router started. If all routers started then, each finds a part of the others
+    in the list at first, and takes itself for the owner of most budgets.
+    """
+    if not self._started_without_store:
+      return True
+    unchanged_s = self._clock.monotonic() - self._list_changed_at
+    if self.was_listed and unchanged_s >= _SETTLE_S:
+      self._started_without_store = False
+    return not self._started_without_store
+
   def set_list_current(self, is_connected: bool) -> None:
     """Records whether the list of routers is being kept current."""
     if not is_connected:
       self._connected_since = None
     elif self._connected_since is None:
       self._connected_since = self._clock.monotonic()
-    self.was_listed = self.was_listed or is_connected
+    if is_connected and not self.was_listed:
+      self.was_listed = True
+      self._list_changed_at = self._clock.monotonic()
 
   def _apply_event(self, event: protocol.Event) -> None:
     members = dict(self._by_name)
@@ -306,7 +339,8 @@
     for life in lives.keys() - self._lives.keys():
       self._absent_since.pop(life, None)
     self._by_name, self._lives = by_name, lives
-    self.names = tuple(sorted(by_name))
+    self._names = None
+    self._list_changed_at = self._clock.monotonic()
     self._update_ranks()
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
--- a/tests/test_early_outage.py
+++ b/tests/test_early_outage.py
@@ -48,6 +48,32 @@
     self.assertEqual([0] * len(_SEEDS), [r.overspend for r in results])
 
 
+class RestartTest(testtools.TestCase):
+
+  def test_routers_that_start_without_the_store_do_not_all_own_each_budget(
+      self,
+  ):
+    # All hosts lose power during an outage. As the store returned, each router
+    # found a part of the others in the list, took itself for the owner of most
+    # budgets, and its grants met those of all others by compare-and-swap.
+    outage = days.StoreOutage(at_s=4.0, for_s=6.0, how="busy")
+    loss = days.Kill(at_s=7.0, for_s=1.4, power=True)
+    writes = [self._writes([outage]), self._writes([outage, loss])]
+    self.assertLess(writes[1], 2 * writes[0])
+
+  def _writes(self, events):
+    """Returns the writes to the store on a day of a fleet of 24 hosts."""
+    day = days.Day(
+        name="power loss during an outage",
+        hosts=tuple(f"host-{number}" for number in range(24)),
+        traffic_s=14.0,
+        requests_s=40.0,
+        events=events,
+    )
+    results = [simulation.simulate(day, _DEPLOYED, seed) for seed in (1, 2)]
+    return sum(result.calls["write"] for result in results)
+
+
 class CeilingTest(testtools.TestCase):
 
   def setUp(self):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,6 +6,7 @@
 import anyio
 import testtools
 
+from mustardfall import errors
 from mustardfall import events
 from mustardfall import settings
 from mustardfall.kv import protocol
@@ -141,3 +142,57 @@
   async def watch(self, prefix, revision, idle_s):
     raise _ReadError
     yield
+
+
+class SettlingTest(testtools.TestCase):
+  """Guards against many owners of one budget after a common restart."""
+
+  def setUp(self):
+    super().setUp()
+    self.clock = clock_lib.FakeClock()
+
+  def _advance(self, seconds):
+    self.clock.advance(datetime.timedelta(seconds=seconds))
+
+  def _start(self, store):
+    """Returns the view of a router that tried once to register."""
+    view = members.Members(
+        store, _member(0), settings.Membership(), self.clock, events.Bus()
+    )
+
+    async def register():
+      with anyio.move_on_after(0.01):
+        await view.register()
+
+    anyio.run(register)
+    return view
+
+  def test_list_settles_after_an_outage_at_the_start(self):
+    class Store:
+
+      async def grant_lease(self, ttl_s):
+        raise errors.KvUnavailableError("away")
+
+    view = self._start(Store())
+    self.assertFalse(view.is_settled)
+    view.set_list_current(True)
+    for count in range(2, 6):
+      view.update([_member(i) for i in range(count)])
+      self._advance(0.2)
+      self.assertFalse(view.is_settled)
+    self._advance(0.3)
+    self.assertTrue(view.is_settled)
+    # Later changes are those of single routers.
+    view.update([_member(i) for i in range(3)])
+    self.assertTrue(view.is_settled)
+
+  def test_router_that_reached_the_store_at_its_start_is_settled(self):
+    class Store:
+
+      async def grant_lease(self, ttl_s):
+        return 1
+
+      async def put(self, key, value, lease):
+        return 1
+
+    self.assertTrue(self._start(Store()).is_settled)
--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -56,6 +56,7 @@
   """Replaces `members.Members`; the test controls its view."""
 
   is_large = False
+  is_settled = True
 
   def __init__(self, world, name):
     self._world = world
