Forget an endpoint's failures after a time, not after a tick

With the deployed tick of 0.5 s nothing changes.

Failures decrease by one each half second of time. Test: tests/test_directory.py, fails on the code before.

--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -35,6 +35,8 @@
 _CACHE_LIFETIME_S = 15.0
 """How long an unused prefix is assumed to stay in an engine's cache. At 20,000
 new tokens a second, a cache of 384,000 tokens is overwritten in 19 s."""
+_FAILURE_MEMORY_S = 0.5
+"""Time after which one failure no longer counts."""
 _LOAD_DECAY = 0.5
 """Factor applied to a reported load each tick: engines complete most of their
 requests within a second."""
@@ -90,8 +92,8 @@
   cache then holds only prefixes that were sent since."""
   slowness: float = 1.0
   """Moving average of the time to first token, relative to the expected one."""
-  failures: int = 0
-  """Recent failures; decreases by one each tick."""
+  failures: float = 0.0
+  """Recent failures; decreases by one each `_FAILURE_MEMORY_S`."""
   limit_decreased_at: float = -float("inf")
   """When the limit was last decreased, monotonic seconds."""
   awaiting_first_token: dict[int, float] = dataclasses.field(
@@ -132,6 +134,8 @@
     self.evacuated: frozenset[str] = frozenset()
     """Data centres whose endpoints are sent no requests."""
     self._new_rows_are_cold = cold
+    self._ticked_at = 0.0
+    """Time of the last tick, monotonic seconds."""
 
   def update(self, hosts: list[EndpointEntry]) -> bool:
     """Applies a complete host list; returns whether any row changed."""
@@ -306,8 +310,9 @@
     The limit of an endpoint whose first token is overdue is decreased now and
     not when the token arrives, before many more requests are sent there.
     """
+    elapsed_s, self._ticked_at = now - self._ticked_at, now
     for row in self.rows.values():
-      row.failures = max(0, row.failures - 1)
+      row.failures = max(0.0, row.failures - elapsed_s / _FAILURE_MEMORY_S)
       row.running *= _LOAD_DECAY
       row.waiting *= _LOAD_DECAY
       row.slowness += _SLOWNESS_DECAY * (1.0 - row.slowness)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -55,6 +55,19 @@
     self._read("a")
     self.assertEqual({"a"}, set(self.directory.endpoints.rows))
 
+  def test_failures_are_forgotten_after_a_time_and_not_after_ticks(self):
+    # With ticks of 50 ms a failure was forgotten before the next request, which
+    # went to the faulty endpoint again and used up the retries.
+    self._read("a")
+    table = self.directory.endpoints
+    table.tick(10.0)
+    table.rows["a"].failures += 1
+    for tick in range(1, 9):
+      table.tick(10.0 + tick * 0.05)
+    self.assertGreater(table.rows["a"].failures, 0)
+    table.tick(10.6)
+    self.assertEqual(0, table.rows["a"].failures)
+
   def test_leaving_endpoint_is_not_eligible(self):
     self._read("a", times=4)
     self.directory.apply_endpoints(_hosts("a", state="leaving"))
