--- a/mustardfall/budget/budget_view.py
+++ b/mustardfall/budget/budget_view.py
@@ -51,6 +51,8 @@
   """When it was received, monotonic seconds."""
 
 
+_MAX_ANSWERS = 3
+"""Answers kept of a budget: its owner's and two deputies'."""
 _INITIAL_EXHAUSTED_S = 0.5
 """How long a budget is first treated as exhausted. The time doubles each time
 this is found again, since each check costs a call."""
@@ -107,8 +109,8 @@
     """Tokens to hold by budget, computed since the last read or tick."""
     self._exhausted: dict[str, _Exhausted] = {}
     """Budgets that were found exhausted."""
-    self._answers: dict[str, OwnerAnswer] = {}
-    """Last answer of another router, by budget."""
+    self._answers: dict[str, dict[str, OwnerAnswer]] = {}
+    """Last answer of each router that was asked, by budget and router."""
 
   def update(self, budget: str, state: ledger.Ledger) -> None:
     """Records a ledger that was read."""
@@ -157,22 +159,26 @@
       outcome = "unsure"
     facts = None if answer is None else answer.facts
     now = self._clock.monotonic()
-    self._answers[budget] = OwnerAnswer(router, least, outcome, facts, now)
+    answers = self._answers.setdefault(budget, {})
+    answers.pop(router, None)
+    answers[router] = OwnerAnswer(router, least, outcome, facts, now)
+    while len(answers) > _MAX_ANSWERS:
+      del answers[next(iter(answers))]
 
   def describe(self, budget: str) -> dict[str, Any]:
     """Returns what decides on a request for tokens, for the log.
 
-    `ledger` has this router's own knowledge, `asked` that of the router that
-    was asked last. Either may be None.
+    `ledger` has this router's own knowledge, None if it read none; `asked` the
+    answers of the routers that were asked last, the latest one last.
     """
     limit = self.limit_of(budget)
     snapshot = self.snapshot(budget)
-    answer = self._answers.get(budget)
-    asked = None
-    if answer is not None:
-      age_s = round(self._clock.monotonic() - answer.at, 3)
-      asked = answer._asdict() | {"age_s": age_s}
-      del asked["at"]
+    now = self._clock.monotonic()
+    asked = []
+    for answer in self._answers.get(budget, {}).values():
+      fields = answer._asdict()
+      fields["age_s"] = round(now - fields.pop("at"), 3)
+      asked.append(fields)
     return {
         "limit": None if limit is None else limit.tokens,
         "limit_version": None if limit is None else limit.version,
@@ -335,8 +341,8 @@
     for budget, entry in list(self._exhausted.items()):
       if entry.until < before:
         del self._exhausted[budget]
-    for budget, answer in list(self._answers.items()):
-      if answer.at < before:
+    for budget, answers in list(self._answers.items()):
+      if all(answer.at < before for answer in answers.values()):
         del self._answers[budget]
     used = self._table.rate.keys() | self._table.by_budget.keys()
     for budget in self.ledgers.keys() - used:
--- a/mustardfall/budget/whereabouts.py
+++ b/mustardfall/budget/whereabouts.py
@@ -121,7 +121,8 @@
     elif line.message == _REFUSED:
       facts = line.fields.get("facts") or {}
       self._add_ledger(line, facts.get("ledger"))
-      self._add_ledger(line, (facts.get("asked") or {}).get("facts"))
+      for answer in facts.get("asked") or ():
+        self._add_ledger(line, answer.get("facts"))
 
   def _add_ledger(self, line: Line, figures: dict[str, Any] | None) -> None:
     if not figures:
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -74,10 +74,10 @@
   def test_newer_ledger_of_a_refusal_replaces_older_figures(self):
     newer = {**LEDGER, "spent": 900, "seen_s": 0.0}
     asked = {"facts": newer, "outcome": "refused"}
-    found = find(held(1), refused(2, ledger=None, asked=asked))
+    found = find(held(1), refused(2, ledger=None, asked=[asked]))
     self.assertEqual(900, found.spent)
     older = {**LEDGER, "spent": 100, "seen_s": 30.0}
-    found = find(held(1), refused(2, ledger=older, asked=None))
+    found = find(held(1), refused(2, ledger=older, asked=[]))
     self.assertEqual(300, found.spent)
 
   def test_reviewed_grant_is_held_no_more(self):
@@ -120,6 +120,8 @@
         asker = next(
             g for g in gateways if g.accounts.members.me.life != owner.life
         )
+        budgets = next(g for g in gateways if g is not asker).accounts.pool
+        await env.wait_until(lambda: "acme" in budgets.budget_view.ledgers)
         env.port = asker.config.listen.port
         logger = "mustardfall.proxy.request_log"
         with self.assertLogs(logger, logging.INFO) as logs:
@@ -129,7 +131,7 @@
 
     owner, facts = anyio.run(_test)
     self.assertEqual(1000, facts["limit"])
-    self.assertEqual(owner.life, facts["asked"]["router"])
-    self.assertEqual(1400, facts["asked"]["least"])
-    self.assertEqual(1000, facts["asked"]["facts"]["limit"])
+    answers = {answer["router"]: answer for answer in facts["asked"]}
+    self.assertEqual(1400, answers[owner.life]["least"])
+    self.assertEqual(1000, answers[owner.life]["facts"]["limit"])
     self.assertTrue(facts["store_reachable"])
