Bound how long an unstable list of routers delays grants

It is relied on 2 s after it was first read for grants that requests need, 4 s for others.

Test: tests/test_members.py, fails on the code before.

--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -44,9 +44,14 @@
 _SETTLE_S = 0.4
 """How long the list must be unchanged before a router that started without the
 store relies on it. Routers that start together retry twice a second."""
+_MAX_SETTLE_S = 2.0
+"""How long after its first reading the list is relied on in any case: routers
+may restart one after the other for minutes."""
 _STABLE_S = 1.0
 """How long the list must be unchanged after the start before tokens are granted
 that no request needs yet."""
+_MAX_UNSTABLE_S = 4.0
+"""The same as `_MAX_SETTLE_S` for these."""
 _SUSPECT_S = 2.0
 """How long a router that did not answer is asked only as a last resort."""
 
@@ -102,8 +107,8 @@
     """Lives that were followed by a later life of the same router, oldest
     first."""
     self._connected_since: float | None = None
-    self.was_listed = False
-    """Whether the list of routers was ever read."""
+    self._first_listed_at: float | None = None
+    """When the list of routers was first read; None: it was not yet."""
     self._names: tuple[str, ...] | None = None
     """The value of `names`; None: not computed since the list changed."""
     self._lease = 0
@@ -159,6 +164,11 @@
     """All routers that are up, by life, as last known."""
     return self._lives
 
+  @property
+  def was_listed(self) -> bool:
+    """Whether the list of routers was ever read."""
+    return self._first_listed_at is not None
+
   @property
   def names(self) -> tuple[str, ...]:
     """The sorted names of all routers that are up, as last known."""
@@ -297,11 +307,18 @@
     Stays true from then on. Routers that start together register within about
     a second, and the list of each is incomplete until then.
     """
-    if not self._is_stable and self.was_listed:
-      unchanged_s = self._clock.monotonic() - self._list_changed_at
-      self._is_stable = unchanged_s >= _STABLE_S
+    if not self._is_stable:
+      self._is_stable = self._is_unchanged(_STABLE_S, _MAX_UNSTABLE_S)
     return self._is_stable
 
+  def _is_unchanged(self, for_s: float, max_s: float) -> bool:
+    """Whether the list did not change `for_s`, or is known for `max_s`."""
+    if self._first_listed_at is None:
+      return False
+    now = self._clock.monotonic()
+    unchanged = now - self._list_changed_at >= for_s
+    return unchanged or now - self._first_listed_at >= max_s
+
   @property
   def is_settled(self) -> bool:
     """Whether the owners of budgets can be told from the list.
@@ -310,11 +327,9 @@
     router started. If all routers started then, each finds a part of the others
     in the list at first, and takes itself for the owner of most budgets.
     """
-    if not self._started_without_store:
-      return True
-    unchanged_s = self._clock.monotonic() - self._list_changed_at
-    if self.was_listed and unchanged_s >= _SETTLE_S:
-      self._started_without_store = False
+    if self._started_without_store:
+      has_settled = self._is_unchanged(_SETTLE_S, _MAX_SETTLE_S)
+      self._started_without_store = not has_settled
     return not self._started_without_store
 
   def set_list_current(self, is_connected: bool) -> None:
@@ -323,9 +338,9 @@
       self._connected_since = None
     elif self._connected_since is None:
       self._connected_since = self._clock.monotonic()
-    if is_connected and not self.was_listed:
-      self.was_listed = True
-      self._list_changed_at = self._clock.monotonic()
+    if is_connected and self._first_listed_at is None:
+      self._first_listed_at = self._clock.monotonic()
+      self._list_changed_at = self._first_listed_at
 
   def _apply_event(self, event: protocol.Event) -> None:
     members = dict(self._by_name)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -212,3 +212,21 @@
     self.assertTrue(view.is_stable)
     view.update([_member(i) for i in range(3)])
     self.assertTrue(view.is_stable)
+
+  def test_routers_that_restart_in_turn_do_not_delay_grants_for_long(self):
+    # During a rolling restart the list changes about every second.
+    class Store:
+
+      async def grant_lease(self, ttl_s):
+        raise errors.KvUnavailableError("away")
+
+    view = self._start(Store())
+    view.set_list_current(True)
+    seen = []
+    for count in range(16):
+      view.update([_member(i) for i in range(2 + count % 2)])
+      self._advance(0.3)
+      seen.append((view.is_settled, view.is_stable))
+    self.assertEqual((False, False), seen[5])
+    self.assertEqual((True, False), seen[6])
+    self.assertEqual((True, True), seen[13])
