--- a/mustardfall/budget/granting.py
+++ b/mustardfall/budget/granting.py
@@ -141,7 +141,7 @@
         "budget": row.budget,
         "gid": row.gid,
         "granted": row.granted,
-        "used": row.used + sum(row.parts_used.values()),
+        "used": row.granted - row.unconsumed,
         "reserved": row.own_drawn - row.used,
         "parts": sum(part.tokens for part in row.parts.values()),
         "lost_parts": sum(row.lost_parts.values()),
