--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -371,7 +371,8 @@
       self._absent_since.pop(life, None)
     self._by_name, self._lives = by_name, lives
     self._names = None
-    self._list_changed_at = self._clock.monotonic()
+    if self._first_listed_at is not None:
+      self._list_changed_at = self._clock.monotonic()
     self._update_ranks()
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import tempfile
 
 import anyio
 from click import testing
@@ -90,13 +91,13 @@
 
   def test_command_prints_a_table(self):
     runner = testing.CliRunner()
-    with runner.isolated_filesystem():
-      with open("log", "w", encoding="utf-8") as f:
-        f.write(held(1) + held(5, granted=500))
-      command = ["budget", "where", "acme", "log"]
+    with tempfile.NamedTemporaryFile("w", encoding="utf-8") as f:
+      f.write(held(1) + held(5, granted=500))
+      f.flush()
+      command = ["budget", "where", "acme", f.name]
       early = runner.invoke(cli.main, [*command, "--at", "2026-01-01 00:00:02"])
       late = runner.invoke(cli.main, command)
-      unknown = runner.invoke(cli.main, ["budget", "where", "nobody", "log"])
+      unknown = runner.invoke(cli.main, ["budget", "where", "nobody", f.name])
     self.assertIn("limit 1000", early.output)
     self.assertIn(" 400 ", early.output)
     self.assertIn(" 500 ", late.output)
