Draw ports apart from the global random generator

Cause: simulations seed the global generator, the new tests of outages do so before the tests that start processes, and two runs then draw the same ports. Before, the simulations came last.

--- a/mustardfall/bench/fleet.py
+++ b/mustardfall/bench/fleet.py
@@ -28,6 +28,9 @@
 _PORTS = range(10_240, 32_000)
 """Ports below the ephemeral range, which the system uses for outgoing
 connections."""
+_PORT_RNG = random.SystemRandom()
+"""Apart from the global generator, which simulations seed: two test runs at once
+would draw the same ports."""
 _taken: set[int] = set()
 
 
@@ -39,7 +42,7 @@
   24 routers, one failed to start for this reason.
   """
   while True:
-    port = random.choice(_PORTS)
+    port = _PORT_RNG.choice(_PORTS)
     if port in _taken:
       continue
     with contextlib.closing(socket.socket()) as s:
