Say which limits endpoints name, and what is sent to a limited one

The incident's logs could not tell whether a router ever had an answer that names a rate limit, what it knew when it sent a request, and when it sent it. Now decoded (Server-Limit) and logged: a limit named, changed, ended, or of an unusable value, with the request whose answer said so; and each request sent to an endpoint whose limit is known, with the rate and the age of that knowledge. Counted in mustardfall.sends. No decision depends on it yet.

A limit ends with an answer to a request sent after it was last named, so that a late answer from before does not end it. 0, negative, above a million a second, unreadable or contradictory values are logged; the last usable one stays.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -41,6 +41,8 @@
   crash_on: bytes | None = None
   """If the body contains this, the server crashes after the response head."""
   encoded: bool = False
+  rate_limit: str | None = None
+  """Value of the `Server-Limit` header; None: the header is left out."""
 
 
 @dataclasses.dataclass
@@ -52,6 +54,8 @@
   headers: dict[str, str]
   body: bytes
   cancelled: bool = False
+  received_at: float = 0.0
+  """When it was received, seconds of the event loop's clock."""
 
 
 def make_registration(
@@ -138,7 +142,11 @@
       elif isinstance(event, h11.EndOfMessage) and head is not None:
         headers = {k.decode(): v.decode() for k, v in head.headers}
         return ReceivedRequest(
-            head.method.decode(), head.target.decode(), headers, bytes(body)
+            head.method.decode(),
+            head.target.decode(),
+            headers,
+            bytes(body),
+            received_at=anyio.current_time(),
         )
       else:
         return None
@@ -154,8 +162,9 @@
       await stream.send(_head(421, {"instance-id": self.id}) + b"\r\n")
       return False
     if behaviour.not_run:
-      head = _head(503, {"not-executed": "1", **_request_id_header(request)})
-      await stream.send(head + b"\r\n")
+      headers = {"not-executed": "1", **_request_id_header(request)}
+      headers |= _rate_limit_header(behaviour)
+      await stream.send(_head(503, headers) + b"\r\n")
       return False
     self.received.append(request)
     async with anyio.create_task_group() as tg:
@@ -190,6 +199,12 @@
   return {"request-id": request.headers.get("request-id", "")}
 
 
+def _rate_limit_header(behaviour: Behaviour) -> dict[str, str]:
+  if behaviour.rate_limit is None:
+    return {}
+  return {"server-limit": behaviour.rate_limit}
+
+
 def _head(
     status: int, headers: dict[str, str], length: int | None = 0
 ) -> bytes:
@@ -243,7 +258,7 @@
       headers["response-signature"] = f"signed-by-{self._id}"
     if self._behaviour.encoded:
       headers["content-encoding"] = "gzip"
-    return headers
+    return headers | _rate_limit_header(self._behaviour)
 
   async def _send_plain(self) -> None:
     body = f"{self._id} {self._request.target}".encode() + bytes(
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -47,6 +47,7 @@
 from mustardfall.routing import endpoints
 from mustardfall.routing import loads as loads_lib
 from mustardfall.routing import quarantine
+from mustardfall.routing import rate_limits as rate_limits_lib
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -135,6 +136,7 @@
     self.trackers = trackers_lib.Trackers(
         self.accounts.members, self.datagrams, clock
     )
+    self.rate_limits = rate_limits_lib.Table(clock)
     self._cold_start_limiter = cold_start_limiter_lib.ColdStartLimiter(
         self.accounts.members, clock
     )
@@ -272,6 +274,7 @@
           crash_guard_lib.CrashGuard(
               self.quarantine, self.verdicts, self.connection_pool
           ),
+          self.rate_limits,
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -1,10 +1,12 @@
 """Translates between the platform's headers and the types of the data path."""
 
 import math
+import re
 import urllib.parse
 
 from mustardfall import errors
 from mustardfall.proxy import messages
+from mustardfall.routing import rate_limits
 
 _REQUEST_ID = b"request-id"
 _DEADLINE_MS = b"deadline-ms"
@@ -19,9 +21,17 @@
 _RESPONSE_SIGNATURE = b"response-signature"
 _NOT_EXECUTED = b"not-executed"
 _SERVER_LOAD = b"server-load"
+_SERVER_LIMIT = b"server-limit"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED_REQUEST = 421
 _LOAD_FIELDS = 3
+_DECIMAL_NUMBER = re.compile(
+    rb"([0-9]{1,30}(\.[0-9]{0,30})?|\.[0-9]{1,30})([eE][+-]?[0-9]{1,3})?"
+)
+_MAX_RATE_PER_S = 1_000_000.0
+"""Requests per second above which a limit is taken for an error."""
+_MAX_LOGGED_CHARS = 40
+"""Length to which an unusable value is shortened, characters."""
 
 _HOP_BY_HOP = frozenset(
     (
@@ -202,6 +212,7 @@
         has_content_encoding=b"content-encoding" in by_name,
         is_event_stream=content.startswith(b"text/event-stream"),
         load=_parse_load(by_name.get(_SERVER_LOAD)),
+        rate_limit=_parse_rate_limit(headers),
         idle_timeout_s=_parse_idle_timeout_s(by_name.get(b"keep-alive", b"")),
         closes_connection=b"close" in _connection_options(headers),
         headers=_forwardable(headers, frozenset((_SERVER_LOAD,))),
@@ -235,6 +246,21 @@
   return messages.Load(*(int(field) for field in fields))
 
 
+def _parse_rate_limit(
+    headers: list[messages.Header],
+) -> rate_limits.NamedRate | None:
+  values = {value.strip() for name, value in headers if name == _SERVER_LIMIT}
+  if not values:
+    return None
+  text = b",".join(sorted(values))
+  shortened = text.decode("latin-1")[:_MAX_LOGGED_CHARS]
+  if not _DECIMAL_NUMBER.fullmatch(text):
+    return rate_limits.NamedRate(None, shortened)
+  rate = float(text)
+  is_usable = 0.0 < rate <= _MAX_RATE_PER_S
+  return rate_limits.NamedRate(rate if is_usable else None, shortened)
+
+
 def _parse_idle_timeout_s(value: bytes) -> float | None:
   for item in value.split(b","):
     name, _, number = item.strip().partition(b"=")
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -32,6 +32,7 @@
 from mustardfall.routing import directory as directory_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import placement as placement_lib
+from mustardfall.routing import rate_limits as rate_limits_lib
 from mustardfall.routing import retries
 from mustardfall.util import clock as clock_lib
 
@@ -82,6 +83,7 @@
     instruments: counters and histograms.
     endpoint_selector: chooses the endpoint of each attempt.
     crash_guard: refuses requests that crash endpoints.
+    rate_limits: the request rates that endpoints have named.
   """
 
   def __init__(
@@ -96,6 +98,7 @@
       instruments: metrics.Instruments,
       endpoint_selector: endpoint_selector_lib.EndpointSelector,
       crash_guard: crash_guard_lib.CrashGuard,
+      rate_limits: rate_limits_lib.Table,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -104,6 +107,7 @@
     self._connection_pool = connection_pool
     self._endpoint_selector = endpoint_selector
     self._crash_guard = crash_guard
+    self._rate_limits = rate_limits
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -248,6 +252,7 @@
     may_have_run_before, context.may_have_run = context.may_have_run, True
     context.attempts_sent += 1
     sent_at = self._clock.monotonic()
+    self._log_send_if_limited(context, row, sent_at)
     failed = False
     try:
       await self._relay(
@@ -267,6 +272,16 @@
       attempt.end(failed)
       await exchange.close()
 
+  def _log_send_if_limited(
+      self,
+      context: request_context_lib.RequestContext,
+      row: endpoints.Row,
+      sent_at: float,
+  ) -> None:
+    limit = self._rate_limits.find(row.life)
+    if limit is not None:
+      self._request_log.log_limited_send(context, row, limit, sent_at)
+
   def _forwarding_info(
       self, context: request_context_lib.RequestContext, row: endpoints.Row
   ) -> messages.ForwardingInfo:
@@ -305,6 +320,7 @@
       raise
     attempt.record_response_time(self._clock.monotonic() - sent_at)
     attempt.end_prefill()
+    self._note_rate_limit(context, row, head, sent_at)
     if head.load is not None:
       row.running = head.load.running
       row.waiting = head.load.waiting
@@ -323,6 +339,24 @@
     else:
       await self._relay_body(context, row, exchange, head)
 
+  def _note_rate_limit(
+      self,
+      context: request_context_lib.RequestContext,
+      row: endpoints.Row,
+      head: messages.ResponseHead,
+      sent_at: float,
+  ) -> None:
+    """Records what limit the endpoint named, or that it names none any more.
+
+    Only the endpoint's own answers show that it names none: a refusal may be
+    another server's, or may be sent before the limit is known there.
+    """
+    if head.misdirected or (head.rate_limit is None and not head.signed):
+      return
+    self._rate_limits.note_answer(
+        row.life, context.request.id, sent_at, head.rate_limit
+    )
+
   async def _relay_body(
       self,
       context: request_context_lib.RequestContext,
--- a/mustardfall/proxy/http_client.py
+++ b/mustardfall/proxy/http_client.py
@@ -135,6 +135,7 @@
       has_content_encoding=False,
       is_event_stream=False,
       load=None,
+      rate_limit=None,
       idle_timeout_s=None,
       closes_connection=closes_connection,
       headers=(),
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from mustardfall.routing import rate_limits
+
 Header = tuple[bytes, bytes]
 """A header's lower-case name and its value."""
 
@@ -94,6 +96,8 @@
   is_event_stream: bool
   """Whether the body is a stream of server-sent events."""
   load: Load | None
+  rate_limit: rate_limits.NamedRate | None
+  """None if the endpoint names no limit."""
   idle_timeout_s: float | None
   """Seconds for which the endpoint keeps an idle connection, if it says so."""
   closes_connection: bool
--- a/mustardfall/proxy/request_log.py
+++ b/mustardfall/proxy/request_log.py
@@ -1,5 +1,6 @@
 """Writes a log line and the metrics for each decision on a request."""
 
+import collections
 import logging
 
 from mustardfall import metrics
@@ -7,6 +8,7 @@
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import endpoints
+from mustardfall.routing import rate_limits
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -25,6 +27,35 @@
   ) -> None:
     self._clock = clock
     self._instruments = instruments
+    self._sends: collections.Counter[str] = collections.Counter()
+    instruments.observe_totals(
+        "mustardfall.sends",
+        "",
+        "requests sent to endpoints with a rate limit",
+        self._sends,
+    )
+
+  def log_limited_send(
+      self,
+      context: request_context_lib.RequestContext,
+      row: endpoints.Row,
+      limit: rate_limits.RateLimit,
+      sent_at: float,
+  ) -> None:
+    """Records that a request is sent to an endpoint with a rate limit."""
+    self._sends["limited"] += 1
+    logger.info(
+        "request sent to a limited endpoint",
+        extra={
+            "request": context.request.id,
+            "endpoint": row.life,
+            "address": row.url,
+            "try": context.attempts_sent,
+            "per_s": limit.per_s,
+            "in_force_s": round(sent_at - limit.since, 3),
+            "named_s": round(sent_at - limit.named_at, 3),
+        },
+    )
 
   def log_failed_attempt(
       self,
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -90,3 +90,34 @@
     self.assertTrue(
         self._decode(200, (b"connection", b"Close")).closes_connection
     )
+
+
+class RateLimitHeaderTest(testtools.TestCase):
+
+  def _decode(self, *values):
+    limits = [(b"server-limit", value) for value in values]
+    return headers.Dialect().decode_response(200, limits).rate_limit
+
+  def test_decimal_numbers_are_read(self):
+    for text, rate in ((b"1", 1.0), (b" 1.25 ", 1.25), (b".5", 0.5)):
+      self.assertEqual(rate, self._decode(text).per_s)
+    self.assertIsNone(self._decode())
+
+  def test_unusable_values_are_recognised(self):
+    """Guards against a limit that stops all requests, or allows any number."""
+    for text in (b"0", b"0.0", b"-1", b"1e9", b"inf", b"nan", b"", b"soon"):
+      found = self._decode(text)
+      self.assertIsNone(found.per_s, text)
+      self.assertEqual(text.decode(), found.text)
+
+  def test_contradictory_values_are_unusable(self):
+    self.assertIsNone(self._decode(b"1", b"5").per_s)
+    self.assertEqual(5.0, self._decode(b"5", b"5").per_s)
+
+  def test_long_values_are_shortened_for_the_log(self):
+    self.assertEqual(40, len(self._decode(b"9" * 8000).text))
+
+  @given(st.binary(max_size=60))
+  def test_any_value_is_decoded(self, value):
+    found = self._decode(value)
+    self.assertTrue(found.per_s is None or 0 < found.per_s <= 1e6)
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -9,7 +9,7 @@
 _ALLOWED_PACKAGES = ("platform", "emulator", "standins")
 _WIRE_NAMES = re.compile(
     r"response-signature|not-executed|/-/|prompt-prefix|token-usage"
-    r"|expect-instance|op/config|servers/|server-load|request-priority"
+    r"|expect-instance|op/config|servers/|server-load|server-limit|request-priority"
     r"|kv-from|kv-backup|set_keys|store_revision|slo_ms|api_keys\"",
     re.IGNORECASE,
 )
