Failing test: three routers ignore the limit that an endpoint names

Three routers before the emulated platform, eight calls a second each, three servers; one names a limit of 1 a second.

--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -182,10 +182,15 @@
     replacement.behaviour.crash_on = crash_on
 
   async def add_gateway(
-      self, name: str, stop: anyio.Event | None = None, started=None
+      self,
+      name: str,
+      stop: anyio.Event | None = None,
+      started=None,
+      host: str = "127.0.0.1",
+      datagram_port: int = 0,
   ) -> gateway_lib.Gateway:
     """Starts a gateway as if on another host; returns it when it is ready."""
-    found = site(self.store_port, name)
+    found = site(self.store_port, name, host, datagram_port)
     clock = clock_lib.SystemClock()
     gateway = gateway_lib.Gateway(
         found.router,
@@ -209,16 +214,23 @@
     await self.wait_until(lambda: gateway.ready)
     return gateway
 
-  async def call(self, path: str, id_: str, **more: Any) -> Response:
+  async def call(
+      self,
+      path: str,
+      id_: str,
+      gateway: gateway_lib.Gateway | None = None,
+      **more: Any,
+  ) -> Response:
     """Makes one request on a new connection."""
-    async with self.caller() as caller:
+    async with self.caller(gateway) as caller:
       await caller.send(path, id_, **more)
       return await caller.receive()
 
   @contextlib.asynccontextmanager
-  async def caller(self):
-    """Yields a new connection of a caller."""
-    async with await anyio.connect_tcp("127.0.0.1", self.port) as stream:
+  async def caller(self, gateway: gateway_lib.Gateway | None = None):
+    """Yields a new connection of a caller, to the first gateway by default."""
+    listen = (gateway or self.gateway).config.listen
+    async with await anyio.connect_tcp(listen.host, listen.port) as stream:
       yield Caller(stream)
 
   async def wait_until(self, condition, timeout_s: float = 5.0) -> None:
@@ -229,18 +241,22 @@
 
 
 def site(
-    store_port: int, name: str = "front-1"
+    store_port: int,
+    name: str = "front-1",
+    host: str = "127.0.0.1",
+    datagram_port: int = 0,
 ) -> process_settings.ProcessSettings:
   """Returns the settings that the platform would give to a host."""
   given = {
       "node": name,
-      "ip": "127.0.0.1",
+      "ip": host,
       "zone": "dc",
       "region": "region",
       "listen": {
-          role: f"127.0.0.1:{fleet.free_port()}"
+          role: f"{host}:{fleet.free_port()}"
           for role in ("front", "ready", "control")
       },
+      "port_range": [datagram_port],
       "bounds": {"retry_ratio": 0.2, "retry_slack": 58, "grace_s": 3},
       "platform": {"address": f"127.0.0.1:{store_port}"},
   }
--- /dev/null
+++ b/tests/test_limited_endpoints.py
@@ -0,0 +1,96 @@
+"""Endpoints that name a request rate for all routers together.
+
+Three routers before the emulated platform, with datagrams between them; one of
+three servers names a limit far below what it is sent.
+"""
+
+import anyio
+import testtools
+
+from mustardfall.bench import fleet
+from tests import platformcase
+from tests import test_gateway
+
+_RATE_PER_S = 1.0
+"""The limit that the server names."""
+_OVERSHOOT = 1.5
+_SLACK_REQUESTS = 5
+_WINDOW_S = 4.0
+_ALLOWED = _RATE_PER_S * _WINDOW_S * _OVERSHOOT + _SLACK_REQUESTS
+"""Requests that the server may get in any `_WINDOW_S`."""
+_GRACE_S = 1.5
+"""Time in which all routers have to learn of the limit, half of the platform's
+bound."""
+_CALLS_PER_S = 8.0
+"""Requests a second of the callers of each router."""
+
+
+def most_in_a_window(times: list[float], window_s: float) -> int:
+  """Returns the largest number of times within any span of `window_s`."""
+  times = sorted(times)
+  start = most = 0
+  for end, time in enumerate(times):
+    while times[start] <= time - window_s:
+      start += 1
+    most = max(most, end - start + 1)
+  return most
+
+
+class _Callers:
+  """Callers that send requests at a steady rate to each router."""
+
+  def __init__(self, env: platformcase.Environment, gateways: list) -> None:
+    self._env = env
+    self._gateways = gateways
+    self.statuses: list[int] = []
+
+  async def run(self, seconds: float, path: str = "/look/a") -> None:
+    """Sends requests for some time and waits for the responses."""
+    async with anyio.create_task_group() as tg:
+      for number in range(int(seconds * _CALLS_PER_S)):
+        for gateway in self._gateways:
+          name = f"{gateway.config.name}-{number}-{len(self.statuses)}"
+          tg.start_soon(self._call, path, name, gateway)
+        await anyio.sleep(1 / _CALLS_PER_S)
+
+  async def _call(self, path: str, name: str, gateway) -> None:
+    response = await self._env.call(path, name, gateway)
+    self.statuses.append(response.status)
+
+
+async def _add_routers(env: platformcase.Environment) -> list:
+  """Starts three routers that exchange datagrams; returns them."""
+  port = fleet.free_port()
+  routers = [
+      await env.add_gateway(
+          f"router-{n}", host=f"127.0.0.{n}", datagram_port=port
+      )
+      for n in (2, 3, 4)
+  ]
+  await env.wait_until(
+      lambda: all(
+          len(r.accounts.members.lives) >= len(routers) for r in routers
+      )
+  )
+  return routers
+
+
+def _arrivals(env: platformcase.Environment, name: str) -> list[float]:
+  return [request.received_at for request in env.servers[name].received]
+
+
+class LimitedEndpointTest(testtools.TestCase):
+
+  @test_gateway.in_environment(servers=("i-1", "i-2", "i-3"))
+  async def test_named_limit_binds_all_routers_together(self, env):
+    """Guards against routers that each send as if no limit were named."""
+    callers = _Callers(env, await _add_routers(env))
+    env.servers["i-1"].behaviour.rate_limit = f"{_RATE_PER_S:g}"
+    await callers.run(_GRACE_S)
+    bound_since = anyio.current_time()
+    await callers.run(_WINDOW_S + 1.0)
+    bound = [at for at in _arrivals(env, "i-1") if at >= bound_since]
+    self.assertTrue(
+        most_in_a_window(bound, _WINDOW_S) <= _ALLOWED, (len(bound), _ALLOWED)
+    )
+    self.assertEqual({200}, set(callers.statuses))
