Register again if the registration was refused

A router whose lease was granted and whose entry was then refused (the store turns some hosts away, or is busy) held the lease, renewed it, and took itself for registered: it was in no list of routers until the lease lapsed. Found by reading, while the time since a registration was to be known. Now the entry is written again until it is. Test: fails before, as no entry is ever written.

--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -112,6 +112,9 @@
     self._names: tuple[str, ...] | None = None
     """The value of `names`; None: not computed since the list changed."""
     self._lease = 0
+    self._registered_at: float | None = None
+    """When this router was registered under its current lease, seconds of the
+    boot clock; None: it is not registered."""
     self._started_without_store = False
     """Whether the store was unavailable when this router started, and the list
     of routers has not settled since."""
@@ -260,12 +263,17 @@
     """Keeps this router registered until cancelled."""
     while True:
       try:
-        if self._lease == 0 or await self._kv.keep_alive(self._lease) == 0:
+        if (
+            self._registered_at is None
+            or await self._kv.keep_alive(self._lease) == 0
+        ):
           # The first registration, or the lease expired while this router was
           # paused or disconnected, and the others consider it gone.
+          self._registered_at = None
           self._lease = await self._kv.grant_lease(self._config.ttl_s)
           value = json.dumps(self.me._asdict()).encode()
           await self._kv.put(PREFIX + self.me.name, value, self._lease)
+          self._registered_at = self._clock.moment().boot_s
           logger.info("registered", extra={"life": self.me.life})
       except (errors.KvUnavailableError, errors.KvUnknownError):
         if not self.was_listed:
@@ -276,6 +284,7 @@
 
   async def leave(self) -> None:
     """Removes this router from the list, so that none asks it for tokens."""
+    self._registered_at = None
     try:
       if self._lease:
         await self._kv.revoke_lease(self._lease)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,6 +9,7 @@
 from mustardfall import errors
 from mustardfall import events
 from mustardfall import settings
+from mustardfall.bench.virtual import loop as virtual
 from mustardfall.kv import protocol
 from mustardfall.membership import members
 from mustardfall.util import clock as clock_lib
@@ -230,3 +231,49 @@
     self.assertEqual((False, False), seen[5])
     self.assertEqual((True, False), seen[6])
     self.assertEqual((True, True), seen[13])
+
+
+class RegistrationTest(testtools.TestCase):
+
+  class _Store:
+    """Grants leases, and refuses the first writes."""
+
+    def __init__(self, refusals: int) -> None:
+      self.refusals = refusals
+      self.keys: dict[str, int] = {}
+      self.leases = 0
+
+    async def grant_lease(self, ttl_s):
+      self.leases += 1
+      return self.leases
+
+    async def keep_alive(self, lease):
+      return 8
+
+    async def put(self, key, value, lease):
+      if self.refusals:
+        self.refusals -= 1
+        raise errors.KvUnavailableError("busy")
+      self.keys[key] = lease
+
+  def _register(self, store, seconds):
+    """Runs a router's registration in virtual time."""
+
+    async def register():
+      view = members.Members(
+          store,
+          _member(0),
+          settings.Membership(ttl_s=8),
+          virtual.Clock(),
+          events.Bus(),
+      )
+      with anyio.move_on_after(seconds):
+        await view.register()
+
+    virtual.run(register)
+
+  def test_refused_registration_is_repeated(self):
+    """Guards against a router that holds a lease but is never in the list."""
+    store = self._Store(refusals=2)
+    self._register(store, 5.0)
+    self.assertEqual(["member/r0"], list(store.keys))
