Know when two routers' lists are sure to name each other

A bound of the whole fleet needs one router that divides it. Whether a router may take itself for the only one: registered for 6 s, its lease surely in force, and its list of routers at most 5 s old, by the boot clock. Of two such routers both are in the list of the other, so that both agree on any order of them.

Also: a router that is missing from a later list registers again. A write whose answer was lost may be applied late, under the lease of an earlier registration, and the entry then ends with that lease. Tests: tests/test_members.py.

--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -54,6 +54,11 @@
 """The same as `_MAX_SETTLE_S` for these."""
 _SUSPECT_S = 2.0
 """How long a router that did not answer is asked only as a last resort."""
+_CERTAIN_LIST_AGE_S = 5.0
+"""Greatest age of the list of routers with which a router is certain of it."""
+_CERTAIN_MARGIN_S = 1.0
+"""Added to that age for a registration: a read of the list may be answered some
+time before its answer arrives."""
 
 
 class Member(NamedTuple):
@@ -114,7 +119,11 @@
     self._lease = 0
     self._registered_at: float | None = None
     """When this router was registered under its current lease, seconds of the
-    boot clock; None: it is not registered."""
+    boot clock, as the next two; None: it is not registered."""
+    self._lease_ends_at = -float("inf")
+    """Until when its lease is in force at least."""
+    self._list_as_of = -float("inf")
+    """When the list of routers was current."""
     self._started_without_store = False
     """Whether the store was unavailable when this router started, and the list
     of routers has not settled since."""
@@ -179,6 +188,29 @@
       self._names = tuple(sorted(self._by_name))
     return self._names
 
+  @property
+  def is_certain(self) -> bool:
+    """Whether each other router that is certain is in this router's list.
+
+    Of two routers that are certain at the same time, both have been registered
+    for longer than the lists of both are old. So each is in the other's list,
+    whatever the network or the store does, and both agree on which of them
+    comes first in any order of the routers.
+    """
+    now = self._boot_s()
+    if self._registered_at is None or now >= self._lease_ends_at:
+      return False
+    registered_s = now - self._registered_at
+    list_age_s = now - self._list_as_of
+    return (
+        list_age_s <= _CERTAIN_LIST_AGE_S
+        and registered_s >= _CERTAIN_LIST_AGE_S + _CERTAIN_MARGIN_S
+    )
+
+  def _boot_s(self) -> float:
+    """Returns the boot clock's time, which goes on while a host is suspended."""
+    return self._clock.moment().boot_s
+
   @property
   def others(self) -> list[Member]:
     """The other routers that are up, as last known."""
@@ -262,6 +294,7 @@
   async def register(self) -> None:
     """Keeps this router registered until cancelled."""
     while True:
+      renewed_at = self._boot_s()
       try:
         if (
             self._registered_at is None
@@ -273,8 +306,9 @@
           self._lease = await self._kv.grant_lease(self._config.ttl_s)
           value = json.dumps(self.me._asdict()).encode()
           await self._kv.put(PREFIX + self.me.name, value, self._lease)
-          self._registered_at = self._clock.moment().boot_s
+          self._registered_at = self._boot_s()
           logger.info("registered", extra={"life": self.me.life})
+        self._lease_ends_at = renewed_at + self._config.ttl_s
       except (errors.KvUnavailableError, errors.KvUnknownError):
         if not self.was_listed:
           self._started_without_store = True
@@ -360,8 +394,18 @@
         members[member.name] = member
     self.update(list(members.values()))
 
-  def update(self, members: list[Member]) -> None:
-    """Replaces the list of routers; emits an event if it has changed."""
+  def update(self, members: list[Member], as_of: float | None = None) -> None:
+    """Replaces the list of routers; emits an event if it has changed.
+
+    Args:
+      members: all routers that are registered.
+      as_of: when this was the list, monotonic seconds; None: now.
+    """
+    now = self._clock.monotonic()
+    age_s = 0.0 if as_of is None else max(0.0, now - as_of)
+    self._list_as_of = max(self._list_as_of, self._boot_s() - age_s)
+    if self.me not in members:
+      self._check_registration()
     by_name = {m.name: m for m in members} | {self.me.name: self.me}
     if by_name == self._by_name:
       return
@@ -385,6 +429,19 @@
     self._update_ranks()
     self._bus.emit(events.Name.MEMBERS_CHANGED, lives)
 
+  def _check_registration(self) -> None:
+    """Registers again if a later list does not have this router.
+
+    A write without an answer may be applied seconds later, with the lease of an
+    earlier registration, and then the entry is removed when that lease expires.
+    """
+    registered_at = self._registered_at
+    if registered_at is None:
+      return
+    if self._list_as_of > registered_at + _CERTAIN_MARGIN_S:
+      logger.warning("registration lost", extra={"life": self.me.life})
+      self._registered_at = None
+
 
 @functools.lru_cache(_RANK_CACHE_SIZE)
 def rank_key(name: str) -> bytes:
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -289,7 +289,11 @@
     await self._gateway.apply_endpoints(document["hosts"])
 
   async def _apply_members(self, document: deltas.Document) -> None:
-    self._members.update([members_lib.from_row(r) for r in document["members"]])
+    copy = self._gateway.copies.find(members_lib.PREFIX)
+    self._members.update(
+        [members_lib.from_row(row) for row in document["members"]],
+        copy.as_of if copy is not None else None,
+    )
     self._members.set_list_current(True)
 
   def _mark_unreachable(self) -> None:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -277,3 +277,83 @@
     store = self._Store(refusals=2)
     self._register(store, 5.0)
     self.assertEqual(["member/r0"], list(store.keys))
+
+  def test_router_that_is_missing_from_a_later_list_registers_again(self):
+    """Guards against an entry that a late write ties to an expired lease."""
+    store = self._Store(refusals=0)
+
+    async def lose_entry():
+      view = members.Members(
+          store,
+          _member(0),
+          settings.Membership(ttl_s=8),
+          virtual.Clock(),
+          events.Bus(),
+      )
+      async with anyio.create_task_group() as tg:
+        tg.start_soon(view.register)
+        await anyio.sleep(3.0)
+        view.update([_member(1)])
+        await anyio.sleep(6.0)
+        tg.cancel_scope.cancel()
+
+    virtual.run(lose_entry)
+    self.assertEqual(2, store.leases)
+
+
+class CertaintyTest(testtools.TestCase):
+
+  def setUp(self):
+    super().setUp()
+    self.clock = clock_lib.FakeClock()
+    self.store = RegistrationTest._Store(refusals=0)
+    self.view = members.Members(
+        self.store,
+        _member(0),
+        settings.Membership(ttl_s=8),
+        self.clock,
+        events.Bus(),
+    )
+
+  def _register(self):
+    async def register():
+      with anyio.move_on_after(0.01):
+        await self.view.register()
+
+    anyio.run(register)
+
+  def _advance(self, seconds):
+    self.clock.advance(datetime.timedelta(seconds=seconds))
+
+  def _list(self, age_s=0.0):
+    as_of = self.clock.monotonic() - age_s
+    self.view.update([_member(i) for i in range(3)], as_of)
+
+  def test_only_long_registered_routers_with_a_recent_list_are_certain(self):
+    self._list()
+    self.assertFalse(self.view.is_certain)
+    self._register()
+    self._advance(5.9)
+    self._list()
+    self.assertFalse(self.view.is_certain)
+    self._advance(0.2)
+    self.assertTrue(self.view.is_certain)
+
+  def test_router_with_an_old_list_is_not_certain(self):
+    """Guards against a router that was cut off and missed who joined."""
+    self._register()
+    self._advance(6.5)
+    self._list(age_s=5.1)
+    self.assertFalse(self.view.is_certain)
+    self._list(age_s=1.0)
+    self.assertTrue(self.view.is_certain)
+
+  def test_router_whose_lease_may_have_expired_is_not_certain(self):
+    """Guards against a router that others have replaced unknown to it."""
+    self._register()
+    self._advance(7.9)
+    self._list()
+    self.assertTrue(self.view.is_certain)
+    self._advance(0.2)
+    self._list()
+    self.assertFalse(self.view.is_certain)
