Gossip of verdicts made a module of its own

What one router learns has to reach all others: broadcast twice, gossip to two others a second, and, new, a router that has started asks two others for all they know. A fact of one key is published twice a second at most.

Tried: asking in the first two rounds; the test of what a crash beside other requests costs counts these, and once is enough, as gossip follows.

--- /dev/null
+++ b/mustardfall/membership/gossip.py
@@ -0,0 +1,168 @@
+"""Spreads facts that one router has learned to all others.
+
+A new fact is sent to all routers at once, twice. Each router also sends facts
+that it knows to two others each second, since datagrams may be lost, and a
+router that has just started asks two others for all that they know.
+"""
+
+from collections.abc import Iterable
+import logging
+import random
+from typing import Any, Protocol
+
+import anyio
+
+from mustardfall.membership import datagrams as datagrams_lib
+from mustardfall.membership import deltas
+from mustardfall.membership import members as members_lib
+from mustardfall.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+_INTERVAL_S = 1.0
+"""Interval between two rounds of gossip."""
+_FANOUT_ROUTERS = 2
+"""Receivers in a round, and so the mean number of senders to each router."""
+_RESEND_DELAY_S = 0.05
+"""New facts are sent twice, as one datagram in some hundreds is lost."""
+_MIN_REPEAT_S = 0.5
+"""Minimum time between two publications of facts with the same key."""
+_MAX_UNPACKED_BYTES = 16_384
+"""Limit of a datagram's size after decompression."""
+_MAX_ANSWER_DATAGRAMS = 20
+"""Most datagrams sent to a router that asks."""
+
+
+class Table(Protocol):
+  """Facts by key; a later fact with the same key replaces the earlier one."""
+
+  def keys(self) -> list[str]:
+    """Returns the keys of all facts that others have to know."""
+
+  def fact(self, key: str) -> list[Any]:
+    """Returns the current fact with a key, as a JSON array."""
+
+  def apply(self, fact: list[Any]) -> None:
+    """Applies a fact of another router.
+
+    Raises:
+      TypeError, ValueError: the fact is malformed.
+    """
+
+
+class Gossip:
+  """Sends and receives the facts of one table.
+
+  Args:
+    kind: the kind of the datagrams that carry the facts.
+    table: this router's facts; updated by those of others.
+    members: the routers that are up.
+    datagrams: carries the facts.
+    clock: the time source.
+    max_facts: the most facts that fit into one datagram.
+  """
+
+  def __init__(
+      self,
+      kind: datagrams_lib.Kind,
+      table: Table,
+      members: members_lib.Members,
+      datagrams: datagrams_lib.Datagrams,
+      clock: clock_lib.Clock,
+      max_facts: int,
+  ) -> None:
+    self._kind = kind
+    self._table = table
+    self._members = members
+    self._datagrams = datagrams
+    self._clock = clock
+    self._max_facts = max_facts
+    self._unsent: dict[str, None] = {}
+    """Keys of facts to be published, in order."""
+    self._unsent_added = anyio.Event()
+    self._published_at: dict[str, float] = {}
+    """When facts were last published, for `_MIN_REPEAT_S`."""
+    datagrams.connect_with_sender(kind, self._handle)
+
+  def publish(self, key: str) -> None:
+    """Sends the fact with a key to all other routers, soon."""
+    self._unsent[key] = None
+    self._unsent_added.set()
+
+  def send_to(self, key: str, receivers: Iterable[members_lib.Member]) -> None:
+    """Sends the fact with a key to some routers."""
+    content = deltas.pack([self._table.fact(key)])
+    for member in receivers:
+      self._datagrams.enqueue(self._kind, content, member)
+
+  async def run(self) -> None:
+    """Publishes new facts and gossips until cancelled."""
+    async with anyio.create_task_group() as tasks:
+      tasks.start_soon(self._publish_new)
+      tasks.start_soon(self._gossip)
+
+  async def _publish_new(self) -> None:
+    while True:
+      await self._unsent_added.wait()
+      self._unsent_added = anyio.Event()
+      keys = self._take_due()
+      for _ in range(2):
+        await self._send(keys, self._members.others)
+        await anyio.sleep(_RESEND_DELAY_S)
+      if self._unsent:
+        self._unsent_added.set()
+
+  def _take_due(self) -> list[str]:
+    """Returns the keys to be published now; the others stay unsent."""
+    now = self._clock.monotonic()
+    for key, at in list(self._published_at.items()):
+      if now - at >= _MIN_REPEAT_S:
+        del self._published_at[key]
+    due = [key for key in self._unsent if key not in self._published_at]
+    for key in due:
+      del self._unsent[key]
+      self._published_at[key] = now
+    return due
+
+  async def _gossip(self) -> None:
+    """Sends known facts to a few random routers in each round."""
+    has_asked = False
+    while True:
+      await anyio.sleep(_INTERVAL_S)
+      others = self._members.others
+      if not others:
+        continue
+      receivers = random.sample(others, min(_FANOUT_ROUTERS, len(others)))
+      if not has_asked:
+        has_asked = True
+        await self._datagrams.send(self._kind, deltas.pack(None), receivers)
+      keys = self._table.keys()
+      if keys:
+        sample = random.sample(keys, min(self._max_facts, len(keys)))
+        await self._send(sample, receivers)
+
+  async def _send(
+      self, keys: list[str], receivers: Iterable[members_lib.Member]
+  ) -> None:
+    receivers = list(receivers)
+    for content in self._encode(keys):
+      await self._datagrams.send(self._kind, content, receivers)
+
+  def _encode(self, keys: list[str]) -> list[bytes]:
+    """Returns the contents of the datagrams that carry facts."""
+    return [
+        deltas.pack(
+            [self._table.fact(key) for key in keys[at : at + self._max_facts]]
+        )
+        for at in range(0, len(keys), self._max_facts)
+    ]
+
+  def _handle(self, raw: bytes, sender: str) -> None:
+    facts = deltas.unpack(raw, _MAX_UNPACKED_BYTES)
+    if facts is None:
+      contents = self._encode(self._table.keys())
+      for content in contents[:_MAX_ANSWER_DATAGRAMS]:
+        self._datagrams.enqueue_to(self._kind, content, sender)
+      return
+    for fact in facts:
+      self._table.apply(fact)
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -2,16 +2,12 @@
 
 A router that sees an endpoint crash reports the request that it was running, by
 datagram, to the few routers that count crashes for each request. A router that
-has counted too many for a request sends a verdict to all others at once, and
-stores it in the KV for routers that start later. Each router also gossips its
-verdicts to two others each second, since datagrams may be lost and the KV may
-be unavailable.
+has counted too many for a request publishes a verdict to all others, and
+stores it in the KV for the case that all routers restart.
 """
 
-from collections.abc import Iterable
 import json
 import logging
-import random
 from typing import NamedTuple
 
 import anyio
@@ -19,7 +15,7 @@
 from mustardfall import errors
 from mustardfall.kv import protocol
 from mustardfall.membership import datagrams as datagrams_lib
-from mustardfall.membership import deltas
+from mustardfall.membership import gossip as gossip_lib
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import notices as notices_lib
 from mustardfall.routing import quarantine
@@ -28,18 +24,10 @@
 logger = logging.getLogger(__name__)
 
 PREFIX = "quarantine/"
-_GOSSIP_INTERVAL_S = 1.0
-"""Interval between two rounds of gossip."""
-_GOSSIP_FANOUT = 2
-"""Receivers in a round, and so the mean number of senders to each router."""
+_READ_INTERVAL_S = 1.0
+"""Interval between two attempts to read the stored verdicts after the start."""
 _MAX_VERDICTS_PER_DATAGRAM = 20
 """Each verdict takes some 60 bytes."""
-_MAX_UNPACKED_BYTES = 16_384
-"""Limit of a datagram's size after decompression."""
-_MAX_NAME_LENGTH = 200
-"""Limit of the length of received names, in characters."""
-_RESEND_DELAY_S = 0.05
-"""New verdicts are sent twice, as one datagram in some hundreds is lost."""
 
 
 class _StoredVerdict(NamedTuple):
@@ -80,11 +68,18 @@
     self._notices = notices
     self._kv = kv
     self._clock = clock
-    self._unsent: list[quarantine.QuarantineUpdate] = []
-    """New verdicts of this router, not yet sent and stored."""
-    self._unsent_added = anyio.Event()
+    self._gossip = gossip_lib.Gossip(
+        datagrams_lib.Kind.VERDICT,
+        table,
+        members,
+        datagrams,
+        clock,
+        _MAX_VERDICTS_PER_DATAGRAM,
+    )
+    self._unstored: list[quarantine.QuarantineUpdate] = []
+    """New verdicts of this router that are not yet stored."""
+    self._unstored_added = anyio.Event()
     datagrams.connect(datagrams_lib.Kind.SUSPECT, self._handle_crash_report)
-    datagrams.connect(datagrams_lib.Kind.VERDICT, self._handle_verdicts)
 
   def note_end(self, report: quarantine.CrashReport) -> None:
     """Records that an endpoint crashed while running a request."""
@@ -105,9 +100,7 @@
       return
     # Not sent to all: an endpoint that crashes runs dozens of requests, most of
     # which succeed at the next one.
-    content = deltas.pack([cleared])
-    for router in self._counting_routers(fingerprint):
-      self._datagrams.enqueue(datagrams_lib.Kind.VERDICT, content, router)
+    self._gossip.send_to(fingerprint, self._counting_routers(fingerprint))
 
   def _counting_routers(self, fingerprint: str) -> list[members_lib.Member]:
     """Returns the other routers that count crashes for a request."""
@@ -126,67 +119,38 @@
       )
 
   def _publish(self, verdict: quarantine.QuarantineUpdate) -> None:
-    self._unsent.append(verdict)
-    self._unsent_added.set()
+    self._gossip.publish(verdict.fingerprint)
+    self._unstored.append(verdict)
+    self._unstored_added.set()
 
   def _handle_crash_report(self, raw: bytes) -> None:
     fingerprint, team, endpoint, ran_s = json.loads(raw)
-    _check_names(fingerprint, team, endpoint)
+    quarantine.check_names(fingerprint, team, endpoint)
     self._count_crash(
         quarantine.CrashReport(fingerprint, team, endpoint, float(ran_s))
     )
 
-  def _handle_verdicts(self, raw: bytes) -> None:
-    for fingerprint, team, left_s in deltas.unpack(raw, _MAX_UNPACKED_BYTES):
-      _check_names(fingerprint, team)
-      self._table.apply_update(
-          quarantine.QuarantineUpdate(fingerprint, team, float(left_s))
-      )
-
   async def run(self) -> None:
     """Sends, stores and gossips verdicts until cancelled."""
     async with anyio.create_task_group() as tasks:
-      tasks.start_soon(self._send_new)
-      tasks.start_soon(self._gossip)
+      tasks.start_soon(self._gossip.run)
+      tasks.start_soon(self._store_new)
+      tasks.start_soon(self._read_stored)
 
-  async def _send_new(self) -> None:
+  async def _store_new(self) -> None:
     while True:
-      await self._unsent_added.wait()
-      self._unsent_added = anyio.Event()
-      unsent, self._unsent = self._unsent, []
-      for _ in range(2):
-        await self._send(unsent, self._members.others)
-        await anyio.sleep(_RESEND_DELAY_S)
-      for verdict in unsent:
+      await self._unstored_added.wait()
+      self._unstored_added = anyio.Event()
+      unstored, self._unstored = self._unstored, []
+      for verdict in unstored:
         await self._store(verdict)
 
-  async def _gossip(self) -> None:
-    """Sends known verdicts to a few random routers in each round."""
-    is_read = False
+  async def _read_stored(self) -> None:
+    """Reads the stored verdicts once, on the readers of the KV."""
     while True:
-      await anyio.sleep(_GOSSIP_INTERVAL_S)
-      if not is_read and self._notices.is_reader:
-        is_read = await self._read()
-      known = self._table.verdicts()
-      others = self._members.others
-      if known and others:
-        sample = random.sample(
-            known, min(_MAX_VERDICTS_PER_DATAGRAM, len(known))
-        )
-        receivers = random.sample(others, min(_GOSSIP_FANOUT, len(others)))
-        await self._send(sample, receivers)
-
-  async def _send(
-      self,
-      verdicts: list[quarantine.QuarantineUpdate],
-      receivers: Iterable[members_lib.Member],
-  ) -> None:
-    receivers = list(receivers)
-    for start in range(0, len(verdicts), _MAX_VERDICTS_PER_DATAGRAM):
-      content = deltas.pack(
-          verdicts[start : start + _MAX_VERDICTS_PER_DATAGRAM]
-      )
-      await self._datagrams.send(datagrams_lib.Kind.VERDICT, content, receivers)
+      await anyio.sleep(_READ_INTERVAL_S)
+      if self._notices.is_reader and await self._read():
+        await anyio.sleep_forever()
 
   async def _store(self, verdict: quarantine.QuarantineUpdate) -> None:
     """Stores a verdict in the KV, under a lease for its remaining term."""
@@ -205,7 +169,7 @@
       )
 
   async def _read(self) -> bool:
-    """Reads verdicts from the KV and sends new ones to all other routers.
+    """Reads verdicts from the KV and publishes new ones.
 
     Returns:
       Whether the KV answered.
@@ -216,11 +180,10 @@
       logger.info("verdicts not read", extra={"error": str(exc)})
       return False
     now_s = self._clock.wall().timestamp()
-    added = []
     for record in records:
       try:
         stored = _StoredVerdict(*json.loads(record.value))
-        _check_names(stored.fingerprint, stored.team)
+        quarantine.check_names(stored.fingerprint, stored.team)
         left_s = float(stored.until_s) - now_s
       except (TypeError, ValueError) as exc:
         extra = {"entry": record.key, "error": repr(exc)}
@@ -230,13 +193,5 @@
           stored.fingerprint, stored.team, left_s
       )
       if left_s > 0 and self._table.apply_update(verdict):
-        added.append(verdict)
-    await self._send(added, self._members.others)
+        self._gossip.publish(verdict.fingerprint)
     return True
-
-
-def _check_names(*names: str) -> None:
-  """Checks received names; raises ValueError if one is invalid."""
-  for name in names:
-    if not isinstance(name, str) or len(name) > _MAX_NAME_LENGTH:
-      raise ValueError("not a string, or too long for a name")
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -11,7 +11,7 @@
 import dataclasses
 import hashlib
 import logging
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from mustardfall.util import clock as clock_lib
 
@@ -35,6 +35,8 @@
 _MAX_SUCCEEDED = 8_192
 """Recently succeeded requests kept."""
 _DIGEST_BYTES = 12
+_MAX_NAME_CHARS = 200
+"""Limit of the length of received names, characters."""
 
 
 class CrashReport(NamedTuple):
@@ -164,15 +166,31 @@
     self._quarantine(update.fingerprint, row, min(update.left_s, QUARANTINE_S))
     return True
 
-  def verdicts(self) -> list[QuarantineUpdate]:
-    """Returns the quarantined requests, the most recent first."""
+  def keys(self) -> list[str]:
+    """Returns the fingerprints of quarantined requests, most recent first."""
     now = self._clock.monotonic()
     return [
-        QuarantineUpdate(key, row.team, round(row.quarantined_until - now, 1))
+        key
         for key, row in reversed(self._rows.items())
         if row.quarantined_until > now
     ]
 
+  def fact(self, key: str) -> list[Any]:
+    """Returns what others have to know of a request; see `apply`."""
+    row = self._rows.get(key)
+    team = row.team if row is not None else ""
+    return list(QuarantineUpdate(key, team, round(self.remaining_s(key), 1)))
+
+  def apply(self, fact: list[Any]) -> None:
+    """Applies a `QuarantineUpdate` of another router.
+
+    Raises:
+      TypeError, ValueError: `fact` is malformed.
+    """
+    fingerprint_, team, left_s = fact
+    check_names(fingerprint_, team)
+    self.apply_update(QuarantineUpdate(fingerprint_, team, float(left_s)))
+
   def _row(self, fingerprint_: str, team: str) -> _Row:
     """Returns a request's row; adds it, evicting another, if missing."""
     row = self._rows.get(fingerprint_)
@@ -208,3 +226,14 @@
             "term_s": round(term_s, 1),
         },
     )
+
+
+def check_names(*names: Any) -> None:
+  """Checks names that another router sent.
+
+  Raises:
+    ValueError: one is no string, or too long.
+  """
+  for name in names:
+    if not isinstance(name, str) or len(name) > _MAX_NAME_CHARS:
+      raise ValueError("not a string, or too long for a name")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -69,7 +69,7 @@
     self.assertTrue(env.crash_count <= _MAX_CRASHES, env.crash_count)
     served = sum(response.status == 200 for response in responses)
     self.assertTrue(served >= 0.95 * len(responses), served)
-    self.assertEqual(1, len(env.gateway.quarantine.verdicts()))
+    self.assertEqual(1, len(env.gateway.quarantine.keys()))
 
   @test_gateway.in_environment(servers=("i-1", "i-2", "i-3"))
   async def test_lost_responses_of_running_servers_do_not_count(self, env):
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -47,14 +47,22 @@
     self._handlers = {}
     net.ports[name] = self
 
+    self._name = name
+
   def connect(self, kind, handler):
+    self.connect_with_sender(kind, lambda content, sender: handler(content))
+
+  def connect_with_sender(self, kind, handler):
     self._handlers[kind] = handler
 
   def enqueue(self, kind, content, member):
+    self.enqueue_to(kind, content, member.name)
+
+  def enqueue_to(self, kind, content, receiver):
     self._net.sent += 1
-    is_up = member.name in self._net.ports
+    is_up = receiver in self._net.ports
     if is_up and self._net.random.random() >= self._net.lost:
-      self._net.ports[member.name]._handlers[kind](content)
+      self._net.ports[receiver]._handlers[kind](content, self._name)
 
   async def send(self, kind, content, receivers):
     for member in receivers:
