Leave the permits of limited engines to requests that they save a prefill

Cause: a request takes a permit wherever it is placed, and its prompt is read anew elsewhere if there is none; evenly spaced permits leave half of a low rate, as requests arrive at random.

Now a limited endpoint costs 50 ms more for requests whose prefix it has not cached; a request waits for a permit as long as another engine would need longer to read its prefix; a certain issuer may issue one permit ahead.

--- a/mustardfall/bench/virtual/engines.py
+++ b/mustardfall/bench/virtual/engines.py
@@ -18,6 +18,7 @@
 
 from mustardfall import settings
 from mustardfall.routing import endpoints
+from mustardfall.routing import issuing
 from mustardfall.routing import loads
 from mustardfall.routing import placement
 from mustardfall.routing import tracking
@@ -70,6 +71,14 @@
   slow: int = 0
   """Number of engines that become slow after a third of the day."""
   slow_x: float = 3.5
+  limited: int = 0
+  """Number of engines that name a limit after a third of the day."""
+  limited_per_s: float = 1.0
+  """Requests per second that these take from all routers together."""
+  spares_limited: bool = True
+  """Whether routers know these before they choose an engine."""
+  waits_for_cached: bool = True
+  """Whether a request waits for a limited engine that has its prefix cached."""
   hot: float = 0.0
   """Share of the second kind's requests that use its first prefix, in addition
   to those that draw it by chance."""
@@ -100,6 +109,8 @@
     self.idle_at = 0.0
     self.cached: set[str] = set()
     self.slow_x = 1.0
+    self.bucket: issuing.Bucket | None = None
+    """The permits of an engine that names a limit."""
 
   def prefill(self, prompt: placement.Prompt, now: float) -> tuple[float, int]:
     """Returns the time of the first token, and the shared tokens prefilled."""
@@ -209,11 +220,45 @@
               engine, "slow_x", self._day.slow_x
           ),
       )
+    for number in range(self._day.limited):
+      self.schedule(
+          self._day.seconds / 3,
+          lambda now, number=number: self._limit(f"i-{number}", now),
+      )
     while self._events:
       at, _, step = heapq.heappop(self._events)
       step(at)
     return self._result()
 
+  def _limit(self, engine: str, now: float) -> None:
+    """Has an engine name a limit, of which all routers hear."""
+    self.engines[engine].bucket = issuing.Bucket(now)
+    for router in self.routers:
+      router.table.rows[engine].is_limited = self._day.spares_limited
+
+  def _choose_permitted(
+      self, router: _Router, prompt: placement.Prompt, now: float
+  ) -> tuple[placement.Placement, float]:
+    """Chooses an engine, another one if that has no permit in time.
+
+    Returns:
+      The engine, and when the request may be sent there.
+    """
+    rows = router.rows
+    try:
+      while True:
+        place = self._choose(self, router, prompt, now)
+        bucket = self.engines[place.row.name].bucket
+        if bucket is None:
+          return place, now
+        max_wait_s = place.saved_s if self._day.waits_for_cached else 0.0
+        wait_s = bucket.take(self._day.limited_per_s, max_wait_s, now)
+        if wait_s is not None:
+          return place, now + wait_s
+        router.rows = [row for row in router.rows if row is not place.row]
+    finally:
+      router.rows = rows
+
   def _draw_prompt(self, kind: Kind) -> placement.Prompt:
     number = self._random.randrange(kind.prefixes)
     if kind is self._day.kinds[1] and self._random.random() < self._day.hot:
@@ -226,14 +271,14 @@
   def _place_request(self, kind: Kind, now: float) -> None:
     router = self._random.choice(self.routers)
     prompt = self._draw_prompt(kind)
-    place = self._choose(self, router, prompt, now)
+    place, send_at = self._choose_permitted(router, prompt, now)
     name = f"{now:.6f}"
     sent = _PlacedRequest(
         kind, sum(prompt[1:]), prompt, place, name, sent_at=now
     )
     place.row.in_flight += 1
     place.row.prefill_s += place.prefill_s
-    first_at, shared = self.engines[place.row.name].prefill(prompt, now)
+    first_at, shared = self.engines[place.row.name].prefill(prompt, send_at)
     self._shared_tokens += prompt.shared_tokens
     if prompt.prefix in self._prefilled_prefixes:
       self._tokens_prefilled_again += shared
--- a/mustardfall/membership/permits.py
+++ b/mustardfall/membership/permits.py
@@ -207,12 +207,13 @@
     share = self._share(issued, limit, now)
     known = self._limits.find_life(limit.endpoint)
     per_s = min(limit.per_s, known.per_s) if known is not None else limit.per_s
-    wait_s = issued.bucket.take(per_s * share, max_wait_s, now)
+    is_certain = issued.was_certain is True
+    wait_s = issued.bucket.take(per_s * share, max_wait_s, now, is_certain)
     if wait_s is not None:
       self._counts["issued"] += 1
       return Permit(wait_s, 0.0, me, share)
     issued.refused = [at for at in issued.refused if now - at < 1.0] + [now]
-    retry_s = issued.bucket.wait_s(per_s * share, now)
+    retry_s = issued.bucket.wait_s(per_s * share, now, is_certain)
     retry_s += len(issued.refused) / max(_MIN_ASKS_PER_S, per_s)
     return Permit(None, min(retry_s, _MAX_RETRY_S), me, share)
 
--- a/mustardfall/proxy/endpoint_limiter.py
+++ b/mustardfall/proxy/endpoint_limiter.py
@@ -68,9 +68,11 @@
     """Whether requests to an endpoint need permits."""
     return self._limits.find(row) is not None
 
-  def filter_permitted(self, rows: list[endpoints.Row]) -> list[endpoints.Row]:
-    """Returns the endpoints to which a request may be sent, or asked for."""
-    return [row for row in rows if not self._wait_s(row)]
+  def filter_permitted(
+      self, rows: list[endpoints.Row], max_wait_s: float = 0.0
+  ) -> list[endpoints.Row]:
+    """Returns the endpoints that may take a request within `max_wait_s`."""
+    return [row for row in rows if self._wait_s(row) <= max_wait_s]
 
   def _wait_s(self, row: endpoints.Row) -> float:
     """Returns the seconds until a permit for an endpoint may be had."""
@@ -99,6 +101,8 @@
     limit = self._limits.find(row)
     if limit is None:
       return True
+    if self._wait_s(row) > max_wait_s:
+      return False
     permit = await self._permits.acquire(limit, max_wait_s)
     if permit.wait_s is None:
       until = self._clock.monotonic() + permit.retry_s
@@ -136,13 +140,11 @@
     Returns:
       The endpoint to send the request to; None if the wait would be too long.
     """
-    objective_s = context.route.objective.total_seconds()
-    max_wait_s = min(objective_s * _WAIT_SHARE, issuing.MAX_PROMISE_S)
+    max_wait_s = max_wait_of(context)
     row = min(rows, key=self._wait_s, default=None)
     if row is None:
       return None
-    is_soon = self._wait_s(row) <= max_wait_s
-    if is_soon and await self.acquire(row, context, max_wait_s):
+    if await self.acquire(row, context, max_wait_s):
       return row
     context.permit_retry_s = min(self._wait_s(row) for row in rows)
     return None
@@ -154,3 +156,9 @@
     for life, until in list(self._refused_until.items()):
       if until <= now:
         del self._refused_until[life]
+
+
+def max_wait_of(context: request_context_lib.RequestContext) -> float:
+  """Returns the longest time that a request may wait for a permit, seconds."""
+  objective_s = context.route.objective.total_seconds()
+  return min(objective_s * _WAIT_SHARE, issuing.MAX_PROMISE_S)
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -120,12 +120,22 @@
     """
     rows = self._directory.endpoints.eligible(context.service.name, "")
     rows = self._cold_start_limiter.filter_permitted(rows, context.service)
-    candidates = self._limiter.filter_permitted(rows)
+    for row in rows:
+      row.is_limited = self._limiter.is_limited(row)
+    prompt = request_context_lib.prompt_for_placement(context.request)
+    max_wait_s = min(
+        placement_lib.max_saved_s(prompt),
+        endpoint_limiter_lib.max_wait_of(context),
+    )
+    candidates = self._limiter.filter_permitted(rows, max_wait_s)
     for asked in itertools.count(1):
       placement = await self._select_among(candidates, context)
       if placement is None:
         break
-      if await self._acquire(placement.row, context):
+      # Waiting for an engine with the prefix cached is no loss as long as
+      # another one would need longer to prefill it.
+      wait_s = min(placement.saved_s, max_wait_s)
+      if await self._acquire(placement.row, context, wait_s):
         return placement
       candidates = [row for row in candidates if row is not placement.row]
       if asked >= _MAX_PERMITS_ASKED:
@@ -138,12 +148,15 @@
     return await self._select_among([row], context)
 
   async def _acquire(
-      self, row: endpoints.Row, context: request_context_lib.RequestContext
+      self,
+      row: endpoints.Row,
+      context: request_context_lib.RequestContext,
+      max_wait_s: float,
   ) -> bool:
     """Takes the permits that a request to an endpoint needs."""
     if not self._cold_start_limiter.acquire(row, context.service):
       return False
-    return await self._limiter.acquire(row, context)
+    return await self._limiter.acquire(row, context, max_wait_s)
 
   async def _select_among(
       self,
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -104,6 +104,8 @@
   """When its process started, Unix ms, if the list says so."""
   cold_until: float = -float("inf")
   """Until when it bears only a low rate of requests, monotonic seconds."""
+  is_limited: bool = False
+  """Whether it bears only a low rate of requests of all routers together."""
   reported_cold_ms: float = 0.0
   """How much longer it was cold according to the last list, ms."""
 
--- a/mustardfall/routing/issuing.py
+++ b/mustardfall/routing/issuing.py
@@ -14,7 +14,10 @@
 MAX_PROMISE_S = 1.0
 """How long before its use a permit may be issued."""
 _BURST_S = 0.125
-"""How far permits may be ahead of evenly spaced ones."""
+"""How far permits may be ahead of evenly spaced ones, at least."""
+_BURST_REQUESTS = 1.0
+"""Permits that a certain issuer may issue ahead of evenly spaced ones. Requests
+arrive at random, and without any ahead half of a low rate would be left."""
 _MAX_FIRST_S = 1.0
 """Longest time from an issuer's start to its first permit. What others issued
 before is unknown to it."""
@@ -90,33 +93,41 @@
     """When the next permit is due at an even rate, monotonic seconds."""
     self._created_at = now
 
-  def take(self, rate: float, max_wait_s: float, now: float) -> float | None:
+  def take(
+      self, rate: float, max_wait_s: float, now: float, is_certain: bool = True
+  ) -> float | None:
     """Takes a permit.
 
     Args:
       rate: permits per second.
       max_wait_s: the longest wait of use, at most `MAX_PROMISE_S`.
       now: the current time, monotonic seconds.
+      is_certain: whether this is the only issuer for sure; others must not add
+        their bursts to its own.
 
     Returns:
       Seconds from now at which the permit may be used; None if there is none
       within `max_wait_s`.
     """
     interval_s = 1 / max(rate, _MIN_RATE_PER_S)
-    wait_s = self._wait_s(interval_s, now)
+    wait_s = self._wait_s(interval_s, now, is_certain)
     if wait_s > min(max_wait_s, MAX_PROMISE_S):
       return None
     self._due = max(self._due, now + wait_s) + interval_s
     return wait_s
 
-  def wait_s(self, rate: float, now: float) -> float:
-    """Returns the seconds until the next permit can be used."""
-    return self._wait_s(1 / max(rate, _MIN_RATE_PER_S), now)
+  def wait_s(self, rate: float, now: float, is_certain: bool = True) -> float:
+    """Returns the seconds until the next permit can be used; see `take`."""
+    interval_s = 1 / max(rate, _MIN_RATE_PER_S)
+    return self._wait_s(interval_s, now, is_certain)
 
-  def _wait_s(self, interval_s: float, now: float) -> float:
+  def _wait_s(self, interval_s: float, now: float, is_certain: bool) -> float:
+    ahead_s = _BURST_S
+    if is_certain:
+      ahead_s = max(ahead_s, _BURST_REQUESTS * interval_s)
     if self._due is None:
-      self._due = self._created_at + _BURST_S + min(interval_s, _MAX_FIRST_S)
+      self._due = self._created_at + ahead_s + min(interval_s, _MAX_FIRST_S)
     # A higher rate than before shortens the wait that the last permit caused.
-    latest = now + MAX_PROMISE_S + _BURST_S + interval_s
+    latest = now + MAX_PROMISE_S + ahead_s + interval_s
     self._due = min(self._due, latest)
-    return max(0.0, self._due - _BURST_S - now)
+    return max(0.0, self._due - ahead_s - now)
--- a/mustardfall/routing/placement.py
+++ b/mustardfall/routing/placement.py
@@ -48,6 +48,10 @@
 charged. Small, so that it decides only between endpoints that are equally
 busy."""
 
+_LIMITED_COST_S = 0.05
+"""Cost of an endpoint that bears only a low rate, unless it has the prompt's
+prefix cached. Its few requests are left to those that it saves a prefill."""
+
 _CANDIDATES_PER_ROUND = 3
 """Candidates that are compared in each round."""
 _BUSY_WAIT_S = 0.1
@@ -77,6 +81,8 @@
   """Time to prefill this prompt."""
   answer_s: float
   """Time until the answer begins, at an endpoint of average speed."""
+  saved_s: float = 0.0
+  """Time that the prefix in its cache saves."""
 
 
 def wait_s(row: endpoints.Row, prompt: Prompt) -> float:
@@ -115,16 +121,28 @@
     prompt: the request's prompt.
     datacentre: the router's own.
   """
-  cost = 0.0 if row.datacentre == datacentre else _REMOTE_COST_S
+  is_cached = likely_cached(row, rank, prompt)
+  cost = _fixed_cost_s(row, is_cached, prompt, datacentre)
   failure_s = row.failures * _COST_S_PER_FAILURE
-  own_prefill_s = prefill_s(likely_cached(row, rank, prompt), prompt)
+  own_prefill_s = prefill_s(is_cached, prompt)
   if not cached_anywhere:
     cost += min(rank, _MAX_RANK) * _COST_S_PER_RANK
-  elif not likely_cached(row, rank, prompt):
+  elif not is_cached:
     own_prefill_s *= _CACHE_MISS_WEIGHT
   return row.slowness * (wait_s(row, prompt) + own_prefill_s) + cost + failure_s
 
 
+def _fixed_cost_s(
+    row: endpoints.Row, is_cached: bool, prompt: Prompt, datacentre: str
+) -> float:
+  """Returns the part of a cost that does not depend on the endpoint's load."""
+  cost = 0.0 if row.datacentre == datacentre else _REMOTE_COST_S
+  saves_prefill = is_cached and prompt.shared_tokens >= _AFFINITY_TOKENS
+  if row.is_limited and not saves_prefill:
+    cost += _LIMITED_COST_S
+  return cost
+
+
 def prefill_s(cached: bool, prompt: Prompt) -> float:
   """Returns the seconds that prefilling a prompt takes.
 
@@ -138,6 +156,18 @@
   return tokens * _PREFILL_S_PER_TOKEN + pairs * _ATTENTION_S_PER_PAIR
 
 
+def _saved_s(own_prefill_s: float, prompt: Prompt) -> float:
+  """Returns the time that the cache saves a prompt with a long prefix."""
+  if prompt.shared_tokens < _AFFINITY_TOKENS:
+    return 0.0
+  return prefill_s(False, prompt) - own_prefill_s
+
+
+def max_saved_s(prompt: Prompt) -> float:
+  """Returns the time that a cache with the whole prefix saves."""
+  return _saved_s(prefill_s(True, prompt), prompt)
+
+
 class Candidate(NamedTuple):
   """An endpoint that a request may go to."""
 
@@ -206,6 +236,7 @@
       best.row,
       own_prefill_s,
       tracked_wait_s(best, statuses, prompt) + own_prefill_s,
+      _saved_s(own_prefill_s, prompt),
   )
 
 
@@ -248,7 +279,7 @@
     )
   cached_here = _is_cached(candidate, statuses, prompt)
   own_prefill_s = prefill_s(cached_here, prompt)
-  cost = 0.0 if candidate.row.datacentre == datacentre else _REMOTE_COST_S
+  cost = _fixed_cost_s(candidate.row, cached_here, prompt, datacentre)
   if not cached_anywhere:
     cost += min(candidate.rank, _MAX_RANK) * _COST_S_PER_RANK
   elif not cached_here:
@@ -288,7 +319,12 @@
     return None
   rank, row = best
   own_prefill_s = prefill_s(likely_cached(row, rank, prompt), prompt)
-  return Placement(row, own_prefill_s, wait_s(row, prompt) + own_prefill_s)
+  return Placement(
+      row,
+      own_prefill_s,
+      wait_s(row, prompt) + own_prefill_s,
+      _saved_s(own_prefill_s, prompt),
+  )
 
 
 def _rank_key(prefix: str, name: str) -> bytes:
--- a/tests/test_tracking.py
+++ b/tests/test_tracking.py
@@ -95,6 +95,40 @@
       self.assertTrue(result.messages_per_s <= 16, result.messages_per_s)
 
 
+class LimitedEnginesTest(testtools.TestCase):
+  """Nine routers before nine engines, seven of which name a limit."""
+
+  def _play(self, **policy):
+    kinds = tuple(
+        kind._replace(per_s=per_s, prefixes=prefixes)
+        for kind, per_s, prefixes in zip(
+            engines.KINDS, (5.9, 4.4, 8.7), (201, 66, 131), strict=True
+        )
+    )
+    day = engines.Day(
+        routers=9,
+        engines=9,
+        datacentres=3,
+        seconds=45.0,
+        kinds=kinds,
+        limited=7,
+        **policy,
+    )
+    return [engines.Simulation(day, "sampled", seed).run() for seed in range(8)]
+
+  def test_permits_go_to_requests_whose_prefix_is_cached(self):
+    """Guards against prompts that are prefilled again all over the fleet."""
+    spread = self._play(spares_limited=False, waits_for_cached=False)
+    kept = self._play()
+    again = _mean(kept, lambda r: r.read_again)
+    before = _mean(spread, lambda r: r.read_again)
+    self.assertTrue(again <= 0.8 * before, (again, before))
+    for kind in engines.KINDS:
+      late = _mean(kept, lambda r, k=kind.name: r.late[k])
+      known = _mean(spread, lambda r, k=kind.name: r.late[k])
+      self.assertTrue(late <= 0.85 * known, (kind.name, late, known))
+
+
 class ExperimentTest(testtools.TestCase):
 
   def test_experiment_writes_a_report(self):
