End the wait for a slow endpoint only once another attempt is granted

Callers saw 502, or a stream cut off, from endpoints that were only slow: a wait was ended after a second in a stream, or twice the objective before its head, and only then was a retry looked for; with the retries of the fleet used up the request failed, and its endpoint had worked in vain.

Now a wait is ended once a retry has been withdrawn and another endpoint may take the request.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -325,6 +325,7 @@
           self._limit_gossip.run,
           self.permits.run,
           self._limit_records.run,
+          forwarder.run,
           self.overhead.run,
           self._run_periodic_tasks,
       ):
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -147,6 +147,16 @@
       return None
     return await self._select_among([row], context)
 
+  def has_alternative(
+      self, context: request_context_lib.RequestContext
+  ) -> bool:
+    """Whether an endpoint that was not tried yet may take the request now."""
+    rows = self._directory.endpoints.eligible(
+        context.service.name, "", frozenset(context.tried_endpoints)
+    )
+    rows = self._cold_start_limiter.filter_permitted(rows, context.service)
+    return bool(self._limiter.filter_permitted(rows))
+
   async def _acquire(
       self,
       row: endpoints.Row,
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -7,7 +7,6 @@
 
 from collections.abc import AsyncIterator, Iterator
 import contextlib
-import math
 
 import anyio
 from anyio import abc
@@ -18,6 +17,7 @@
 from mustardfall import settings
 from mustardfall.membership import members as members_lib
 from mustardfall.proxy import admission as admission_lib
+from mustardfall.proxy import attempt_timers as attempt_timers_lib
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import crash_guard as crash_guard_lib
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
@@ -119,8 +119,13 @@
     members = accounts.members
     self._fleet_size = retries.FleetSize(clock, lambda: len(members.lives))
     self._request_log = request_log_lib.RequestLog(clock, instruments)
+    self._attempt_timers = attempt_timers_lib.AttemptTimers(clock)
     self._retry_budgets: dict[str, retries.RetryBudget] = {}
 
+  async def run(self) -> None:
+    """Ends waits for slow endpoints until cancelled."""
+    await self._attempt_timers.run()
+
   async def handle(
       self,
       request: messages.Request,
@@ -200,10 +205,10 @@
       return False
     if context.failed_connects >= _MAX_FAILED_CONNECTS:
       return False
-    return (
-        context.attempts_sent == 0
-        or self._retry_budget(context.service.name).withdraw()
-    )
+    if context.attempts_sent == 0 or context.has_retry:
+      context.has_retry = False
+      return True
+    return self._retry_budget(context.service.name).withdraw()
 
   async def _finish_unserved(
       self, context: request_context_lib.RequestContext
@@ -426,15 +431,30 @@
     Otherwise the wait lasts until the request's deadline: a slow endpoint alone
     is no reason to fail the request.
     """
-    another = (
-        context.route.repeatable
-        and context.attempts_sent < context.route.max_attempts
-    )
-    with anyio.move_on_after(limit_s if another else math.inf) as scope:
+    if (
+        not context.route.repeatable
+        or context.attempts_sent >= context.route.max_attempts
+    ):
+      yield
+      return
+    with self._attempt_timers.limit(
+        limit_s, lambda: self._claim_retry(context)
+    ) as scope:
       yield
     if scope.cancelled_caught:
       raise errors.ResponseTimeoutError(f"silent for {limit_s:.2f} s")
 
+  def _claim_retry(self, context: request_context_lib.RequestContext) -> bool:
+    """Withdraws a retry for a request whose endpoint is slow, if one is left.
+
+    Returns:
+      Whether the request may be sent to another endpoint.
+    """
+    if not self._endpoint_selector.has_alternative(context):
+      return False
+    context.has_retry = self._retry_budget(context.service.name).withdraw()
+    return context.has_retry
+
   async def _write(
       self,
       context: request_context_lib.RequestContext,
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -45,6 +45,8 @@
   reservation: allotment.Reservation | None = None
   attempts_sent: int = 0
   """Number of attempts, each of which sent the request to an endpoint."""
+  has_retry: bool = False
+  """Whether a retry was withdrawn for the next attempt."""
   failed_connects: int = 0
   may_have_run: bool = False
   body_delivered: bool = False
