Say which endpoints a router could connect to, and since when not

Logs had a line for each attempt that failed and none for what was known of the others: a refusal "no endpoint free" did not tell a router that is cut off from all endpoints from endpoints that have ended. Each failed connection now logs how many endpoints of its kind are not reached, since when, and when one was last reached; the refusal carries the same facts. No decision changes. tests/test_gateway.py passes.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -53,6 +53,7 @@
 from mustardfall.routing import loads as loads_lib
 from mustardfall.routing import quarantine
 from mustardfall.routing import rate_limits as rate_limits_lib
+from mustardfall.routing import reach as reach_lib
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -129,6 +130,7 @@
         self._limit_of,
         budgets=self._budgets,
     )
+    self.reach = reach_lib.Reach(clock)
     self.loads = loads_lib.Loads(
         self.directory.endpoints, self.accounts.members.me.life
     )
@@ -305,6 +307,7 @@
               self.quarantine, self.verdicts, self.connection_pool
           ),
           self._endpoint_limiter,
+          self.reach,
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -33,6 +33,7 @@
 from mustardfall.routing import directory as directory_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import placement as placement_lib
+from mustardfall.routing import reach as reach_lib
 from mustardfall.routing import retries
 from mustardfall.util import clock as clock_lib
 
@@ -89,6 +90,7 @@
     endpoint_selector: chooses the endpoint of each attempt.
     crash_guard: refuses requests that crash endpoints.
     endpoint_limiter: learns the request rates that endpoints name.
+    reach: records which endpoints this router can connect to.
   """
 
   def __init__(
@@ -104,6 +106,7 @@
       endpoint_selector: endpoint_selector_lib.EndpointSelector,
       crash_guard: crash_guard_lib.CrashGuard,
       endpoint_limiter: endpoint_limiter_lib.EndpointLimiter,
+      reach: reach_lib.Reach,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -113,6 +116,7 @@
     self._endpoint_selector = endpoint_selector
     self._crash_guard = crash_guard
     self._endpoint_limiter = endpoint_limiter
+    self._reach = reach
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -230,8 +234,12 @@
           context.permit_retry_s,
       )
     else:
+      facts = {
+          "failed_connects": context.failed_connects,
+          **self._reach.describe(context.service.name),
+      }
       raise refusals.no_endpoint(
-          self._admission.jittered_retry_after(_MIN_RETRY_S)
+          self._admission.jittered_retry_after(_MIN_RETRY_S), facts
       )
 
   async def _attempt(
@@ -255,8 +263,11 @@
     except errors.EndpointUnreachableError as exc:
       context.failed_connects += 1
       row.failures += 2
+      self._reach.note_failed(row, str(exc))
       self._endpoint_selector.record_unreachable(row)
       raise _RetryableError(str(exc)) from exc
+    if not connection.used:
+      self._reach.note_connected(row)
     exchange = exchange_lib.Exchange(
         self._connection_pool,
         connection,
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -76,9 +76,9 @@
   return RefusalError(503, "request is quarantined", retry_after_s)
 
 
-def no_endpoint(retry_after_s: float) -> RefusalError:
+def no_endpoint(retry_after_s: float, facts: Mapping[str, Any]) -> RefusalError:
   """No endpoint accepted the request."""
-  return RefusalError(503, "no endpoint free", retry_after_s)
+  return RefusalError(503, "no endpoint free", retry_after_s, facts)
 
 
 def endpoints_limited(
