--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -84,6 +84,7 @@
 
   def __init__(self, id: str) -> None:  # noqa: A002  the platform's term
     self.id = id
+    self.port = 0
     self.behaviour = Behaviour()
     self.received: list[ReceivedRequest] = []
     """Requests that the server accepted, in order."""
@@ -94,6 +95,7 @@
 
   async def serve(self, port: int) -> None:
     """Serves on the loopback interface until cancelled."""
+    self.port = port
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", local_port=port
     )
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -10,6 +10,7 @@
 
 from mustardfall import gateway as gateway_lib
 from mustardfall.bench import fleet
+from mustardfall.emulator import network as network_lib
 from mustardfall.emulator import server as server_lib
 from mustardfall.emulator import store as store_lib
 from mustardfall.platform import followers as followers_lib
@@ -139,8 +140,15 @@
     self.crash_count = 0
     """Number of servers that a request has crashed."""
     self.store_port = 0
+    self.network = network_lib.Network(self._is_server)
     self._tasks = None
 
+  def _is_server(self, address: str) -> bool:
+    return any(
+        address == f"127.0.0.1:{server.port}"
+        for server in self.servers.values()
+    )
+
   def configure(self, **fields: Any) -> None:
     """Writes the operator's configuration."""
     self.store.put("op/config", configuration(**fields))
@@ -207,6 +215,7 @@
     loops = followers.loops()
 
     async def _run():
+      network_lib.current_host.set(name)
       await gateway.run(loops, found.ready, stop or anyio.Event(), 2.0)
       self.gateway_stopped = True
 
@@ -214,6 +223,20 @@
     await self.wait_until(lambda: gateway.ready)
     return gateway
 
+  async def add_routers(self, count: int) -> list[gateway_lib.Gateway]:
+    """Starts routers that exchange datagrams; returns them."""
+    port = fleet.free_port()
+    routers = [
+        await self.add_gateway(
+            f"router-{n}", host=f"127.0.0.{n}", datagram_port=port
+        )
+        for n in range(2, 2 + count)
+    ]
+    await self.wait_until(
+        lambda: all(len(r.accounts.members.lives) >= count for r in routers)
+    )
+    return routers
+
   async def call(
       self,
       path: str,
@@ -284,5 +307,6 @@
     await env.wait_until(
         lambda: env.gateway.ready and len(rows) >= len(servers)
     )
-    yield env
+    with env.network.installed():
+      yield env
     tg.cancel_scope.cancel()
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -7,7 +7,6 @@
 import anyio
 import testtools
 
-from mustardfall.bench import fleet
 from tests import platformcase
 from tests import test_gateway
 
@@ -21,6 +20,7 @@
 _GRACE_S = 1.5
 """Time in which all routers have to learn of the limit, half of the platform's
 bound."""
+_ROUTERS = 3
 _CALLS_PER_S = 8.0
 """Requests a second of the callers of each router."""
 
@@ -58,23 +58,6 @@
     self.statuses.append(response.status)
 
 
-async def _add_routers(env: platformcase.Environment) -> list:
-  """Starts three routers that exchange datagrams; returns them."""
-  port = fleet.free_port()
-  routers = [
-      await env.add_gateway(
-          f"router-{n}", host=f"127.0.0.{n}", datagram_port=port
-      )
-      for n in (2, 3, 4)
-  ]
-  await env.wait_until(
-      lambda: all(
-          len(r.accounts.members.lives) >= len(routers) for r in routers
-      )
-  )
-  return routers
-
-
 def _arrivals(env: platformcase.Environment, name: str) -> list[float]:
   return [request.received_at for request in env.servers[name].received]
 
@@ -84,7 +67,7 @@
   @test_gateway.in_environment(servers=("i-1", "i-2", "i-3"))
   async def test_named_limit_binds_all_routers_together(self, env):
     """Guards against routers that each send as if no limit were named."""
-    callers = _Callers(env, await _add_routers(env))
+    callers = _Callers(env, await env.add_routers(_ROUTERS))
     env.servers["i-1"].behaviour.rate_limit = f"{_RATE_PER_S:g}"
     await callers.run(_GRACE_S)
     bound_since = anyio.current_time()
