Reach endpoints through another router while cut off from them

Callers of a router that had lost its links to all servers got 503 after 1.2 s: each request tried four endpoints by direct connections, and no router could ask another one that still reached them.

A router that fails to reach several endpoints, and reaches none, now takes itself for cut off (routing/reach.py), finds routers that reach them by datagram (membership/exits.py) and opens tunnels through these (proxy/tunnels.py, proxy/tunnel_server.py). Admission, billing, permits, retries and deadlines stay with the router that has the caller, so that one request is still sent at most once and billed once. The exit connects directly only: no loops. A response without length that ends with its connection is complete only if the exit says that the endpoint closed it. A broken connection counts as the crash of an endpoint only if another router is refused there, too.

Silence is checked by new connections once nothing has arrived for 0.3 s on any connection to a kind of endpoints while requests are in flight. Probes find the way back.

--- a/mustardfall/errors.py
+++ b/mustardfall/errors.py
@@ -58,7 +58,24 @@
 
 
 class EndpointUnreachableError(Error):
-  """Connecting to an endpoint failed: the request was not sent."""
+  """Connecting to an endpoint failed: the request was not sent.
+
+  Args:
+    reason: what failed.
+    is_refused: whether a host answered that nothing listens there.
+  """
+
+  def __init__(self, reason: str, is_refused: bool = False) -> None:
+    super().__init__(reason)
+    self.is_refused = is_refused
+
+
+class ExitUnavailableError(Error):
+  """Another router opened no tunnel: the request was not sent."""
+
+
+class NoExitError(EndpointUnreachableError):
+  """Neither this router nor any other it knows reaches the endpoint."""
 
 
 class InvalidResponseError(Error):
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -27,6 +27,7 @@
 from mustardfall.membership import clockcheck
 from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import datagrams as datagrams_lib
+from mustardfall.membership import exits as exits_lib
 from mustardfall.membership import gossip as gossip_lib
 from mustardfall.membership import limit_records as limit_records_lib
 from mustardfall.membership import loadshare
@@ -39,6 +40,7 @@
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import crash_guard as crash_guard_lib
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
+from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
 from mustardfall.proxy import forwarder as forwarder_lib
 from mustardfall.proxy import http_client
@@ -46,6 +48,7 @@
 from mustardfall.proxy import internal
 from mustardfall.proxy import messages
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
+from mustardfall.proxy import tunnel_server as tunnel_server_lib
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
 from mustardfall.routing import endpoints
@@ -130,13 +133,32 @@
         self._limit_of,
         budgets=self._budgets,
     )
-    self.reach = reach_lib.Reach(clock)
+    self.reach = reach_lib.Reach(self.directory.endpoints, clock)
     self.loads = loads_lib.Loads(
         self.directory.endpoints, self.accounts.members.me.life
     )
     self.datagrams = datagrams_lib.Datagrams(
         config.peer_listen.host, config.load_port, self.overhead
     )
+    self.exits = exits_lib.Exits(
+        self.accounts.members,
+        self.datagrams,
+        self._reaches,
+        self._busy,
+        clock,
+    )
+    self.paths = endpoint_paths_lib.EndpointPaths(
+        config, self.connection_pool, self.reach, self.exits, self.instruments
+    )
+    self.tunnel_server = tunnel_server_lib.TunnelServer(
+        config,
+        self.directory.endpoints.find_address,
+        self.paths.acquire_directly,
+        self.reach.is_cut,
+        self.connection_pool,
+        self._resource_limiter,
+        self.instruments,
+    )
     self.load_share = loadshare.LoadShare(
         self.loads, self.accounts.members, self.datagrams, clock
     )
@@ -199,6 +221,15 @@
     self.stopping = False
     self.http_server: http_server.HttpServer | None = None
 
+  def _reaches(self, kind: str) -> bool:
+    """Whether this router opens tunnels to a kind of endpoints."""
+    return not (self.stopping or self.reach.is_cut(kind))
+
+  def _busy(self) -> int:
+    """Returns this router's requests in flight and open tunnels."""
+    in_flight = self.http_server.in_flight if self.http_server else 0
+    return in_flight + self.tunnel_server.open_count
+
   async def _call_peer(self, url: str, body: dict, timeout_s: float) -> dict:
     """Calls another router; see `peers.Post`."""
     address, _, path = url.removeprefix("http://").partition("/")
@@ -304,9 +335,10 @@
           self.instruments,
           self._endpoint_selector,
           crash_guard_lib.CrashGuard(
-              self.quarantine, self.verdicts, self.connection_pool
+              self.quarantine, self.verdicts, self.paths
           ),
           self._endpoint_limiter,
+          self.paths,
           self.reach,
       )
       self.http_server = http_server.HttpServer(
@@ -330,6 +362,8 @@
           self.permits.run,
           self._limit_records.run,
           forwarder.run,
+          self.paths.run,
+          self.tunnel_server.run,
           self.overhead.run,
           self._run_periodic_tasks,
       ):
@@ -396,6 +430,7 @@
       self.directory.endpoints.tick(now)
       self.loads.recompute_totals(now)
       self.trackers.prune()
+      self.reach.prune()
       self._cold_start_limiter.prune()
       self._endpoint_limiter.prune()
       await self.connection_pool.close_expired()
@@ -408,6 +443,7 @@
     logger.info("stopping", extra={"in_flight": server.in_flight})
     await anyio.sleep(min(_DRAIN_DELAY_S, stop_s / 2))
     server.start_draining()
+    await self.tunnel_server.close()
     budget_return_s = stop_s * _BUDGET_RETURN_SHARE
     remaining_s = stops_at - self.clock.monotonic() - budget_return_s
     drained = await server.wait_until_drained(max(0.0, remaining_s))
--- a/mustardfall/platform/process_settings.py
+++ b/mustardfall/platform/process_settings.py
@@ -188,6 +188,7 @@
       "peer_listen": control.model_dump(),
       "first_start": optional.bootstrap,
       "load_port": optional.port_range[0],
+      "tunnel_port": optional.port_range[0],
       "kv_url": f"http://{store}",
       "hosts_url": f"http://{store}",
       "limits": {"memory_mb": limits.memory_mb, "files": limits.max_fds},
--- a/mustardfall/proxy/connection_pool.py
+++ b/mustardfall/proxy/connection_pool.py
@@ -1,8 +1,10 @@
 """A pool of connections to endpoints, the store and other routers."""
 
 import collections
+from collections.abc import Awaitable, Callable
 import dataclasses
 import math
+from typing import NamedTuple
 
 import anyio
 from anyio import abc
@@ -23,12 +25,27 @@
 than this at one endpoint, and each connection costs memory on both sides."""
 
 
+_VIA = " via "
+
+
+class Via(NamedTuple):
+  """Another router through which connections to an address are opened."""
+
+  router: str
+  """Its name."""
+  connect: Callable[[float], Awaitable[abc.ByteStream]]
+  """Opens a connection; takes the timeout in seconds."""
+
+
 @dataclasses.dataclass
 class Connection:
   """A pooled connection, used by one request at a time."""
 
   address: str
-  stream: abc.SocketStream
+  """`HOST:PORT`, and the router through which it is connected."""
+  stream: abc.ByteStream
+  via: str = ""
+  """The name of that router; empty for a direct connection."""
   rest: bytes = b""
   """Bytes received after the end of the last response that was read."""
   idle_until: float = 0.0
@@ -61,7 +78,11 @@
     self.opened = 0
 
   async def acquire(
-      self, address: str, timeout_s: float, force_new: bool = False
+      self,
+      address: str,
+      timeout_s: float,
+      force_new: bool = False,
+      via: Via | None = None,
   ) -> Connection:
     """Returns an idle connection to `address` that looks usable, or a new one.
 
@@ -69,11 +90,14 @@
       address: `HOST:PORT`.
       timeout_s: timeout of opening a new connection, in seconds.
       force_new: whether to open a new connection even if one is idle.
+      via: the router through which to connect; None to connect directly.
 
     Raises:
       errors.EndpointUnreachableError: no connection could be opened.
+      errors.ExitUnavailableError: none could be opened through that router.
     """
-    while not force_new and (connection := self._pop(address)) is not None:
+    key = _key(address, via)
+    while not force_new and (connection := self._pop(key)) is not None:
       if (
           self._clock.monotonic() < connection.idle_until
           and not sockets.is_readable(connection.stream)
@@ -84,12 +108,17 @@
       await self.discard(connection)
     await self._evict_idle()
     try:
-      stream = await sockets.connect(address, timeout_s)
+      if via is not None:
+        stream = await via.connect(timeout_s)
+      else:
+        stream = await sockets.connect(address, timeout_s)
     except OSError as exc:
-      raise errors.EndpointUnreachableError(f"{address}: {exc!r}") from exc
-    self.open_counts[address] += 1
+      raise errors.EndpointUnreachableError(
+          f"{address}: {exc!r}", sockets.is_refused(exc)
+      ) from exc
+    self.open_counts[key] += 1
     self.opened += 1
-    return Connection(address, stream)
+    return Connection(key, stream, via.router if via is not None else "")
 
   async def _evict_idle(self) -> None:
     """Closes idle connections while the number of open ones is at the limit.
@@ -143,7 +172,13 @@
     await connection.close()
 
   async def close_address(self, address: str) -> None:
-    """Closes the idle connections to `address`."""
+    """Closes the idle connections to `address`, also through other routers."""
+    keys = [key for key in self._idle if key.partition(_VIA)[0] == address]
+    for connection in [c for key in keys for c in self._idle.pop(key)]:
+      await self.discard(connection)
+
+  async def close_direct(self, address: str) -> None:
+    """Closes the idle connections to `address` that pass no other router."""
     for connection in self._idle.pop(address, ()):
       await self.discard(connection)
 
@@ -166,3 +201,8 @@
         del self._idle[address]
     for connection in expired:
       await self.discard(connection)
+
+
+def _key(address: str, via: Via | None) -> str:
+  """Returns the key of the connections to an address, direct or not."""
+  return address if via is None else f"{address}{_VIA}{via.router}"
--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -2,21 +2,15 @@
 
 import logging
 
-from mustardfall import errors
 from mustardfall.membership import verdicts as verdicts_lib
-from mustardfall.proxy import connection_pool as connection_pool_lib
+from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import quarantine
-from mustardfall.util import sockets
 
 logger = logging.getLogger(__name__)
 
-_CONNECT_S = 0.1
-"""Timeout of the connection that probes an endpoint whose response broke off. A
-port on which nothing listens refuses a connection within a few ms."""
-
 
 class CrashGuard:
   """Detects crashes of endpoints and refuses requests that are quarantined.
@@ -24,18 +18,18 @@
   Args:
     table: the quarantined requests.
     verdicts: reports crashes and successes to the other routers.
-    connection_pool: connections to endpoints.
+    paths: connects to endpoints.
   """
 
   def __init__(
       self,
       table: quarantine.Table,
       verdicts: verdicts_lib.Verdicts,
-      connection_pool: connection_pool_lib.ConnectionPool,
+      paths: endpoint_paths_lib.EndpointPaths,
   ) -> None:
     self._table = table
     self._verdicts = verdicts
-    self._connection_pool = connection_pool
+    self._paths = paths
 
   def refuse_quarantined(
       self, context: request_context_lib.RequestContext
@@ -66,17 +60,9 @@
 
     Connections also break while the endpoint keeps running: it has too many of
     them, packets are lost, or a response is lost. The endpoint counts as
-    crashed only if it refuses a new connection.
+    crashed only if it refuses a new connection, also one of another router.
     """
-    try:
-      connection = await self._connection_pool.acquire(
-          row.url, _CONNECT_S, force_new=True
-      )
-    except errors.EndpointUnreachableError as exc:
-      if not sockets.is_refused(exc):
-        return
-    else:
-      await self._connection_pool.release(connection, None)
+    if not await self._paths.has_ended(row, context.request.id):
       return
     team = context.team.name if context.team else ""
     logger.info(
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -21,6 +21,7 @@
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import crash_guard as crash_guard_lib
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
+from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
 from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import http_server
@@ -44,9 +45,6 @@
 _MAX_BODY_BYTES = 8_388_608
 """Largest response that is no event stream. It is read completely before it is
 passed on, so that no response is begun that then breaks off."""
-_CONNECT_S = 0.3
-"""Timeout of connecting to an endpoint. Within a region it takes 2 ms; if the
-endpoint's accept queue is full, the kernel retries after a second, too late."""
 _MAX_FAILED_CONNECTS = 4
 """Most failed connections per request. They do not count as attempts, since the
 endpoints did not run anything."""
@@ -90,7 +88,8 @@
     endpoint_selector: chooses the endpoint of each attempt.
     crash_guard: refuses requests that crash endpoints.
     endpoint_limiter: learns the request rates that endpoints name.
-    reach: records which endpoints this router can connect to.
+    paths: connects to endpoints.
+    reach: the endpoints that this router reaches directly.
   """
 
   def __init__(
@@ -106,6 +105,7 @@
       endpoint_selector: endpoint_selector_lib.EndpointSelector,
       crash_guard: crash_guard_lib.CrashGuard,
       endpoint_limiter: endpoint_limiter_lib.EndpointLimiter,
+      paths: endpoint_paths_lib.EndpointPaths,
       reach: reach_lib.Reach,
   ) -> None:
     self._config = config
@@ -116,6 +116,7 @@
     self._endpoint_selector = endpoint_selector
     self._crash_guard = crash_guard
     self._endpoint_limiter = endpoint_limiter
+    self._paths = paths
     self._reach = reach
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
@@ -207,7 +208,7 @@
       return False
     if context.attempts_sent >= context.route.max_attempts:
       return False
-    if context.failed_connects >= _MAX_FAILED_CONNECTS:
+    if context.is_cut_off or context.failed_connects >= _MAX_FAILED_CONNECTS:
       return False
     if context.attempts_sent == 0 or context.has_retry:
       context.has_retry = False
@@ -234,13 +235,14 @@
           context.permit_retry_s,
       )
     else:
+      retry_after_s = self._admission.jittered_retry_after(_MIN_RETRY_S)
       facts = {
           "failed_connects": context.failed_connects,
           **self._reach.describe(context.service.name),
       }
-      raise refusals.no_endpoint(
-          self._admission.jittered_retry_after(_MIN_RETRY_S), facts
-      )
+      if context.is_cut_off:
+        raise refusals.endpoints_unreached(retry_after_s, facts)
+      raise refusals.no_endpoint(retry_after_s, facts)
 
   async def _attempt(
       self,
@@ -256,18 +258,7 @@
     row = placement.row
     context.tried_endpoints.add(row.name)
     context.endpoint = row.name
-    try:
-      connection = await self._connection_pool.acquire(
-          row.url, _CONNECT_S, force_new=context.attempts_sent > 0
-      )
-    except errors.EndpointUnreachableError as exc:
-      context.failed_connects += 1
-      row.failures += 2
-      self._reach.note_failed(row, str(exc))
-      self._endpoint_selector.record_unreachable(row)
-      raise _RetryableError(str(exc)) from exc
-    if not connection.used:
-      self._reach.note_connected(row)
+    connection = await self._connect(context, row)
     exchange = exchange_lib.Exchange(
         self._connection_pool,
         connection,
@@ -284,6 +275,9 @@
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     failed = False
+    context.direct_row = None if connection.via else row
+    if context.direct_row is not None:
+      self._paths.note_sent(row)
     try:
       await self._relay(
           context, placement, exchange, may_have_run_before, attempt
@@ -300,8 +294,30 @@
       raise
     finally:
       attempt.end(failed)
+      if context.direct_row is not None:
+        self._reach.note_ended(row)
       await exchange.close()
 
+  async def _connect(
+      self, context: request_context_lib.RequestContext, row: endpoints.Row
+  ) -> connection_pool_lib.Connection:
+    """Returns a connection to an endpoint for the next attempt.
+
+    Raises:
+      _RetryableError: none could be opened.
+    """
+    try:
+      return await self._paths.acquire(
+          row, context.request.id, force_new=context.attempts_sent > 0
+      )
+    except errors.EndpointUnreachableError as exc:
+      context.failed_connects += 1
+      context.is_cut_off = isinstance(exc, errors.NoExitError)
+      row.failures += 2
+      if not self._reach.is_detoured(row):
+        self._endpoint_selector.record_unreachable(row)
+      raise _RetryableError(str(exc)) from exc
+
   def _forwarding_info(
       self, context: request_context_lib.RequestContext, row: endpoints.Row
   ) -> messages.ForwardingInfo:
@@ -340,6 +356,7 @@
       raise
     attempt.record_response_time(self._clock.monotonic() - sent_at)
     attempt.end_prefill()
+    self._note_heard(context)
     self._endpoint_limiter.note_answer(row, context, sent_at, head)
     if head.load is not None:
       row.running = head.load.running
@@ -423,8 +440,13 @@
         data = await anext(chunks, None)
       if data is None:
         return
+      self._note_heard(context)
       yield data
 
+  def _note_heard(self, context: request_context_lib.RequestContext) -> None:
+    if context.direct_row is not None:
+      self._reach.note_heard(context.direct_row)
+
   def _head_timeout_s(
       self, context: request_context_lib.RequestContext
   ) -> float:
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -36,9 +36,6 @@
 _RETRY_AFTER_S = 1.0
 """Retry-After of callers refused for lack of connections or memory, in seconds.
 Mostly the load balancer sends the retry to another router."""
-_ACCEPT_RETRY_S = 0.1
-"""Pause after accepting a connection failed. Without free descriptors the call
-fails immediately each time, until some are free."""
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _CONTENT_LENGTH = re.compile(rb"\ncontent-length[ \t]*:", re.IGNORECASE)
 _TRANSFER_ENCODING = re.compile(rb"\ntransfer-encoding[ \t]*:", re.IGNORECASE)
@@ -166,24 +163,9 @@
     task_status.started()
     async with anyio.create_task_group() as tasks:
       for listener in listeners:
-        tasks.start_soon(self._accept, listener, tasks)
-
-  async def _accept(
-      self, listener: abc.SocketListener, tasks: abc.TaskGroup
-  ) -> None:
-    """Accepts connections until cancelled, also after a failed accept."""
-    async with listener:
-      while True:
-        try:
-          stream = await listener.accept()
-        except OSError as exc:
-          logger.warning(
-              "connection not accepted",
-              extra={"serves": self._name, "error": str(exc)},
-          )
-          await anyio.sleep(_ACCEPT_RETRY_S)
-          continue
-        tasks.start_soon(self._serve_connection, stream)
+        tasks.start_soon(
+            sockets.accept, self._name, listener, self._serve_connection, tasks
+        )
 
   async def _serve_connection(self, stream: abc.SocketStream) -> None:
     allocation = self.resource_limiter.new_allocation()
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -81,6 +81,13 @@
   return RefusalError(503, "no endpoint free", retry_after_s, facts)
 
 
+def endpoints_unreached(
+    retry_after_s: float, facts: Mapping[str, Any]
+) -> RefusalError:
+  """This router is cut off from all endpoints, and so are others it asked."""
+  return RefusalError(503, "no endpoint reached", retry_after_s, facts)
+
+
 def endpoints_limited(
     retry_after_s: float, permit_retry_s: float
 ) -> RefusalError:
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -48,6 +48,8 @@
   has_retry: bool = False
   """Whether a retry was withdrawn for the next attempt."""
   failed_connects: int = 0
+  is_cut_off: bool = False
+  """Whether no router is known that reaches an endpoint for it."""
   may_have_run: bool = False
   body_delivered: bool = False
   """Whether a successful response that is no event stream was passed on."""
@@ -55,6 +57,8 @@
   """How long the request waited for its reservation of tokens."""
   tried_endpoints: set[str] = dataclasses.field(default_factory=set)
   endpoint: str = ""
+  direct_row: endpoints.Row | None = None
+  """The endpoint of the current attempt if its connection is direct."""
   permit_use: PermitUse | None = None
   """The permit of the current attempt; None if its endpoint is not limited."""
   permit_retry_s: float | None = None
--- /dev/null
+++ b/mustardfall/proxy/tunnel_server.py
@@ -0,0 +1,284 @@
+"""Serves tunnels: connects other routers to endpoints that they do not reach.
+
+The endpoint is connected directly, never through a further router, so that
+tunnels form no loops.
+"""
+
+import collections
+from collections.abc import Awaitable, Callable
+import logging
+
+import anyio
+from anyio import abc
+import h11
+
+from mustardfall import errors
+from mustardfall import metrics
+from mustardfall import settings
+from mustardfall.proxy import connection_pool as connection_pool_lib
+from mustardfall.proxy import resource_limiter as resource_limiter_lib
+from mustardfall.proxy import tunnels
+from mustardfall.routing import endpoints
+from mustardfall.util import sockets
+
+logger = logging.getLogger(__name__)
+
+_READ_BYTES = 65_536
+_MAX_HEAD_BYTES = 4_096
+_HEAD_TIMEOUT_S = 1.0
+_ROOM_SHARE = 0.5
+"""Share of the memory and connections of callers that tunnels may take, so that
+this router's own callers are served."""
+_STATUSES = {"unknown": 404, tunnels.REFUSED: 502, "unreached": 502}
+"""HTTP statuses by the reason of a refusal; of the others, 503."""
+
+
+class TunnelServer:
+  """Opens and serves tunnels for other routers.
+
+  Args:
+    config: the port, and the address for calls of other routers.
+    find_endpoint: returns the endpoint at an address, None if none is known.
+    connect: connects to an endpoint directly; raises
+      `errors.EndpointUnreachableError`.
+    is_cut: whether this router is cut off from a kind of endpoints.
+    connection_pool: closes the connections to endpoints.
+    resource_limiter: limits connections and memory.
+    instruments: exports counters.
+  """
+
+  def __init__(
+      self,
+      config: settings.Router,
+      find_endpoint: Callable[[str], endpoints.Row | None],
+      connect: Callable[
+          [endpoints.Row], Awaitable[connection_pool_lib.Connection]
+      ],
+      is_cut: Callable[[str], bool],
+      connection_pool: connection_pool_lib.ConnectionPool,
+      resource_limiter: resource_limiter_lib.ResourceLimiter,
+      instruments: metrics.Instruments,
+  ) -> None:
+    self._config = config
+    self._find_endpoint = find_endpoint
+    self._connect = connect
+    self._is_cut = is_cut
+    self._connection_pool = connection_pool
+    self._resource_limiter = resource_limiter
+    self._tunnels: set[_Tunnel] = set()
+    self._is_closing = False
+    self._counts: collections.Counter[str] = collections.Counter()
+    instruments.observe_totals(
+        "mustardfall.tunnels", "", "tunnels served, by outcome", self._counts
+    )
+
+  @property
+  def open_count(self) -> int:
+    """The number of open tunnels."""
+    return len(self._tunnels)
+
+  async def run(self) -> None:
+    """Serves tunnels until cancelled."""
+    port = self._config.tunnel_port
+    if not port:
+      await anyio.sleep_forever()
+    host = self._config.peer_listen.host
+    listeners = await sockets.listen("tunnels", host, port)
+    async with anyio.create_task_group() as tasks:
+      for listener in listeners:
+        tasks.start_soon(
+            sockets.accept, "tunnels", listener, self._serve_connection, tasks
+        )
+
+  async def close(self) -> None:
+    """Opens no further tunnels, and has the open ones used no more."""
+    self._is_closing = True
+    for tunnel in list(self._tunnels):
+      await tunnel.announce_close()
+
+  async def _serve_connection(self, stream: abc.SocketStream) -> None:
+    allocation = self._resource_limiter.new_allocation()
+    try:
+      sockets.detect_silence(stream)
+      await self._serve(stream, allocation)
+    except* (
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        anyio.EndOfStream,
+        h11.ProtocolError,
+        OSError,
+    ) as group:
+      logger.info("tunnel broken off", extra={"error": repr(group.exceptions)})
+    except* Exception:  # noqa: BLE001  a fault must not end other tunnels
+      logger.exception("tunnel failed")
+    finally:
+      allocation.close()
+      with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(stream)
+
+  async def _serve(
+      self,
+      stream: abc.SocketStream,
+      allocation: resource_limiter_lib.Allocation,
+  ) -> None:
+    parser = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=_MAX_HEAD_BYTES
+    )
+    with anyio.fail_after(_HEAD_TIMEOUT_S):
+      request = await _read_head(stream, parser)
+    address = request.target.decode("latin-1")
+    row = self._find_endpoint(address)
+    reason = self._reason_to_refuse(request, row, allocation)
+    if reason or row is None:
+      await self._refuse(stream, parser, request, reason)
+      return
+    try:
+      connection = await self._connect(row)
+    except errors.EndpointUnreachableError as exc:
+      reason = tunnels.REFUSED if exc.is_refused else "unreached"
+      await self._refuse(stream, parser, request, reason)
+      return
+    self._counts["opened"] += 1
+    logger.info(
+        "tunnel opened",
+        extra={"request": _request_id(request), "endpoint": row.life},
+    )
+    tunnel = _Tunnel(stream, connection.stream)
+    self._tunnels.add(tunnel)
+    try:
+      response = h11.Response(status_code=200, headers=[])
+      await stream.send(parser.send(response) or b"")
+      await tunnel.run()
+    finally:
+      self._tunnels.remove(tunnel)
+      with anyio.CancelScope(shield=True):
+        await self._connection_pool.discard(connection)
+
+  def _reason_to_refuse(
+      self,
+      request: h11.Request,
+      row: endpoints.Row | None,
+      allocation: resource_limiter_lib.Allocation,
+  ) -> str:
+    """Returns why a tunnel is refused; empty if it may be opened."""
+    if request.method != b"CONNECT" or row is None:
+      return "unknown"
+    if self._is_closing:
+      return "closing"
+    if self._is_cut(row.kind):
+      return "cut"
+    if not self._allocate(allocation):
+      return "full"
+    return ""
+
+  def _allocate(self, allocation: resource_limiter_lib.Allocation) -> bool:
+    limiter = self._resource_limiter
+    if limiter.connections >= limiter.max_connections * _ROOM_SHARE:
+      return False
+    size = resource_limiter_lib.REQUEST_OVERHEAD_BYTES
+    if not allocation.allocate(size, _ROOM_SHARE):
+      return False
+    allocation.add_connection()
+    return True
+
+  async def _refuse(
+      self,
+      stream: abc.SocketStream,
+      parser: h11.Connection,
+      request: h11.Request,
+      reason: str,
+  ) -> None:
+    self._counts[reason] += 1
+    extra = {
+        "request": _request_id(request),
+        "address": request.target.decode("latin-1"),
+        "reason": reason,
+        "tunnels": self.open_count,
+        **self._resource_limiter.log_fields,
+    }
+    logger.info("tunnel refused", extra=extra)
+    response = h11.Response(
+        status_code=_STATUSES.get(reason, 503),
+        headers=[
+            (tunnels.REASON_HEADER, reason.encode()),
+            (b"content-length", b"0"),
+        ],
+    )
+    data = parser.send(response) or b""
+    await stream.send(data + (parser.send(h11.EndOfMessage()) or b""))
+    await stream.send_eof()
+
+
+class _Tunnel:
+  """Passes bytes between another router and an endpoint.
+
+  Args:
+    router: the connection of the other router.
+    endpoint: the connection to the endpoint.
+  """
+
+  def __init__(
+      self, router: abc.SocketStream, endpoint: abc.ByteStream
+  ) -> None:
+    self._router = router
+    self._endpoint = endpoint
+    self._send_lock = anyio.Lock()
+
+  async def run(self) -> None:
+    """Passes bytes on until one side closes its connection."""
+    async with anyio.create_task_group() as tasks:
+      tasks.start_soon(self._pass_to_endpoint, tasks.cancel_scope)
+      await self._pass_to_router()
+      tasks.cancel_scope.cancel()
+
+  async def announce_close(self) -> None:
+    """Tells the other router not to use the tunnel for another request."""
+    try:
+      await self._send_frame(tunnels.CLOSING_FRAME)
+    except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+      logger.info("tunnel not announced to close", extra={"error": repr(exc)})
+
+  async def _send_frame(self, frame: bytes) -> None:
+    async with self._send_lock:
+      await self._router.send(frame)
+
+  async def _pass_to_router(self) -> None:
+    while True:
+      try:
+        data = await self._endpoint.receive(_READ_BYTES)
+      except anyio.EndOfStream:
+        await self._send_frame(tunnels.END_FRAME)
+        return
+      except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return  # without the end frame, so that no response looks complete
+      await self._send_frame(tunnels.encode_frame(data))
+
+  async def _pass_to_endpoint(self, scope: anyio.CancelScope) -> None:
+    while True:
+      try:
+        data = await self._router.receive(_READ_BYTES)
+      except (
+          anyio.EndOfStream,
+          anyio.BrokenResourceError,
+          anyio.ClosedResourceError,
+      ):
+        scope.cancel()  # the other router has given the request up
+        return
+      try:
+        await self._endpoint.send(data)
+      except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return  # the endpoint may have responded before it closed
+
+
+async def _read_head(
+    stream: abc.SocketStream, parser: h11.Connection
+) -> h11.Request:
+  while (event := parser.next_event()) is h11.NEED_DATA:
+    parser.receive_data(await stream.receive(_READ_BYTES))
+  if not isinstance(event, h11.Request):
+    raise h11.RemoteProtocolError("no request")
+  return event
+
+
+def _request_id(request: h11.Request) -> str:
+  return dict(request.headers).get(b"request-id", b"").decode("latin-1")
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -217,6 +217,11 @@
     row = self.rows.get(life) or self.rows.get(life.rpartition(":")[0])
     return row if row is not None and row.life == life else None
 
+  def find_address(self, address: str) -> Row | None:
+    """Returns the row with this address, or None if none is listed."""
+    rows = (row for row in self.rows.values() if row.url == address)
+    return next(rows, None)
+
   def eligible(
       self, kind: str, model: str, avoid: frozenset[str] = frozenset()
   ) -> list[Row]:
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -191,6 +191,9 @@
   load_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """UDP port, the same on all routers, on which they exchange the load that
   each puts on the endpoints; 0: they do not."""
+  tunnel_port: int = pydantic.Field(default=0, ge=0, le=65535)
+  """TCP port, the same on all routers, on which each connects others to endpoints
+  that they do not reach; 0: none does."""
   kv_url: str
   hosts_url: str
   tick_s: float = pydantic.Field(default=0.5, gt=0)
--- a/mustardfall/util/sockets.py
+++ b/mustardfall/util/sockets.py
@@ -1,6 +1,7 @@
 """TCP connections that detect a silent peer, and ports bound with retries."""
 
 from collections.abc import Awaitable, Callable
+import functools
 import logging
 import select
 import socket
@@ -12,6 +13,9 @@
 logger = logging.getLogger(__name__)
 
 _LISTEN_BACKLOG = 512
+_ACCEPT_RETRY_S = 0.1
+"""Pause after accepting a connection failed. Without free descriptors the call
+fails immediately each time, until some are free."""
 _BIND_RETRY_INTERVAL_S = 1.0
 """Time between two attempts to bind a port."""
 _TCP_USER_TIMEOUT_MS = 1_500
@@ -93,10 +97,43 @@
   host, port = split_address(address)
   with anyio.fail_after(timeout_s):
     stream = await anyio.connect_tcp(host, port)
+  detect_silence(stream)
+  return stream
+
+
+def detect_silence(stream: abc.SocketStream) -> None:
+  """Makes a connection fail soon after its peer has fallen silent."""
   sock = stream.extra(abc.SocketAttribute.raw_socket)
   for option in _SOCKET_OPTIONS:
     sock.setsockopt(*option)
-  return stream
+
+
+async def accept(
+    purpose: str,
+    listener: abc.SocketListener,
+    serve: Callable[[abc.SocketStream], Awaitable[None]],
+    tasks: abc.TaskGroup,
+) -> None:
+  """Accepts connections until cancelled, also after a failed accept.
+
+  Args:
+    purpose: what the port is for; logged.
+    listener: the open port.
+    serve: serves one connection.
+    tasks: runs `serve` for each connection.
+  """
+  async with listener:
+    while True:
+      try:
+        stream = await listener.accept()
+      except OSError as exc:
+        logger.warning(
+            "connection not accepted",
+            extra={"serves": purpose, "error": str(exc)},
+        )
+        await anyio.sleep(_ACCEPT_RETRY_S)
+        continue
+      tasks.start_soon(serve, stream)
 
 
 def is_refused(exc: BaseException | None) -> bool:
@@ -108,8 +145,14 @@
   return False
 
 
-def is_readable(stream: abc.SocketStream) -> bool:
+@functools.singledispatch
+def is_readable(stream: abc.ByteStream) -> bool:
   """Whether a connection has unread bytes or was closed by the peer."""
+  return is_socket_readable(stream)
+
+
+def is_socket_readable(stream: abc.ByteStream) -> bool:
+  """Whether a connection's socket has unread bytes or was closed."""
   sock = stream.extra(abc.SocketAttribute.raw_socket)
   poll = select.poll()
   poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
