Reach single endpoints through another router, too

An endpoint that a router fails to reach is now tried through another router, and reached so until a direct connection succeeds. A connection to one endpoint no longer makes the failures at others forgotten; only those after it say that the router is cut off.

--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -33,6 +33,8 @@
 """Exits that are tried for one connection."""
 _TRIALS = 3
 """Other endpoints that are tried once some are not reached."""
+_MAX_CONFIRMATIONS = 4
+"""Unreached endpoints to which another router's connection is tried at a time."""
 _CHECK_INTERVAL_S = 0.1
 """Interval at which silence is looked for while requests are in flight."""
 _PROBE_INTERVAL_S = 0.5
@@ -103,7 +105,18 @@
       except errors.EndpointUnreachableError:
         if not self._reach.is_detoured(row):
           raise
-    return await self._acquire_through_exit(row, request_id, force_new)
+    connection = await self._acquire_through_exit(row, request_id, force_new)
+    logger.info(
+        "request goes through another router",
+        extra={
+            "request": request_id,
+            "endpoint": row.life,
+            "exit": connection.via,
+            "is_new": not connection.used,
+            **self._reach.describe(row.kind),
+        },
+    )
+    return connection
 
   async def acquire_directly(
       self, row: endpoints.Row, force_new: bool = True
@@ -131,6 +144,7 @@
       self._counts["direct failed"] += 1
       if self._reach.note_failed(row, str(exc)):
         await self._begin_detour(row.kind)
+      self._wake()
       raise
     if not connection.used:
       self._counts["direct"] += 1
@@ -179,16 +193,6 @@
         raise
       self._counts["tunnel"] += 1
       self._reach.note_reached_by_other(row, member.life)
-      logger.info(
-          "request goes through another router",
-          extra={
-              "request": request_id,
-              "endpoint": row.life,
-              "exit": member.life,
-              "is_new": not connection.used,
-              **self._reach.describe(row.kind),
-          },
-      )
       return connection
     self._counts["no exit"] += 1
     raise errors.NoExitError(f"{row.url}: no router reaches it")
@@ -226,18 +230,14 @@
     else:
       await self._connection_pool.release(connection, None)
       return False
-    for member in await self._exits.find(row.kind, row.datacentre):
-      try:
-        connection = await self._open_tunnel(row, member, request_id, True)
-      except errors.ExitUnavailableError as exc:
-        self._exits.drop(member.life, str(exc))
-        continue
-      except errors.EndpointUnreachableError as exc:
-        return exc.is_refused
-      self._reach.note_reached_by_other(row, member.life)
-      await self._connection_pool.release(connection, None)
-      return False
-    return not self._reach.is_detoured(row)
+    try:
+      connection = await self._acquire_through_exit(row, request_id, True)
+    except errors.NoExitError:
+      return not self._reach.is_detoured(row)
+    except errors.EndpointUnreachableError as exc:
+      return exc.is_refused
+    await self._connection_pool.release(connection, None)
+    return False
 
   def note_sent(self, row: endpoints.Row) -> None:
     """Records that a request was sent on a direct connection."""
@@ -254,6 +254,9 @@
         self._work = anyio.Event()
         await self._work.wait()
       await anyio.sleep(_CHECK_INTERVAL_S)
+      async with anyio.create_task_group() as tasks:
+        for row in self._reach.take_unconfirmed(_MAX_CONFIRMATIONS):
+          tasks.start_soon(self._confirm, row)
       for rows in self._reach.take_silent():
         await self._probe(rows[:_MIN_PROBES_PER_ROUND])
       now = anyio.current_time()
@@ -265,6 +268,16 @@
         for kind in self._reach.cut_kinds:
           self._exits.refresh(kind)
 
+  async def _confirm(self, row: endpoints.Row) -> None:
+    """Finds out whether another router reaches an endpoint."""
+    try:
+      connection = await self._acquire_through_exit(row, "", True)
+    except errors.EndpointUnreachableError as exc:
+      extra = {"endpoint": row.life, "error": str(exc)}
+      logger.info("endpoint not reached by another router", extra=extra)
+      return
+    await self._connection_pool.release(connection, None)
+
   async def _probe_unreached(self) -> None:
     """Probes endpoints that are detoured, and kinds that may be cut off, too."""
     unreached = [
--- a/mustardfall/routing/reach.py
+++ b/mustardfall/routing/reach.py
@@ -94,6 +94,8 @@
     self.cut_since: float | None = None
     self.detoured: dict[str, float] = {}
     """Lives that only other routers reach, and since when."""
+    self.unconfirmed: dict[str, None] = {}
+    """Unreached lives of which it is not known whether others reach them."""
     self.in_flight: dict[str, int] = {}
     """Requests in flight on direct connections, by the endpoint's name."""
     self.heard_at = 0.0
@@ -140,6 +142,7 @@
     now = self._clock.monotonic()
     kind.reached_at = now
     kind.failures.pop(row.life, None)
+    kind.unconfirmed.pop(row.life, None)
     kind.detoured.pop(row.life, None)
     if kind.cut_since is not None:
       extra = {
@@ -150,8 +153,6 @@
       }
       logger.info("endpoints reached again", extra=extra)
       kind.cut_since = None
-    # Failures before this connection are no evidence that all are cut off.
-    kind.failures.clear()
 
   def note_failed(self, row: endpoints.Row, error: str) -> bool:
     """Records that no connection to an endpoint could be opened.
@@ -174,6 +175,7 @@
         **self.describe(row.kind),
     }
     logger.info("endpoint not reached", extra=extra)
+    kind.unconfirmed[row.life] = None
     if kind.cut_since is not None or self._judge(row.kind) is not State.CUT:
       return False
     kind.cut_since = now
@@ -182,9 +184,11 @@
     return True
 
   def _evidence(self, kind: str) -> Evidence:
-    rows = self.rows_of(kind)
-    failures = self._kind(kind).failures
-    return Evidence(len(rows), sum(row.life in failures for row in rows))
+    rows, known = self.rows_of(kind), self._kind(kind)
+    failures = (known.failures.get(row.life) for row in rows)
+    reached_at = -float("inf") if known.reached_at is None else known.reached_at
+    unreached = sum(f is not None and f.last_at > reached_at for f in failures)
+    return Evidence(len(rows), unreached)
 
   def _judge(self, kind: str) -> State:
     return judge(self._evidence(kind))
@@ -206,6 +210,19 @@
       extra = {"endpoint": row.life, "address": row.url, "router": router}
       logger.info("endpoint reached only by others", extra=extra)
 
+  def take_unconfirmed(self, limit: int) -> list[endpoints.Row]:
+    """Returns unreached endpoints that other routers may reach, each once.
+
+    While this router is cut off from all endpoints of a kind, requests show it.
+    """
+    rows: list[endpoints.Row] = []
+    for kind in self._kinds.values():
+      while kind.cut_since is None and kind.unconfirmed and len(rows) < limit:
+        row = self._table.find_life(kind.unconfirmed.popitem()[0])
+        if row is not None and not self.is_detoured(row):
+          rows.append(row)
+    return rows
+
   def note_sent(self, row: endpoints.Row) -> None:
     """Records that a request was sent on a direct connection."""
     kind = self._kind(row.kind)
@@ -226,9 +243,12 @@
 
   @property
   def is_idle(self) -> bool:
-    """Whether no request is in flight directly and no endpoint is detoured."""
+    """Whether there is nothing to check: no request in flight, none unreached."""
     return not any(
-        kind.in_flight or kind.detoured or kind.cut_since is not None
+        kind.in_flight
+        or kind.detoured
+        or kind.unconfirmed
+        or kind.cut_since is not None
         for kind in self._kinds.values()
     )
 
@@ -278,6 +298,7 @@
     for kind in self._kinds.values():
       _drop_unlisted(kind.detoured, self._table)
       _drop_unlisted(kind.failures, self._table)
+      _drop_unlisted(kind.unconfirmed, self._table)
 
   def describe(self, kind: str) -> dict[str, Any]:
     """Returns what is known of the endpoints of a kind, for the log."""
