--- a/mustardfall/emulator/network.py
+++ b/mustardfall/emulator/network.py
@@ -151,7 +151,8 @@
     """Resets the connection under its user."""
     self._was_reset = True
     raw = self._inner.extra(abc.SocketAttribute.raw_socket)
-    raw.shutdown(socket.SHUT_RDWR)
+    with contextlib.suppress(OSError):  # it has ended already
+      raw.shutdown(socket.SHUT_RDWR)
 
   async def aclose(self) -> None:
     """Closes the connection."""
--- a/mustardfall/membership/exits.py
+++ b/mustardfall/membership/exits.py
@@ -32,8 +32,9 @@
 a core 15 ms."""
 _MAX_ROUNDS = 5
 """Rounds that a request waits for."""
-_VAIN_S = 0.25
-"""How long no request waits after rounds in which no exit was found."""
+_VAIN_S = 1.0
+"""How long no request waits after rounds in which no exit was found. Routers are
+asked further, and the first exit that answers is used at once."""
 _ASK_AGAIN_S = 0.5
 """Minimum time between two questions to a router."""
 _MAX_REFERRALS = 3
@@ -70,6 +71,7 @@
     reaches: whether this router reaches a kind of endpoints.
     busy: returns this router's requests in flight and open tunnels.
     clock: the time source.
+    rng: draws the routers that are asked.
   """
 
   def __init__(
@@ -79,13 +81,14 @@
       reaches: Callable[[str], bool],
       busy: Callable[[], int],
       clock: clock_lib.Clock,
+      rng: random.Random | None = None,
   ) -> None:
     self._members = members
     self._datagrams = datagrams
     self._reaches = reaches
     self._busy = busy
     self._clock = clock
-    self._random = random.Random()
+    self._random = rng or random.Random()
     self._known: dict[str, dict[str, _Known]] = {}
     """What exits answered, by kind and life."""
     self._referred: dict[str, dict[str, None]] = {}
@@ -95,8 +98,10 @@
     self._dropped_until: dict[str, float] = {}
     self._vain_until: dict[str, float] = {}
     """Until when requests do not wait for an exit, by kind."""
-    self._found: dict[str, anyio.Event] = {}
-    """By kind: set at the next answer of an exit."""
+    self._answered: dict[str, anyio.Event] = {}
+    """By kind: set once an exit, or all routers of the last round, answered."""
+    self._unanswered: dict[str, set[str]] = {}
+    """Lives that were asked in the last round and have not answered, by kind."""
     self._questions = 0
     datagrams.connect_with_sender(
         datagrams_lib.Kind.EXIT_ASK, self._handle_question
@@ -116,9 +121,9 @@
     if found or self._clock.monotonic() < self._vain_until.get(kind, 0.0):
       return found
     for _ in range(_MAX_ROUNDS):
-      if not self._ask(kind):
+      if not self._ask(kind) and not self._unanswered.get(kind):
         break
-      event = self._found.setdefault(kind, anyio.Event())
+      event = self._answered.setdefault(kind, anyio.Event())
       with anyio.move_on_after(_ROUND_S):
         await event.wait()
       found = self._usable(kind, datacentre)
@@ -132,6 +137,13 @@
     self._dropped_until[life] = self._clock.monotonic() + _DROPPED_S
     logger.info("exit not used", extra={"exit": life, "reason": reason})
 
+  def note_opened(self, kind: str, life: str) -> None:
+    """Records that an exit has opened a tunnel, which answers for it, too."""
+    known = self._known.get(kind, {}).get(life)
+    if known is not None:
+      now = self._clock.monotonic()
+      self._known[kind][life] = known._replace(heard_at=now)
+
   def refresh(self, kind: str) -> None:
     """Asks the known exits again, and a few other routers."""
     self._prune()
@@ -159,10 +171,12 @@
     now = self._clock.monotonic()
     self._questions += 1
     content = json.dumps([self._questions, kind]).encode()
+    if receivers:
+      self._unanswered[kind] = {member.life for member in receivers}
     for member in receivers:
       self._asked_at[kind, member.life] = now
       self._datagrams.enqueue(datagrams_lib.Kind.EXIT_ASK, content, member)
-    return bool(receivers) or bool(self._members.others)
+    return bool(receivers)
 
   def _receivers(self, kind: str) -> list[members_lib.Member]:
     """Returns the routers to ask: known exits, named ones, then any others."""
@@ -216,6 +230,15 @@
 
   def _handle_answer(self, raw: bytes) -> None:
     answer = _decode(json.loads(raw))
+    unanswered = self._unanswered.get(answer.kind, set())
+    unanswered.discard(answer.life)
+    self._apply(answer)
+    if answer.reaches or not unanswered:
+      event = self._answered.pop(answer.kind, None)
+      if event is not None:
+        event.set()
+
+  def _apply(self, answer: Answer) -> None:
     known = self._known.setdefault(answer.kind, {})
     if not answer.reaches:
       known.pop(answer.life, None)
@@ -228,9 +251,6 @@
       return  # it is not listed yet, or not any more
     known[answer.life] = _Known(answer.busy, self._clock.monotonic())
     self._vain_until.pop(answer.kind, None)
-    event = self._found.pop(answer.kind, None)
-    if event is not None:
-      event.set()
 
 
 def _decode(fields: Any) -> Answer:
--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -39,7 +39,7 @@
 """Interval at which silence is looked for while requests are in flight."""
 _PROBE_INTERVAL_S = 0.5
 """Interval between two rounds of probes of endpoints that were not reached."""
-_REFRESH_INTERVAL_S = 1.0
+_REFRESH_INTERVAL_S = 0.5
 """Interval at which known exits are asked whether they still reach endpoints."""
 _MIN_PROBES_PER_ROUND = 2
 _MAX_PROBES_PER_ROUND = 64
@@ -55,6 +55,7 @@
     reach: which endpoints this router reaches directly.
     exits: finds routers that reach the others.
     instruments: exports counters.
+    rng: draws the endpoints that are probed.
   """
 
   def __init__(
@@ -64,12 +65,13 @@
       reach: reach_lib.Reach,
       exits: exits_lib.Exits,
       instruments: metrics.Instruments,
+      rng: random.Random | None = None,
   ) -> None:
     self._config = config
     self._connection_pool = connection_pool
     self._reach = reach
     self._exits = exits
-    self._random = random.Random()
+    self._random = rng or random.Random()
     self._probes_per_round = _MIN_PROBES_PER_ROUND
     self._probed_at = -float("inf")
     self._refreshed_at = -float("inf")
@@ -192,6 +194,8 @@
         self._counts["tunnel failed"] += 1
         raise
       self._counts["tunnel"] += 1
+      if not connection.used:
+        self._exits.note_opened(row.kind, member.life)
       self._reach.note_reached_by_other(row, member.life)
       return connection
     self._counts["no exit"] += 1
