--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -240,7 +240,8 @@
 
   def _reaches(self, kind: str) -> bool:
     """Whether this router opens tunnels to a kind of endpoints."""
-    return not (self.stopping or self.reach.is_cut(kind))
+    is_closed = self.stopping or self.tunnel_server.is_busy
+    return not (is_closed or self.reach.is_cut(kind))
 
   def _busy(self) -> int:
     """Returns this router's requests in flight and open tunnels."""
--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -262,7 +262,7 @@
         for row in self._reach.take_unconfirmed(_MAX_CONFIRMATIONS):
           tasks.start_soon(self._confirm, row)
       for rows in self._reach.take_silent():
-        await self._probe(rows[:_MIN_PROBES_PER_ROUND])
+        await self._check_silence(rows)
       now = anyio.current_time()
       if now - self._probed_at >= _PROBE_INTERVAL_S:
         self._probed_at = now
@@ -272,6 +272,14 @@
         for kind in self._reach.cut_kinds:
           self._exits.refresh(kind)
 
+  async def _check_silence(self, rows: list[endpoints.Row]) -> None:
+    """Tries one endpoint of a kind that has fallen silent; if it fails, more."""
+    if await self._probe(rows[:1]):
+      return
+    await self._probe(rows[1:_MIN_PROBES_PER_ROUND])
+    if self._reach.is_suspected(rows[0].kind):
+      await self._try_others(rows[0].kind)
+
   async def _confirm(self, row: endpoints.Row) -> None:
     """Finds out whether another router reaches an endpoint."""
     try:
--- a/mustardfall/proxy/tunnel_server.py
+++ b/mustardfall/proxy/tunnel_server.py
@@ -29,6 +29,10 @@
 _ROOM_SHARE = 0.5
 """Share of the memory and connections of callers that tunnels may take, so that
 this router's own callers are served."""
+_LAG_INTERVAL_S = 0.1
+_MAX_LAG_S = 0.05
+"""Delay of this router's own timers from which it opens no further tunnels: its
+processor is busy, and more work would make its own callers wait."""
 _STATUSES = {"unknown": 404, tunnels.REFUSED: 502, "unreached": 502}
 """HTTP statuses by the reason of a refusal; of the others, 503."""
 
@@ -67,6 +71,8 @@
     self._resource_limiter = resource_limiter
     self._tunnels: set[_Tunnel] = set()
     self._is_closing = False
+    self._lag_s = 0.0
+    """How late a timer of this process last was."""
     self._counts: collections.Counter[str] = collections.Counter()
     instruments.observe_totals(
         "mustardfall.tunnels", "", "tunnels served, by outcome", self._counts
@@ -85,11 +91,23 @@
     host = self._config.peer_listen.host
     listeners = await sockets.listen("tunnels", host, port)
     async with anyio.create_task_group() as tasks:
+      tasks.start_soon(self._measure_lag)
       for listener in listeners:
         tasks.start_soon(
             sockets.accept, "tunnels", listener, self._serve_connection, tasks
         )
 
+  async def _measure_lag(self) -> None:
+    while True:
+      due_at = anyio.current_time() + _LAG_INTERVAL_S
+      await anyio.sleep(_LAG_INTERVAL_S)
+      self._lag_s = anyio.current_time() - due_at
+
+  @property
+  def is_busy(self) -> bool:
+    """Whether this router's processor is too busy for further tunnels."""
+    return self._lag_s > _MAX_LAG_S
+
   async def close(self) -> None:
     """Opens no further tunnels, and has the open ones used no more."""
     self._is_closing = True
@@ -167,6 +185,8 @@
       return "closing"
     if self._is_cut(row.kind):
       return "cut"
+    if self.is_busy:
+      return "busy"
     if not self._allocate(allocation):
       return "full"
     return ""
