Try a limit again at routers that hear from no issuer

A router whose datagrams reach nobody gets no permits for endpoints whose issuer is another one, so no answer that no longer names the limit: with one server that named 6 a second and then nothing, requests were still refused 5 to 7 s after the end (new test, fails before). After 2 s of silence it issues its own permits, at its part of what all uncertain issuers may issue; the issuer counts only those that it hears from, so that the sum stays the same. A lease is ended at the router that issues now as well as at the one that gave it.

--- a/mustardfall/membership/permits.py
+++ b/mustardfall/membership/permits.py
@@ -5,7 +5,9 @@
 
 An endpoint's permits are issued by one router, see `routing.issuing`. The
 others ask it by datagram before they send a request. A router that gets no
-answer sends no request to that endpoint.
+answer sends no request to that endpoint, and after some time only as many as its
+part of what uncertain issuers may issue: an answer of the endpoint shows whether
+its limit has ended.
 """
 
 from collections.abc import Iterable
@@ -33,6 +35,8 @@
 some 15 ms on a busy host of half a core."""
 _SILENCE_RETRY_S = 1.0
 """How long an issuer that gave no answer is not asked again."""
+_ALONE_AFTER_S = 2.0
+"""How long an issuer must be silent until a router issues its own permits."""
 _UNSETTLED_RETRY_S = 0.5
 """How long a router is not asked that does not take itself for the issuer, or
 does not know the other routers yet."""
@@ -131,6 +135,10 @@
     self._next_id = 0
     self._held: dict[str, dict[str, set[int]]] = {}
     """Numbers of the leases that this router holds, by issuer and endpoint."""
+    self._silent_since: dict[str, float] = {}
+    """Since when issuers have given no answer, by name."""
+    self._alone: dict[str, issuing.Bucket] = {}
+    """Permits of endpoints whose issuer is silent."""
     self._next_followed = 0
     self._counts = {"granted": 0, "refused": 0, "unanswered": 0, "issued": 0}
     instruments.observe_totals(
@@ -172,7 +180,10 @@
     numbers.discard(permit.lease)
     if not numbers:
       held.pop(endpoint, None)
-    self._send_leases(permit.issuer, endpoint, [permit.lease], is_end=True)
+    limit = self._limits.find_life(endpoint)
+    current = self._issuer_of(limit) if limit is not None else None
+    for issuer in {permit.issuer, current or permit.issuer}:
+      self._send_leases(issuer, endpoint, [permit.lease], is_end=True)
 
   def _send_leases(
       self, issuer: str, endpoint: str, numbers: list[int], is_end: bool
@@ -240,9 +251,41 @@
       del self._questions[id_]
     if question.permit is None:
       self._counts["unanswered"] += 1
-      return Permit(None, _SILENCE_RETRY_S, name, 0.0)
+      return self._issue_alone(limit, name, max_wait_s)
+    self._silent_since.pop(name, None)
+    self._alone.pop(limit.endpoint, None)
     return question.permit
 
+  def _issue_alone(
+      self,
+      limit: limited_endpoints.LimitedEndpoint,
+      issuer: str,
+      max_wait_s: float,
+  ) -> Permit:
+    """Issues a permit of an endpoint whose issuer does not answer.
+
+    The issuer does not count this router as a follower then, so that the shares
+    of all uncertain issuers still add up to the same.
+    """
+    now = self._clock.monotonic()
+    silent_s = now - self._silent_since.setdefault(issuer, now)
+    if silent_s < _ALONE_AFTER_S:
+      return Permit(None, _SILENCE_RETRY_S, issuer, 0.0)
+    share = issuing.share(False, 1, self._fleet_size.peak())
+    rate = share * min(limit.per_s, limit.slots or math.inf)
+    bucket = self._alone.setdefault(limit.endpoint, issuing.Bucket(now))
+    wait_s = bucket.take(rate, max_wait_s, now, False)
+    if wait_s is None:
+      return Permit(None, _SILENCE_RETRY_S, issuer, share)
+    extra = {
+        "endpoint": limit.endpoint,
+        "issuer": issuer,
+        "silent_s": round(silent_s, 3),
+        "share": round(share, 3),
+    }
+    logger.info("permit issued without the issuer", extra=extra)
+    return Permit(wait_s, 0.0, self._members.me.name, share)
+
   def is_issuer_of(self, limit: limited_endpoints.LimitedEndpoint) -> bool:
     """Whether this router issues an endpoint's permits."""
     return self._issuer_of(limit) == self._members.me.name
@@ -417,6 +460,9 @@
   def _prune(self) -> None:
     """Forgets endpoints whose permits were not asked for, and followers."""
     now = self._clock.monotonic()
+    for endpoint in list(self._alone):
+      if self._limits.find_life(endpoint) is None:
+        del self._alone[endpoint]
     for endpoint, issued in list(self._issued.items()):
       if now - issued.used_at >= _BUCKET_LIFETIME_S:
         del self._issued[endpoint]
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -77,3 +77,28 @@
         most_in_a_window(bound, _WINDOW_S) <= _ALLOWED, (len(bound), _ALLOWED)
     )
     self.assertEqual({200}, set(callers.statuses))
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_limit_ends_at_routers_that_hear_from_no_other(self, env):
+    """Guards against a limit that stays in force as no request finds out."""
+    routers = await env.add_routers(_ROUTERS)
+    callers = _Callers(env, routers)
+    for router in routers:
+      for name in ("enqueue", "enqueue_to"):
+        setattr(router.datagrams, name, lambda *args: None)
+      router.datagrams.send = _send_nothing
+    for server in env.servers.values():
+      server.behaviour.rate_limit = "6"
+    await callers.run(4.0)
+    bound = [at for name in env.servers for at in _arrivals(env, name)]
+    self.assertTrue(most_in_a_window(bound, 1.0) < 3 * _CALLS_PER_S)
+    for server in env.servers.values():
+      server.behaviour.rate_limit = None
+    await callers.run(5.0)
+    callers.statuses.clear()
+    await callers.run(2.0)
+    self.assertEqual({200}, set(callers.statuses))
+
+
+async def _send_nothing(kind, content, receivers) -> None:
+  del kind, content, receivers
