Probe endpoints that were listed during a cut first; ignore ones that leave

Read-through of the fix: after a crash of all servers of a small service a router took itself for cut off, and its probes drew from dead and new endpoints alike. A request whose endpoint had changed its service would have failed as it ended, and a silent kind without listed endpoints would have ended the checking loop.

--- a/mustardfall/routing/reach.py
+++ b/mustardfall/routing/reach.py
@@ -199,8 +199,13 @@
 
   def untried_rows(self, kind: str) -> list[endpoints.Row]:
     """Returns the endpoints of a kind that have not failed lately."""
-    failures = self._kind(kind).failures
-    return [row for row in self.rows_of(kind) if row.life not in failures]
+    failures, now = self._kind(kind).failures, self._clock.monotonic()
+    return [
+        row
+        for row in self.rows_of(kind)
+        if row.life not in failures
+        or now - failures[row.life].last_at >= _FAILURE_MEMORY_S
+    ]
 
   def note_reached_by_other(self, row: endpoints.Row, router: str) -> None:
     """Records that another router reached an endpoint."""
@@ -237,9 +242,9 @@
   def note_ended(self, row: endpoints.Row) -> None:
     """Records that a request sent on a direct connection has ended."""
     in_flight = self._kind(row.kind).in_flight
-    in_flight[row.name] -= 1
-    if not in_flight[row.name]:
-      del in_flight[row.name]
+    left = in_flight.pop(row.name, 0) - 1
+    if left > 0:
+      in_flight[row.name] = left
 
   @property
   def is_idle(self) -> bool:
@@ -267,7 +272,7 @@
         rows = self.rows_of(name)
         rows.sort(key=lambda row: row.name not in kind.in_flight)
         found.append(rows)
-    return found
+    return [rows for rows in found if rows]
 
   def was_reached(self, kind: str) -> bool:
     """Whether a connection to a kind of endpoints was opened just now."""
@@ -280,13 +285,18 @@
     """Returns the endpoints that may be reached directly again."""
     known = self._kinds.get(kind, _Kind())
     if known.cut_since is not None:
-      return self.rows_of(kind)
+      # Endpoints that were listed since the cut began are among the untried.
+      return self.untried_rows(kind) or self.rows_of(kind)
     rows = (self._table.find_life(life) for life in known.detoured)
     return [row for row in rows if row is not None]
 
   def rows_of(self, kind: str) -> list[endpoints.Row]:
-    """Returns the listed endpoints of a kind."""
-    return [row for row in self._table.rows.values() if row.kind == kind]
+    """Returns the listed endpoints of a kind, without those that leave."""
+    return [
+        row
+        for row in self._table.rows.values()
+        if row.kind == kind and row.state == "live"
+    ]
 
   @property
   def kinds(self) -> list[str]:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -90,6 +90,28 @@
     reach.note_connected(rows["e0"])
     self.assertFalse(reach.is_detoured(rows["e0"]))
 
+  def test_endpoint_listed_during_a_cut_is_tried_first(self):
+    """Guards against refusals though endpoints have come back at new addresses."""
+    reach, rows = self._reach(4)
+    for row in list(rows.values()):
+      reach.note_failed(row, "refused")
+    self.assertTrue(reach.is_cut("pool"))
+    entry = {"name": "new", "url": "h:9", "datacentre": "d", "kind": "pool"}
+    listed = [
+        {"name": r.name, "url": r.url, "datacentre": "d", "kind": "pool"}
+        for r in rows.values()
+    ]
+    reach._table.update([*listed, entry])
+    self.assertEqual(["new"], [r.name for r in reach.detoured_rows("pool")])
+
+  def test_request_at_an_endpoint_that_has_left_ends(self):
+    """Guards against a request that fails as its endpoint is not known."""
+    reach, rows = self._reach(1)
+    row = rows["e0"]
+    reach.note_sent(row)
+    row.kind = "other"
+    reach.note_ended(row)
+
   def test_silence_without_requests_is_not_checked(self):
     """Guards against connections of idle routers."""
     self.assertEqual([], loop.run(self._silent_kinds, 0))
