--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -1,5 +1,6 @@
 """A test fixture: the emulated platform and gateways in one process."""
 
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -266,6 +267,38 @@
         await anyio.sleep(0.01)
 
 
+class Callers:
+  """Callers that send requests at a steady rate to each router."""
+
+  def __init__(
+      self, env: Environment, routers: list, calls_per_s: float
+  ) -> None:
+    self._env = env
+    self._routers = routers
+    self._calls_per_s = calls_per_s
+    self.statuses: dict[str, list[int]] = collections.defaultdict(list)
+    """By the router's name."""
+
+  async def run(self, seconds: float, path: str = "/look/a") -> None:
+    """Sends requests for some time and waits for the responses."""
+    self.statuses.clear()
+    async with anyio.create_task_group() as tg:
+      for number in range(int(seconds * self._calls_per_s)):
+        for router in self._routers:
+          id_ = f"{router.config.name}-{number}-{anyio.current_time()}"
+          tg.start_soon(self._call, path, id_, router)
+        await anyio.sleep(1 / self._calls_per_s)
+
+  async def _call(self, path: str, id_: str, router) -> None:
+    response = await self._env.call(path, id_, router)
+    self.statuses[router.config.name].append(response.status)
+
+  def served(self, routers: list) -> float:
+    """Returns the share of requests that some routers have served."""
+    statuses = [s for r in routers for s in self.statuses[r.config.name]]
+    return statuses.count(200) / len(statuses)
+
+
 def site(
     store_port: int,
     name: str = "front-1",
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -36,28 +36,6 @@
   return most
 
 
-class _Callers:
-  """Callers that send requests at a steady rate to each router."""
-
-  def __init__(self, env: platformcase.Environment, gateways: list) -> None:
-    self._env = env
-    self._gateways = gateways
-    self.statuses: list[int] = []
-
-  async def run(self, seconds: float, path: str = "/look/a") -> None:
-    """Sends requests for some time and waits for the responses."""
-    async with anyio.create_task_group() as tg:
-      for number in range(int(seconds * _CALLS_PER_S)):
-        for gateway in self._gateways:
-          name = f"{gateway.config.name}-{number}-{len(self.statuses)}"
-          tg.start_soon(self._call, path, name, gateway)
-        await anyio.sleep(1 / _CALLS_PER_S)
-
-  async def _call(self, path: str, name: str, gateway) -> None:
-    response = await self._env.call(path, name, gateway)
-    self.statuses.append(response.status)
-
-
 def _arrivals(env: platformcase.Environment, name: str) -> list[float]:
   return [request.received_at for request in env.servers[name].received]
 
@@ -67,22 +45,24 @@
   @test_gateway.in_environment(servers=("i-1", "i-2", "i-3"))
   async def test_named_limit_binds_all_routers_together(self, env):
     """Guards against routers that each send as if no limit were named."""
-    callers = _Callers(env, await env.add_routers(_ROUTERS))
+    routers = await env.add_routers(_ROUTERS)
+    callers = platformcase.Callers(env, routers, _CALLS_PER_S)
     env.servers["i-1"].behaviour.rate_limit = f"{_RATE_PER_S:g}"
     await callers.run(_GRACE_S)
+    self.assertEqual(1.0, callers.served(routers))
     bound_since = anyio.current_time()
     await callers.run(_WINDOW_S + 1.0)
     bound = [at for at in _arrivals(env, "i-1") if at >= bound_since]
     self.assertTrue(
         most_in_a_window(bound, _WINDOW_S) <= _ALLOWED, (len(bound), _ALLOWED)
     )
-    self.assertEqual({200}, set(callers.statuses))
+    self.assertEqual(1.0, callers.served(routers))
 
   @test_gateway.in_environment(servers=("i-1",))
   async def test_limit_ends_at_routers_that_hear_from_no_other(self, env):
     """Guards against a limit that stays in force as no request finds out."""
     routers = await env.add_routers(_ROUTERS)
-    callers = _Callers(env, routers)
+    callers = platformcase.Callers(env, routers, _CALLS_PER_S)
     for router in routers:
       for name in ("enqueue", "enqueue_to"):
         setattr(router.datagrams, name, lambda *args: None)
@@ -95,9 +75,8 @@
     for server in env.servers.values():
       server.behaviour.rate_limit = None
     await callers.run(5.0)
-    callers.statuses.clear()
     await callers.run(2.0)
-    self.assertEqual({200}, set(callers.statuses))
+    self.assertEqual(1.0, callers.served(routers))
 
 
 async def _send_nothing(kind, content, receivers) -> None:
--- a/tests/test_partitioned_routers.py
+++ b/tests/test_partitioned_routers.py
@@ -4,8 +4,6 @@
 and the store still reach the routers that are cut off.
 """
 
-import collections
-
 import anyio
 import testtools
 
@@ -28,42 +26,13 @@
 """Least that callers of cut routers are served, relative to the others."""
 
 
-class Callers:
-  """Callers that send requests at a steady rate to each router."""
-
-  def __init__(self, env: platformcase.Environment, routers: list) -> None:
-    self._env = env
-    self._routers = routers
-    self.statuses: dict[str, list[int]] = collections.defaultdict(list)
-    """By the router's name."""
-
-  async def run(self, seconds: float, path: str = "/look/a") -> None:
-    """Sends requests for some time and waits for the responses."""
-    self.statuses.clear()
-    async with anyio.create_task_group() as tg:
-      for number in range(int(seconds * _CALLS_PER_S)):
-        for router in self._routers:
-          id_ = f"{router.config.name}-{number}-{anyio.current_time()}"
-          tg.start_soon(self._call, path, id_, router)
-        await anyio.sleep(1 / _CALLS_PER_S)
-
-  async def _call(self, path: str, id_: str, router) -> None:
-    response = await self._env.call(path, id_, router)
-    self.statuses[router.config.name].append(response.status)
-
-  def served(self, routers: list) -> float:
-    """Returns the share of requests that some routers have served."""
-    statuses = [s for r in routers for s in self.statuses[r.config.name]]
-    return statuses.count(200) / len(statuses)
-
-
 class PartitionedRouterTest(testtools.TestCase):
 
   async def _check_cut(self, env, way, cut_count, path):
     """Cuts routers off, and checks that their callers are served."""
     routers = await env.add_routers(_ROUTERS)
     cut, others = routers[:cut_count], routers[cut_count:]
-    callers = Callers(env, routers)
+    callers = platformcase.Callers(env, routers, _CALLS_PER_S)
     await callers.run(1.0, path)
     for router in cut:
       env.network.cut(router.config.name, way)
@@ -99,7 +68,7 @@
   async def test_requests_are_refused_at_once_if_all_are_cut(self, env):
     """Guards against callers that wait for connections which nobody can open."""
     routers = await env.add_routers(_ROUTERS)
-    callers = Callers(env, routers)
+    callers = platformcase.Callers(env, routers, _CALLS_PER_S)
     for router in (*routers, env.gateway):
       env.network.cut(router.config.name, network.Cut.HANG)
     await callers.run(_DETECTION_S)
@@ -113,7 +82,7 @@
   async def test_direct_connections_are_used_again(self, env):
     """Guards against a router that uses others long after the cut has ended."""
     routers = await env.add_routers(_ROUTERS)
-    callers = Callers(env, routers)
+    callers = platformcase.Callers(env, routers, _CALLS_PER_S)
     env.network.cut("router-2", network.Cut.HANG)
     await callers.run(_DETECTION_S)
     self.assertEqual(["pool"], routers[0].reach.cut_kinds)
