Draw the endpoints to ask for permits at random after one had none

Callers got 503 though half of the slots were free: with little known of the endpoints' loads all routers asked for permits of the same ones in the same order, three at most. After a refusal the better of two drawn endpoints is asked.

--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -16,6 +16,8 @@
 from mustardfall.routing import placement as placement_lib
 from mustardfall.util import clock as clock_lib
 
+_DRAWN_ENDPOINTS = 2
+"""Limited endpoints that are compared after another had no permit."""
 _MAX_PERMITS_ASKED = 3
 """Limited endpoints whose permits are asked for in turn for one request."""
 
@@ -145,7 +147,7 @@
       wait_s = min(placement.saved_s, max_wait_s)
       if await self._acquire(placement.row, context, wait_s):
         return placement
-      candidates = [row for row in candidates if row is not placement.row]
+      candidates = self._sample_others(candidates, placement.row)
       if asked >= _MAX_PERMITS_ASKED:
         candidates = [
             row for row in candidates if not self._limiter.is_limited(row)
@@ -155,6 +157,19 @@
       return None
     return await self._select_among([row], context)
 
+  def _sample_others(
+      self, rows: list[endpoints.Row], refused: endpoints.Row
+  ) -> list[endpoints.Row]:
+    """Returns the endpoints to choose from after one had no permit.
+
+    Limited ones are drawn at random: with little known of their loads, all
+    routers would ask for permits of the same ones in the same order.
+    """
+    limited = [row for row in rows if row.is_limited and row is not refused]
+    others = [row for row in rows if not row.is_limited]
+    drawn = self._random.sample(limited, min(_DRAWN_ENDPOINTS, len(limited)))
+    return others + drawn
+
   def _refuse_if_overloaded(
       self,
       context: request_context_lib.RequestContext,
