--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -153,7 +153,7 @@
     self.tunnel_server = tunnel_server_lib.TunnelServer(
         config,
         self.directory.endpoints.find_address,
-        self.paths.acquire_directly,
+        self.paths.acquire_for_other,
         self.reach.is_cut,
         self.connection_pool,
         self._resource_limiter,
--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -138,6 +138,18 @@
         await self._try_others(row.kind)
       raise
 
+  async def acquire_for_other(
+      self, row: endpoints.Row
+  ) -> connection_pool_lib.Connection:
+    """Returns a direct connection for the tunnel of another router.
+
+    Other endpoints are not tried meanwhile: the other router would wait for that.
+
+    Raises:
+      errors.EndpointUnreachableError: none could be opened.
+    """
+    return await self._connect(row, force_new=True)
+
   async def _connect(
       self, row: endpoints.Row, force_new: bool
   ) -> connection_pool_lib.Connection:
