--- a/mustardfall/bench/virtual/detours.py
+++ b/mustardfall/bench/virtual/detours.py
@@ -38,8 +38,8 @@
 _DEADLINE_S = 2.0
 _MAX_ANSWER_S = 1.5
 """Endpoints answer before the deadline."""
-_MAX_TRIES = 4
-_MAX_TUNNELS = 800
+_MAX_TRIED_ENDPOINTS = 4
+_MAX_OPEN_TUNNELS = 800
 """Tunnels that one router opens."""
 _DETECTION_S = 3.0
 """Requests count from so long after the cut began."""
@@ -265,7 +265,7 @@
     is_cut = self.name in fleet.cut
     served, sent_at = False, None
     with anyio.move_on_after(_DEADLINE_S):
-      for row in fleet.rng.sample(self.rows, _MAX_TRIES):
+      for row in fleet.rng.sample(self.rows, _MAX_TRIED_ENDPOINTS):
         try:
           connection = await self._connect(row)
         except errors.NoExitError:
@@ -356,7 +356,7 @@
     del timeout_s
     exit_ = self.router(name)
     await anyio.sleep(_HOP_S)
-    if exit_.reach.is_cut(_KIND) or exit_.tunnels >= _MAX_TUNNELS:
+    if exit_.reach.is_cut(_KIND) or exit_.tunnels >= _MAX_OPEN_TUNNELS:
       raise errors.ExitUnavailableError("cut or full")
     await exit_.paths.acquire_for_other(self.rng.choice(exit_.rows))
     self.result.tunnels[name] += 1
--- a/mustardfall/membership/exits.py
+++ b/mustardfall/membership/exits.py
@@ -37,7 +37,7 @@
 asked further, and the first exit that answers is used at once."""
 _ASK_AGAIN_S = 0.5
 """Minimum time between two questions to a router."""
-_MAX_REFERRALS = 3
+_MAX_NAMED_EXITS = 3
 """Exits that an answer names."""
 _DROPPED_S = 1.0
 """How long an exit that opened no tunnel is not used."""
@@ -223,7 +223,7 @@
         self._members.me.life,
         self._reaches(kind),
         self._busy(),
-        referrals[:_MAX_REFERRALS],
+        referrals[:_MAX_NAMED_EXITS],
     )
     content = json.dumps(answer, separators=(",", ":")).encode()
     self._datagrams.enqueue_to(datagrams_lib.Kind.EXIT_ANSWER, content, sender)
@@ -243,7 +243,7 @@
     if not answer.reaches:
       known.pop(answer.life, None)
       referred = self._referred.setdefault(answer.kind, {})
-      for life in answer.referrals[:_MAX_REFERRALS]:
+      for life in answer.referrals[:_MAX_NAMED_EXITS]:
         if life not in known and len(referred) < _ASKED_ROUTERS:
           referred[life] = None
       return
--- a/mustardfall/membership/permits.py
+++ b/mustardfall/membership/permits.py
@@ -44,7 +44,7 @@
 """Questions per second, of all routers, that an issuer answers for an endpoint
 with a low rate. Those who ask without success wait the longer the more they
 are."""
-_ASKS_PER_ENDED_LEASE = 30.0
+_QUESTIONS_PER_ENDED_LEASE = 30.0
 """Questions for each slot that becomes free, so that none is free for long."""
 _MAX_RENEWED_LEASES = 60
 """Leases that are named in one datagram."""
@@ -347,7 +347,7 @@
     retry_s = issued.bucket.wait_s(per_s * share, now, is_certain)
     asks_per_s = per_s
     if not has_slot:
-      asks_per_s = _ASKS_PER_ENDED_LEASE * issued.leases.ended_per_s(now)
+      asks_per_s = _QUESTIONS_PER_ENDED_LEASE * issued.leases.ended_per_s(now)
     retry_s += len(issued.refused) / max(_MIN_ASKS_PER_S, asks_per_s)
     return Permit(None, min(retry_s, _MAX_RETRY_S), me, share)
 
--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -34,9 +34,9 @@
 """Timeout of opening a tunnel: the exit's connection, and time for its answer."""
 _MAX_EXITS_TRIED = 3
 """Exits that are tried for one connection."""
-_TRIALS = 3
+_TRIED_ENDPOINTS = 3
 """Other endpoints that are tried once some are not reached."""
-_MAX_CONFIRMATIONS = 4
+_MAX_CONFIRMED_ENDPOINTS = 4
 """Unreached endpoints to which another router's connection is tried at a time."""
 _CHECK_INTERVAL_S = 0.1
 """Interval at which silence is looked for while requests are in flight."""
@@ -186,7 +186,9 @@
     done = self._trials[kind] = anyio.Event()
     try:
       rows = self._reach.untried_rows(kind)
-      await self._probe(self._random.sample(rows, min(_TRIALS, len(rows))))
+      await self._probe(
+          self._random.sample(rows, min(_TRIED_ENDPOINTS, len(rows)))
+      )
     finally:
       del self._trials[kind]
       done.set()
@@ -280,7 +282,7 @@
         await self._work.wait()
       await anyio.sleep(_CHECK_INTERVAL_S)
       async with anyio.create_task_group() as tasks:
-        for row in self._reach.take_unconfirmed(_MAX_CONFIRMATIONS):
+        for row in self._reach.take_unconfirmed(_MAX_CONFIRMED_ENDPOINTS):
           tasks.start_soon(self._confirm, row)
       for rows in self._reach.take_silent():
         await self._check_silence(rows)
