--- a/mustardfall/bench/virtual/limits.py
+++ b/mustardfall/bench/virtual/limits.py
@@ -502,6 +502,7 @@
         _NotCold(),
         self.limiter,
         self.clock,
+        random.Random(fleet.rng.random()),
     )
     self.told_at: dict[str, float] = {}
     """When an endpoint's answer first named a limit to this router."""
--- a/mustardfall/membership/permits.py
+++ b/mustardfall/membership/permits.py
@@ -195,7 +195,9 @@
     member = self._members.find(issuer)
     if member is not None:
       content = json.dumps([endpoint, numbers, is_end]).encode()
-      self._datagrams.enqueue(datagrams_lib.Kind.LEASES, content, member)
+      # An end that is lost blocks a slot for seconds; a renewal follows anyway.
+      for _ in range(2 if is_end else 1):
+        self._datagrams.enqueue(datagrams_lib.Kind.LEASES, content, member)
 
   def _update_leases(
       self, holder: str, endpoint: str, numbers: list[int], is_end: bool
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -96,6 +96,7 @@
     cold_start_limiter: limits the requests to cold endpoints.
     limiter: limits the requests to endpoints that name a low rate.
     clock: the time source.
+    rng: draws endpoints, and times at which refused callers may return.
   """
 
   def __init__(
@@ -107,6 +108,7 @@
       cold_start_limiter: cold_start_limiter_lib.ColdStartLimiter,
       limiter: endpoint_limiter_lib.EndpointLimiter,
       clock: clock_lib.Clock,
+      rng: random.Random | None = None,
   ) -> None:
     self._datacentre = config.datacentre
     self._directory = directory
@@ -116,7 +118,7 @@
     self._limiter = limiter
     self._clock = clock
     self._detectors: dict[str, overload.Detector] = {}
-    self._random = random.Random()
+    self._random = rng or random.Random()
 
   async def select(
       self, context: request_context_lib.RequestContext
