Judge an exit's load by the mean delay of its timers

One timer that was 50 ms late made an exit refuse; both exits were late at once, the search was in vain, and no request waits for a second after that. A host whose processor share is a quota is late so often without being busy. Now the mean over half a second counts, from 150 ms on.

--- a/mustardfall/proxy/tunnel_server.py
+++ b/mustardfall/proxy/tunnel_server.py
@@ -30,9 +30,12 @@
 """Share of the memory and connections of callers that tunnels may take, so that
 this router's own callers are served."""
 _LAG_INTERVAL_S = 0.1
-_MAX_LAG_S = 0.05
-"""Delay of this router's own timers from which it opens no further tunnels: its
-processor is busy, and more work would make its own callers wait."""
+_LAG_WEIGHT = 0.2
+"""Weight of the newest delay in the moving average, which covers half a second. A
+host whose processor share is a quota stands still for parts of a tenth of one."""
+_MAX_LAG_S = 0.15
+"""Mean delay of this router's own timers from which it opens no further tunnels:
+its processor is busy, and more work would make its own callers wait."""
 _STATUSES = {"unknown": 404, tunnels.REFUSED: 502, "unreached": 502}
 """HTTP statuses by the reason of a refusal; of the others, 503."""
 
@@ -72,7 +75,7 @@
     self._tunnels: set[_Tunnel] = set()
     self._is_closing = False
     self._lag_s = 0.0
-    """How late a timer of this process last was."""
+    """How late timers of this process are, moving average."""
     self._counts: collections.Counter[str] = collections.Counter()
     instruments.observe_totals(
         "mustardfall.tunnels", "", "tunnels served, by outcome", self._counts
@@ -101,7 +104,8 @@
     while True:
       due_at = anyio.current_time() + _LAG_INTERVAL_S
       await anyio.sleep(_LAG_INTERVAL_S)
-      self._lag_s = anyio.current_time() - due_at
+      late_s = anyio.current_time() - due_at
+      self._lag_s = smooth_lag_s(self._lag_s, late_s)
 
   @property
   def is_busy(self) -> bool:
@@ -290,6 +294,11 @@
         return  # the endpoint may have responded before it closed
 
 
+def smooth_lag_s(mean_s: float, late_s: float) -> float:
+  """Returns the mean delay of timers after another one was late."""
+  return mean_s + _LAG_WEIGHT * (late_s - mean_s)
+
+
 async def _read_head(
     stream: abc.SocketStream, parser: h11.Connection
 ) -> h11.Request:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -11,6 +11,7 @@
 from mustardfall import settings
 from mustardfall.bench import fleet
 from mustardfall.bench.virtual import loop
+from mustardfall.proxy import tunnel_server
 from mustardfall.proxy import tunnels
 from mustardfall.routing import endpoints
 from mustardfall.routing import exits
@@ -153,6 +154,25 @@
     self.assertTrue(first.count("r0") < 300)
 
 
+class LagTest(testtools.TestCase):
+
+  def _mean_s(self, *late_s):
+    mean_s = 0.0
+    for one_s in late_s:
+      mean_s = tunnel_server.smooth_lag_s(mean_s, one_s)
+    return mean_s
+
+  def test_one_late_timer_does_not_make_an_exit_refuse(self):
+    """Guards against callers refused because of a moment without processor."""
+    self.assertTrue(self._mean_s(0.5) < tunnel_server._MAX_LAG_S)
+    halts = [0.0, 0.08] * 50
+    self.assertTrue(self._mean_s(*halts) < tunnel_server._MAX_LAG_S)
+
+  def test_busy_exit_refuses_within_a_second(self):
+    """Guards against tunnels that make an exit's own callers wait."""
+    self.assertTrue(self._mean_s(*[0.3] * 10) > tunnel_server._MAX_LAG_S)
+
+
 class TunnelStreamTest(testtools.TestCase):
 
   async def _received(self, *sent: bytes):
