Log the software version of endpoints and what a request resumes

Now "endpoint listed", "endpoint state" and "endpoint gone" name kind and version; "stream goes on" names the endpoint and version that are asked for the rest of a stream, and the versions of the events before; "try failed", "request ended" and "request refused" name what was resumed.

The emulated server has a version, which each of its events names. No decision depends on a version yet.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -64,14 +64,17 @@
 
 
 def make_registration(
-    address: str, started_ms: int = 0, state: str = "ready"
+    address: str,
+    started_ms: int = 0,
+    state: str = "ready",
+    version: str = "v1",
 ) -> dict[str, Any]:
   """Returns the entry by which a server registers itself in the store."""
   return {
       "service": "pool",
       "address": address,
       "zone": "dc",
-      "version": "v1",
+      "version": version,
       "slots": 8,
       "state": state,
       "cold_left_ms": 0,
@@ -85,10 +88,12 @@
 
   Args:
     id: instance id, which requests must send as `Expect-Instance`.
+    version: the version of its software; each event that it sends names it.
   """
 
-  def __init__(self, id: str) -> None:  # noqa: A002  the platform's term
+  def __init__(self, id: str, version: str = "v1") -> None:  # noqa: A002  the platform's term
     self.id = id
+    self.version = version
     self.port = 0
     self.behaviour = Behaviour()
     self.received: list[ReceivedRequest] = []
@@ -210,7 +215,9 @@
   ) -> None:
     async with anyio.create_task_group() as tg:
       tg.start_soon(_watch_disconnect, stream, request, tg.cancel_scope)
-      writer = _ResponseWriter(stream, request, behaviour, self.id)
+      writer = _ResponseWriter(
+          stream, request, behaviour, self.id, self.version
+      )
       if behaviour.crash_on and behaviour.crash_on in request.body:
         await writer.send_head()
         await self.crash()
@@ -260,11 +267,13 @@
       request: ReceivedRequest,
       behaviour: Behaviour,
       id_: str,
+      version: str,
   ) -> None:
     self._stream = stream
     self._request = request
     self._behaviour = behaviour
     self._id = id_
+    self._version = version
 
   async def send_head(self) -> None:
     """Writes only the head of the response, whose body never follows."""
@@ -329,7 +338,8 @@
         if behaviour.partial_event:
           await self._stream.send(_chunk(f"id: {number}\nda".encode()))
         return
-      await self._stream.send(_chunk(f"id: {number}\ndata: x\n\n".encode()))
+      event = f"id: {number}\ndata: x {self._version}\n\n"
+      await self._stream.send(_chunk(event.encode()))
       await anyio.sleep(behaviour.event_interval_s)
     await self._stream.send(b"0\r\n\r\n")
 
--- a/mustardfall/platform/documents.py
+++ b/mustardfall/platform/documents.py
@@ -401,6 +401,7 @@
       state=_ENDPOINT_STATES[data.state],
       started_ms=data.born,
       slots=data.slots,
+      version=data.version,
   )
   if 0 < data.cold_left_ms <= _MAX_COLD_S * 1000:
     host["cold_ms"] = data.cold_left_ms
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -15,6 +15,7 @@
 _PROMPT_PREFIX = b"prompt-prefix"
 _MODEL = b"model"
 _LAST_EVENT_ID = b"last-event-id"
+_RESUMES = b"resumes"
 _TENANT = b"tenant"
 _EXPECT_INSTANCE = b"expect-instance"
 _REQUEST_PRIORITY = b"request-priority"
@@ -176,6 +177,7 @@
         parts=_parse_prompt_parts(by_name.get(_PROMPT_PREFIX)),
         last_event=None if last_event is None else int(last_event),
         headers=_forwardable(headers, _NOT_FORWARDED),
+        resumes=by_name.get(_RESUMES, b"").decode("latin-1"),
     )
 
   def encode_request(
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -260,6 +260,7 @@
     row = placement.row
     context.tried_endpoints.add(row.name)
     context.endpoint = row.name
+    context.version = row.version
     connection = await self._connect(context, row)
     exchange = exchange_lib.Exchange(
         self._connection_pool,
@@ -276,6 +277,7 @@
     context.attempts_sent += 1
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
+    self._request_log.log_resumed_send(context, row)
     failed = False
     context.direct_row = None if connection.via else row
     if context.direct_row is not None:
@@ -421,6 +423,7 @@
         events = parser.feed(data)
         accepted = [e.raw for e in events if context.sequencer.accept(e)]
         if accepted:
+          context.note_events()
           await self._write(context, head, b"".join(accepted))
     except ValueError as exc:
       raise errors.InvalidResponseError(str(exc)) from exc
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -59,6 +59,9 @@
   """Id of the last event that the caller has; None if it resumes no stream."""
   headers: tuple[Header, ...]
   """Headers that are forwarded to the endpoint unchanged."""
+  resumes: str = ""
+  """Id of the request that brought the first event of the stream that the
+  caller resumes; empty if it named none."""
 
 
 class ForwardingInfo(NamedTuple):
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -62,6 +62,10 @@
   """How long the request waited for its reservation of tokens."""
   tried_endpoints: set[str] = dataclasses.field(default_factory=set)
   endpoint: str = ""
+  version: str = ""
+  """The software version of that endpoint, as listed."""
+  event_versions: list[str] = dataclasses.field(default_factory=list)
+  """The versions of the endpoints whose events were passed on, in order."""
   direct_row: endpoints.Row | None = None
   """The endpoint of the current attempt if its connection is direct."""
   permit_use: PermitUse | None = None
@@ -74,6 +78,11 @@
   error_response: tuple[messages.ResponseHead, bytes] | None = None
   """A 5xx response of an endpoint, passed on if no other attempt succeeds."""
 
+  def note_events(self) -> None:
+    """Records that events of the current endpoint are passed on."""
+    if self.event_versions[-1:] != [self.version]:
+      self.event_versions.append(self.version)
+
   @property
   def used_tokens(self) -> int:
     """Tokens to bill to the budget.
--- a/mustardfall/proxy/request_log.py
+++ b/mustardfall/proxy/request_log.py
@@ -60,6 +60,26 @@
         },
     )
 
+  def log_resumed_send(
+      self, context: request_context_lib.RequestContext, row: endpoints.Row
+  ) -> None:
+    """Records that an endpoint is asked for the rest of a stream."""
+    if context.sequencer.last_event_id is None:
+      return
+    self._sends["resumed"] += 1
+    logger.info(
+        "stream goes on",
+        extra={
+            "request": context.request.id,
+            "resumes": context.request.resumes,
+            "last_event": context.sequencer.last_event_id,
+            "endpoint": row.life,
+            "version": row.version,
+            "events_of": context.event_versions,
+            "try": context.attempts_sent,
+        },
+    )
+
   def log_failed_attempt(
       self,
       context: request_context_lib.RequestContext,
@@ -72,6 +92,7 @@
         extra={
             "request": context.request.id,
             "endpoint": row.name,
+            "version": row.version,
             "address": row.url,
             "try": context.attempts_sent,
             "why": why,
@@ -99,6 +120,8 @@
             "sends": context.attempts_sent if context else 0,
             "billed": context.used_tokens if context else 0,
             "endpoint": context.endpoint if context else "",
+            "resumes": request.resumes,
+            "last_event": request.last_event,
         },
     )
     attributes = metric_attributes(context) if context else {}
@@ -126,6 +149,9 @@
             "outcome": outcome,
             "status": status,
             "endpoint": context.endpoint,
+            "versions": context.event_versions,
+            "resumes": context.request.resumes,
+            "resumed_at": context.request.last_event,
             "sends": context.attempts_sent,
             "first_ms": None if first_s is None else round(first_s * 1000),
             "total_ms": round((now - context.arrived_at) * 1000),
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -60,6 +60,8 @@
   """When its process started, Unix ms, if the list says so."""
   slots: NotRequired[int]
   """Requests that it runs at a time; left out if the list does not say."""
+  version: NotRequired[str]
+  """The version of its software; left out if the list does not say."""
   cold_ms: NotRequired[float]
   """How much longer it says to be cold, ms; left out if it is warm."""
 
@@ -112,6 +114,8 @@
   """When it was first listed, monotonic seconds; to the tick."""
   is_limited: bool = False
   """Whether it bears only a low rate of requests of all routers together."""
+  version: str = ""
+  """The version of its software; empty if the list does not say."""
   reported_cold_ms: float = 0.0
   """How much longer it was cold according to the last list, ms."""
 
@@ -196,6 +200,7 @@
         limit=self._config.initial_limit,
         cold_cache=self._new_rows_are_cold,
         started_ms=host.get("started_ms"),
+        version=host.get("version", ""),
     )
 
   def update_cold(self, hosts: Iterable[EndpointEntry], now: float) -> None:
@@ -381,5 +386,11 @@
 
 
 def _log(event: str, row: Row) -> None:
-  extra = {"endpoint": row.life, "state": row.state, "address": row.url}
+  extra = {
+      "endpoint": row.life,
+      "state": row.state,
+      "address": row.url,
+      "kind": row.kind,
+      "version": row.version,
+  }
   logger.info(event, extra=extra)
