--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -156,20 +156,29 @@
     """Writes the operator's configuration."""
     self.store.put("op/config", configuration(**fields))
 
-  def list_server(self, id_: str, port: int, state: str = "ready") -> None:
+  def list_server(
+      self, id_: str, port: int, state: str = "ready", version: str = "v1"
+  ) -> None:
     """Writes a server's entry."""
-    entry = server_lib.make_registration(f"127.0.0.1:{port}", state=state)
+    entry = server_lib.make_registration(
+        f"127.0.0.1:{port}", state=state, version=version
+    )
     self.store.put(f"servers/{id_}", entry)
 
-  def add_server(self, id_: str) -> server_lib.Server:
+  def add_server(self, id_: str, version: str = "v1") -> server_lib.Server:
     """Starts and lists a server."""
-    server = server_lib.Server(id_)
+    server = server_lib.Server(id_, version)
     port = fleet.free_port()
     self.servers[id_] = server
     self._tasks.start_soon(server.serve, port)
-    self.list_server(id_, port)
+    self.list_server(id_, port, version=version)
     return server
 
+  def drain_server(self, id_: str) -> None:
+    """Lists a server as draining; it continues to serve."""
+    server = self.servers[id_]
+    self.list_server(id_, server.port, "draining", server.version)
+
   async def restart_crashed_servers(
       self, crash_on: bytes, delay_s: float = 0.3
   ) -> None:
@@ -267,6 +276,72 @@
         await anyio.sleep(0.01)
 
 
+class StreamCaller:
+  """A caller that resumes its stream, by default with the first attempt's id.
+
+  Args:
+    env: the environment.
+    name: the prefix of the attempts' ids.
+  """
+
+  def __init__(self, env: Environment, name: str) -> None:
+    self._env = env
+    self._name = name
+    self.began_as = ""
+    """Id of the attempt that brought the first event."""
+    self.events: list[tuple[int, str]] = []
+    """Id and software version of each event received, in order."""
+    self.statuses: list[int] = []
+    """The status of each attempt."""
+    self.is_complete = False
+    self.took_s = 0.0
+    """Duration of the last attempt."""
+
+  async def attempt(self, gateway=None, **more: str) -> None:
+    """Sends the request, or resumes the stream if it has begun.
+
+    Args:
+      gateway: the router; the first one by default.
+      more: headers that replace those of a resumption, with `_` for `-`.
+    """
+    id_ = f"{self._name}-{len(self.statuses)}"
+    named = {"token_usage": "100,100", "model": "m"}
+    if self.events:
+      named["last_event_id"] = str(self.events[-1][0])
+      named["resumes"] = self.began_as
+    named = {name: value for name, value in (named | more).items() if value}
+    sent_at = anyio.current_time()
+    response = await self._env.call("/text/a", id_, gateway, **named)
+    self.took_s = anyio.current_time() - sent_at
+    self.statuses.append(response.status)
+    self.is_complete = response.status == 200 and response.is_complete  # noqa: PLR2004
+    if response.status == 200:  # noqa: PLR2004
+      received = parse_events(response.body)
+      if received and not self.events:
+        self.began_as = id_
+      self.events += received
+
+  @property
+  def event_ids(self) -> list[int]:
+    """The ids of the events received, in order."""
+    return [number for number, _ in self.events]
+
+  @property
+  def versions(self) -> set[str]:
+    """The software versions of the endpoints that sent the events."""
+    return {version for _, version in self.events}
+
+
+def parse_events(body: bytes) -> list[tuple[int, str]]:
+  """Returns id and software version of each complete event in a body."""
+  events = []
+  for raw in body.decode().split("\n\n")[:-1]:
+    id_line, data_line = raw.split("\n")
+    number = int(id_line.removeprefix("id: "))
+    events.append((number, data_line.removeprefix("data: x ")))
+  return events
+
+
 class Callers:
   """Callers that send requests at a steady rate to each router."""
 
--- /dev/null
+++ b/tests/test_mixed_versions.py
@@ -0,0 +1,145 @@
+"""Streams of a service whose endpoints run several software versions.
+
+What two versions write does not fit together, and endpoints do not check it.
+"""
+
+import anyio
+import testtools
+
+from tests import platformcase
+from tests import test_gateway
+
+_EVENTS = 6
+_OLD, _NEW = "v1", "v2"
+_MAX_REFUSAL_S = 0.5
+"""Time within which a resumption that cannot be served is refused."""
+
+
+def _begin_with_old(env) -> None:
+  """Lets streams begin at the old version, and break off after two events."""
+  for server in env.servers.values():
+    server.behaviour.events = _EVENTS
+    if server.version == _OLD:
+      server.behaviour.reset_after_events = 2
+
+
+def _mend(env) -> None:
+  """Lets streams end at all endpoints."""
+  for server in env.servers.values():
+    server.behaviour.reset_after_events = None
+
+
+async def _list_at_all(env, id_: str, state: str = "live") -> None:
+  """Waits until all routers list an endpoint in a state."""
+
+  def is_listed() -> bool:
+    rows = [gateway.directory.endpoints.rows for gateway in env.gateways]
+    return all(id_ in each and each[id_].state == state for each in rows)
+
+  await env.wait_until(is_listed)
+
+
+async def _list_new_version(env) -> None:
+  env.add_server("i-new", _NEW).behaviour.events = _EVENTS
+  await _list_at_all(env, "i-new")
+
+
+class OneAnswerTest(testtools.TestCase):
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_stream_does_not_go_on_at_another_version(self, env):
+    """Guards against one answer with events of two software versions."""
+    await test_gateway.fill_retry_budget(env)
+    _begin_with_old(env)
+    caller = platformcase.StreamCaller(env, "s")
+    async with anyio.create_task_group() as tg:
+      env.servers["i-1"].behaviour.event_interval_s = 0.2
+      tg.start_soon(caller.attempt)
+      await _list_new_version(env)
+    self.assertEqual(([1, 2], {_OLD}), (caller.event_ids, caller.versions))
+    self.assertFalse(caller.is_complete)
+    self.assertEqual([], env.servers["i-new"].received)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_stream_goes_on_at_the_version_that_began_it(self, env):
+    """Guards against streams that end though endpoints of their version serve."""
+    await test_gateway.fill_retry_budget(env)
+    _begin_with_old(env)
+    env.servers["i-1"].behaviour.event_interval_s = 0.2
+    caller = platformcase.StreamCaller(env, "s")
+    async with anyio.create_task_group() as tg:
+      tg.start_soon(caller.attempt)
+      await _list_new_version(env)
+      env.add_server("i-2", _OLD).behaviour.events = _EVENTS
+      await _list_at_all(env, "i-2")
+    self.assertEqual([*range(1, _EVENTS + 1)], caller.event_ids)
+    self.assertEqual({_OLD}, caller.versions)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_stream_without_events_begins_at_any_version(self, env):
+    """Guards against streams that are bound though nothing was written."""
+    await test_gateway.fill_retry_budget(env)
+    _begin_with_old(env)
+    env.servers["i-1"].behaviour.reset_after_events = 0
+    await _list_new_version(env)
+    callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(4)]
+    for caller in callers:
+      await caller.attempt()
+    self.assertEqual([True] * 4, [caller.is_complete for caller in callers])
+    self.assertEqual([{_NEW}] * 4, [caller.versions for caller in callers])
+    sent = [r for r in env.servers["i-1"].received if "/text/" in r.target]
+    self.assertTrue(sent)
+
+
+class ResumedByCallerTest(testtools.TestCase):
+
+  async def _check_refused(self, env, caller, router, **more):
+    """Checks that a resumption is refused at once, and sent nowhere."""
+    sends = sum(len(server.received) for server in env.servers.values())
+    await caller.attempt(router, **more)
+    self.assertEqual(503, caller.statuses[-1])
+    self.assertTrue(caller.took_s < _MAX_REFUSAL_S, caller.took_s)
+    after = sum(len(server.received) for server in env.servers.values())
+    self.assertEqual(sends, after)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_caller_comes_back_at_any_router(self, env):
+    """Guards against resumptions at another version than that of the stream."""
+    routers = [env.gateway, *await env.add_routers(2)]
+    _begin_with_old(env)
+    callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(6)]
+    for caller in callers:
+      await caller.attempt(routers[1])
+    await _list_new_version(env)
+    env.servers["i-1"].behaviour.response_delay_s = 0.05
+    _mend(env)
+    for number, caller in enumerate(callers):
+      await caller.attempt(routers[number % len(routers)])
+    self.assertEqual([{_OLD}] * 6, [caller.versions for caller in callers])
+    self.assertEqual(
+        [[*range(1, _EVENTS + 1)]] * 6, [c.event_ids for c in callers]
+    )
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_resumption_without_an_endpoint_of_its_version_is_refused(
+      self, env
+  ):
+    """Guards against streams that go on elsewhere once their version is gone."""
+    _begin_with_old(env)
+    caller = platformcase.StreamCaller(env, "s")
+    await caller.attempt()
+    await _list_new_version(env)
+    env.store.remove("servers/i-1")
+    rows = env.gateway.directory.endpoints.rows
+    await env.wait_until(lambda: "i-1" not in rows)
+    await self._check_refused(env, caller, env.gateway)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_unknown_stream_is_refused(self, env):
+    """Guards against a guessed version where no router knows the stream."""
+    _begin_with_old(env)
+    caller = platformcase.StreamCaller(env, "s")
+    await caller.attempt()
+    await _list_new_version(env)
+    for value in ("never-seen", "x" * 100, ""):
+      await self._check_refused(env, caller, env.gateway, resumes=value)
