Streams go on only at the software version that began them

Cause: a router chose the next endpoint without regard to versions, which it decoded and dropped; and nothing but the router of the first attempt knew where that ran. Class: what carries a request on must know what began it, and no router alone does. Ruled out: a server that changes its version under its id (Expect-Instance; now such an entry also counts as a restart).

Change: a stream is bound to service and version with its first event, and goes on only there, also at endpoints that drain (half a second less than drain_ms, counted from the last list that had them live). A resumption at any router asks them; what nobody knows is refused at once (503, Retry-After). Resumptions are not refused for standing queues elsewhere.

The two tests of one answer now allow a further attempt at an endpoint of the stream's version, which is no fault; they check the order of the events and that the other version gets nothing, as before.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -34,6 +34,7 @@
 from mustardfall.membership import notices as notices_lib
 from mustardfall.membership import permits as permits_lib
 from mustardfall.membership import relay as relay_lib
+from mustardfall.membership import stream_keepers as stream_keepers_lib
 from mustardfall.membership import trackers as trackers_lib
 from mustardfall.membership import verdicts as verdicts_lib
 from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
@@ -48,6 +49,7 @@
 from mustardfall.proxy import internal
 from mustardfall.proxy import messages
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
+from mustardfall.proxy import resumption as resumption_lib
 from mustardfall.proxy import tunnel_server as tunnel_server_lib
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
@@ -218,6 +220,9 @@
         self._endpoint_limiter,
         clock,
     )
+    self.stream_keepers = stream_keepers_lib.StreamKeepers(
+        self.accounts.members, self.datagrams, self._call_peer, clock
+    )
     self.copies = copies_lib.Copies(clock)
     self.notices = notices_lib.Notices(
         self.datagrams, self.accounts.members, self.copies, clock
@@ -358,6 +363,7 @@
           self._endpoint_limiter,
           self.paths,
           self.reach,
+          resumption_lib.Resumption(self.stream_keepers, self.directory),
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
@@ -380,6 +386,7 @@
           self._brittle_gossip.run,
           self.permits.run,
           self._limit_records.run,
+          self.stream_keepers.run,
           forwarder.run,
           self.paths.run,
           self.tunnel_server.run,
@@ -409,6 +416,7 @@
         self.accounts,
         {
             relay_lib.PATH: self.relay.serve,
+            stream_keepers_lib.PATH: self.stream_keepers.serve,
             clockcheck.PATH: self.accounts.clock_check.serve,
         },
     )
@@ -450,6 +458,7 @@
       self.loads.recompute_totals(now)
       self.trackers.prune()
       self.reach.prune()
+      self.stream_keepers.prune()
       self._cold_start_limiter.prune()
       self._endpoint_limiter.prune()
       await self.connection_pool.close_expired()
--- a/mustardfall/membership/datagrams.py
+++ b/mustardfall/membership/datagrams.py
@@ -50,6 +50,10 @@
   LEASES = b"k"
   EXIT_ASK = b"x"
   EXIT_ANSWER = b"y"
+  STREAM_RECORD = b"e"
+  STREAM_CONFIRM = b"c"
+  STREAM_ASK = b"w"
+  STREAM_ANSWER = b"z"
 
 
 Handler = Callable[[bytes], None]
@@ -108,7 +112,7 @@
   ) -> None:
     """Sends `content` to each of `receivers`; failures are ignored."""
     for member in receivers:
-      host = _host_of(member)
+      host = host_of(member)
       if host:
         await self._send(_Outgoing(kind, content, host))
 
@@ -116,7 +120,7 @@
       self, kind: Kind, content: bytes, member: members_lib.Member
   ) -> None:
     """Queues `content` to be sent to a router; does not wait."""
-    host = _host_of(member)
+    host = host_of(member)
     if host:
       self.enqueue_to(kind, content, host)
 
@@ -183,7 +187,7 @@
       )
 
 
-def _host_of(member: members_lib.Member) -> str:
+def host_of(member: members_lib.Member) -> str:
   """Returns the host part of a router's URL, empty if the URL is invalid."""
   try:
     return sockets.split_address(member.url.removeprefix("http://"))[0]
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -85,6 +85,8 @@
         _TOKEN_USAGE,
         _PROMPT_PREFIX,
         _MODEL,
+        _LAST_EVENT_ID,
+        _RESUMES,
         b"host",
     )
 )
--- a/mustardfall/platform/process_settings.py
+++ b/mustardfall/platform/process_settings.py
@@ -69,6 +69,7 @@
   retry_ratio: _NonNegativeFloat = 0.2
   retry_slack: _NonNegativeFloat = 0.0
   grace_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 8.0
+  drain_ms: _NonNegativeFloat = 0.0
 
 
 class _Limits(_JsonModel):
@@ -79,6 +80,11 @@
 _Model = TypeVar("_Model", bound=_JsonModel)
 
 
+_DRAIN_MARGIN_S = 0.5
+"""Time before the end of a server's drain from which it gets no requests: for
+the way there, and for waiting until it takes them."""
+
+
 class ProcessSettings(NamedTuple):
   """Settings of one process, decoded from the platform's file."""
 
@@ -197,6 +203,7 @@
           "retry_burst": bounds.retry_slack
           * _RETRY_SHARE
           / members_lib.MAX_SMALL_FLEET,
+          "leaving_use_s": max(0.0, bounds.drain_ms / 1000 - _DRAIN_MARGIN_S),
       },
   }
   return ProcessSettings(
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -111,6 +111,7 @@
       rng: random.Random | None = None,
   ) -> None:
     self._datacentre = config.datacentre
+    self._leaving_use_s = config.proxy.leaving_use_s
     self._directory = directory
     self._load_share = load_share
     self._trackers = trackers
@@ -129,7 +130,7 @@
     has to send the request to the endpoint: a permit for a limited one is used
     up.
     """
-    rows = self._directory.endpoints.eligible(context.service.name, "")
+    rows = self._eligible(context)
     rows = self._cold_start_limiter.filter_permitted(rows, context.service)
     for row in rows:
       row.is_limited = self._limiter.is_limited(row)
@@ -155,7 +156,7 @@
             row for row in candidates if not self._limiter.is_limited(row)
         ]
     row = await self._limiter.wait_for_any(rows, context)
-    if row is None or row.state != "live":
+    if row is None or row not in self._eligible(context):
       return None
     return await self._select_among([row], context)
 
@@ -180,14 +181,15 @@
     """Refuses a new generation if all engines have standing queues.
 
     Limited engines say nothing of queues: they get few requests, and most of
-    those that would go there get no permit.
+    those that would go there get no permit. The few endpoints of a stream's
+    version say nothing of the others.
 
     Raises:
       refusals.RefusalError: the request would wait for long.
     """
     if not context.request.parts or context.attempts_sent:
       return
-    if placement.row.is_limited:
+    if placement.row.is_limited or context.bound_version is not None:
       return
     slowness = placement.row.slowness
     forecast = overload.Forecast(
@@ -208,13 +210,41 @@
     """Returns a random time, so that refused callers return one by one."""
     return round(seconds * self._random.uniform(0.75, 1.5), 3)
 
+  def _eligible(
+      self,
+      context: request_context_lib.RequestContext,
+      avoid: frozenset[str] = frozenset(),
+  ) -> list[endpoints.Row]:
+    """Returns the endpoints that may run a request.
+
+    A stream that has begun goes on only at the version that began it, also at
+    endpoints that leave soon.
+    """
+    table, service = self._directory.endpoints, context.service.name
+    if context.bound_version is None:
+      return table.eligible(service, "", avoid)
+    return [
+        row
+        for row in table.of_version(service, context.bound_version)
+        if row.name not in avoid and self._may_resume(row)
+    ]
+
+  def _may_resume(self, row: endpoints.Row) -> bool:
+    """Whether an endpoint takes requests that resume a stream."""
+    if row.state == "live":
+      return True
+    left_s = self._leaving_use_s + row.leaving_since - self._clock.monotonic()
+    return row.state == "leaving" and left_s > 0
+
+  def has_candidate(self, context: request_context_lib.RequestContext) -> bool:
+    """Whether any endpoint may run a request, be it one that was tried."""
+    return bool(self._eligible(context))
+
   def has_alternative(
       self, context: request_context_lib.RequestContext
   ) -> bool:
     """Whether an endpoint that was not tried yet may take the request now."""
-    rows = self._directory.endpoints.eligible(
-        context.service.name, "", frozenset(context.tried_endpoints)
-    )
+    rows = self._eligible(context, frozenset(context.tried_endpoints))
     rows = self._cold_start_limiter.filter_permitted(rows, context.service)
     return bool(self._limiter.filter_permitted(rows))
 
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -29,6 +29,7 @@
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.proxy import request_log as request_log_lib
+from mustardfall.proxy import resumption as resumption_lib
 from mustardfall.proxy import streams
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
@@ -90,6 +91,7 @@
     endpoint_limiter: learns the request rates that endpoints name.
     paths: connects to endpoints.
     reach: the endpoints that this router reaches directly.
+    resumption: keeps streams at the version that began them.
   """
 
   def __init__(
@@ -107,6 +109,7 @@
       endpoint_limiter: endpoint_limiter_lib.EndpointLimiter,
       paths: endpoint_paths_lib.EndpointPaths,
       reach: reach_lib.Reach,
+      resumption: resumption_lib.Resumption,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -118,6 +121,7 @@
     self._endpoint_limiter = endpoint_limiter
     self._paths = paths
     self._reach = reach
+    self._resumption = resumption
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -140,6 +144,9 @@
     """Responds to one request; cancelled when its caller disconnects."""
     try:
       context = self._admission.admit(request, body, responder)
+      await self._resumption.bind(
+          context, self._admission.jittered_retry_after(_MIN_RETRY_S)
+      )
       self._retry_budget(context.service.name).deposit()
     except refusals.RefusalError as refusal:
       await self._refuse(request, responder, refusal)
@@ -212,6 +219,8 @@
       return False
     if context.is_cut_off or context.failed_connects >= _MAX_FAILED_CONNECTS:
       return False
+    if not self._endpoint_selector.has_candidate(context):
+      return False
     if context.attempts_sent == 0 or context.has_retry:
       context.has_retry = False
       return True
@@ -278,6 +287,7 @@
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     self._request_log.log_resumed_send(context, row)
+    self._resumption.note_sent(context, row)
     failed = False
     context.direct_row = None if connection.via else row
     if context.direct_row is not None:
@@ -423,6 +433,7 @@
         events = parser.feed(data)
         accepted = [e.raw for e in events if context.sequencer.accept(e)]
         if accepted:
+          await self._resumption.begin(context)
           context.note_events()
           await self._write(context, head, b"".join(accepted))
     except ValueError as exc:
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -81,6 +81,21 @@
   return RefusalError(503, "no endpoint free", retry_after_s, facts)
 
 
+def unknown_stream(
+    retry_after_s: float, facts: Mapping[str, Any]
+) -> RefusalError:
+  """No router knows which software version began the stream to be resumed."""
+  return RefusalError(503, "stream is unknown", retry_after_s, facts)
+
+
+def version_gone(
+    retry_after_s: float, facts: Mapping[str, Any]
+) -> RefusalError:
+  """No endpoint of the software version that began the stream is listed."""
+  reason = "no endpoint of the stream's version"
+  return RefusalError(503, reason, retry_after_s, facts)
+
+
 def endpoints_unreached(
     retry_after_s: float, facts: Mapping[str, Any]
 ) -> RefusalError:
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -5,6 +5,7 @@
 
 from mustardfall.budget import allotment
 from mustardfall.membership import permits
+from mustardfall.membership import stream_keepers
 from mustardfall.proxy import http_server
 from mustardfall.proxy import messages
 from mustardfall.proxy import streams
@@ -12,6 +13,7 @@
 from mustardfall.routing import endpoints
 from mustardfall.routing import limited_endpoints
 from mustardfall.routing import placement
+from mustardfall.routing import stream_records
 
 
 class PermitUse(NamedTuple):
@@ -66,6 +68,12 @@
   """The software version of that endpoint, as listed."""
   event_versions: list[str] = dataclasses.field(default_factory=list)
   """The versions of the endpoints whose events were passed on, in order."""
+  bound_version: str | None = None
+  """The software version that began the stream; None: it has not begun."""
+  stream_record: stream_records.StreamRecord | None = None
+  """The record of the stream that the request resumes."""
+  announcement: stream_keepers.Announcement | None = None
+  """The record that was last sent to other routers for this request."""
   direct_row: endpoints.Row | None = None
   """The endpoint of the current attempt if its connection is direct."""
   permit_use: PermitUse | None = None
--- /dev/null
+++ b/mustardfall/proxy/resumption.py
@@ -0,0 +1,224 @@
+"""Lets a stream go on only at the software version that began it."""
+
+import logging
+
+from mustardfall.membership import stream_keepers as stream_keepers_lib
+from mustardfall.proxy import refusals
+from mustardfall.proxy import request_context as request_context_lib
+from mustardfall.routing import configuration
+from mustardfall.routing import directory as directory_lib
+from mustardfall.routing import endpoints
+from mustardfall.routing import stream_holders
+from mustardfall.routing import stream_records
+
+logger = logging.getLogger(__name__)
+
+_RECORD_MARGIN_S = 5.0
+"""How long a record is kept after its caller has stopped waiting. Callers count
+from when they sent the request, and the clocks of routers drift."""
+_MAX_LOGGED_VERSIONS = 8
+
+
+class Resumption:
+  """Binds streams to the service and the version that began them.
+
+  Args:
+    keepers: keeps the records of streams.
+    directory: provides the endpoints and the configuration.
+  """
+
+  def __init__(
+      self,
+      keepers: stream_keepers_lib.StreamKeepers,
+      directory: directory_lib.Directory,
+  ) -> None:
+    self._keepers = keepers
+    self._directory = directory
+
+  async def bind(
+      self,
+      context: request_context_lib.RequestContext,
+      retry_after_s: float,
+  ) -> None:
+    """Binds a request that resumes a stream to what began the stream.
+
+    Args:
+      context: the request; others are left as they are.
+      retry_after_s: sent if the request is refused.
+
+    Raises:
+      refusals.RefusalError: no router knows what began the stream, or no
+        endpoint of that version is listed.
+    """
+    request = context.request
+    if context.route.kind is not configuration.Kind.STREAM:
+      return
+    if request.last_event is None and not request.resumes:
+      return
+    if not request.resumes:
+      self._bind_to_sole_version(context, retry_after_s)
+      return
+    key = stream_holders.key_of(_team(context), request.resumes)
+    lookup = await self._keepers.find(key)
+    facts = {
+        "resumes": request.resumes,
+        "known_by": lookup.source,
+        "age_s": round(lookup.age_s, 3),
+        "asked": lookup.asked,
+        "unanswered": lookup.unanswered,
+    }
+    if lookup.record is None:
+      raise refusals.unknown_stream(retry_after_s, facts)
+    row = self._find_origin(context.route, lookup.record)
+    if row is None:
+      facts["versions"] = self._versions(context.route)
+      raise refusals.version_gone(retry_after_s, facts)
+    self._bind_to(context, lookup.record, row)
+    count = len(self._directory.endpoints.of_version(row.kind, row.version))
+    logger.info(
+        "stream bound",
+        extra={
+            "request": request.id,
+            "last_event": request.last_event,
+            "service": row.kind,
+            "version": row.version,
+            "endpoints": count,
+            **facts,
+        },
+    )
+
+  def _bind_to_sole_version(
+      self,
+      context: request_context_lib.RequestContext,
+      retry_after_s: float,
+  ) -> None:
+    """Binds a stream of which the caller does not name the beginning.
+
+    It is known what began it if the route leads to one service, all of whose
+    endpoints have had one version for as long as the caller may have waited.
+
+    Raises:
+      refusals.RefusalError: it is not known.
+    """
+    services = {share.service for share in context.route.split}
+    for_s = _left_s(context)
+    version = None
+    if len(services) == 1:
+      version = self._directory.sole_version(context.service.name, for_s)
+    facts = {
+        "resumes": "",
+        "known_by": "server list",
+        "for_s": round(for_s, 3),
+        "versions": self._versions(context.route),
+    }
+    if version is None:
+      raise refusals.unknown_stream(retry_after_s, facts)
+    context.bound_version = version
+    logger.info(
+        "stream bound",
+        extra={
+            "request": context.request.id,
+            "last_event": context.request.last_event,
+            "service": context.service.name,
+            "version": version,
+            **facts,
+        },
+    )
+
+  def _find_origin(
+      self, route: configuration.Route, record: stream_records.StreamRecord
+  ) -> endpoints.Row | None:
+    """Returns an endpoint of the service and version that began a stream."""
+    services = {share.service for share in route.split}
+    for row in self._directory.endpoints.rows.values():
+      if row.kind not in services or row.state == "unusable":
+        continue
+      if stream_records.origin_of(row.kind, row.version) == record.origin:
+        return row
+    return None
+
+  def _versions(self, route: configuration.Route) -> list[str]:
+    services = {share.service for share in route.split}
+    rows = self._directory.endpoints.rows.values()
+    found = {
+        f"{row.kind} {row.version}" for row in rows if row.kind in services
+    }
+    return sorted(found)[:_MAX_LOGGED_VERSIONS]
+
+  def _bind_to(
+      self,
+      context: request_context_lib.RequestContext,
+      record: stream_records.StreamRecord,
+      row: endpoints.Row,
+  ) -> None:
+    config = self._directory.configuration
+    if config is not None and row.kind in config.services:
+      context.service = config.services[row.kind]
+    context.bound_version = row.version
+    context.stream_record = record
+
+  def note_sent(
+      self, context: request_context_lib.RequestContext, row: endpoints.Row
+  ) -> None:
+    """Copies to other routers what begins a stream, or keeps it known.
+
+    Called when the request has been sent to an endpoint. The copies are usually
+    confirmed before the endpoint's first event arrives.
+    """
+    if context.route.kind is not configuration.Kind.STREAM:
+      return
+    if not context.route.resumable:
+      return
+    if context.bound_version is not None:
+      self._renew(context)
+      return
+    origin = stream_records.origin_of(row.kind, row.version)
+    earlier = context.announcement
+    if earlier is not None and earlier.record.origin == origin:
+      return
+    record = stream_records.make_record(
+        stream_holders.key_of(_team(context), context.request.id),
+        origin,
+        context.attempts_sent,
+        _left_s(context),
+    )
+    context.announcement = self._keepers.announce(record, earlier)
+
+  def _renew(self, context: request_context_lib.RequestContext) -> None:
+    """Keeps the record of a resumed stream as long as its caller may wait."""
+    record = context.stream_record
+    if record is None or context.announcement is not None:
+      return
+    renewed = stream_records.make_record(
+        record.key, record.origin, record.attempt, _left_s(context)
+    )
+    context.announcement = self._keepers.announce(renewed)
+
+  async def begin(self, context: request_context_lib.RequestContext) -> None:
+    """Binds a stream to the endpoint whose first event is to be passed on."""
+    if context.bound_version is not None:
+      return
+    announcement = context.announcement
+    if announcement is not None:
+      if not await self._keepers.wait_confirmed(announcement):
+        logger.warning(
+            "record of stream not confirmed",
+            extra={
+                "request": context.request.id,
+                "version": context.version,
+                "try": announcement.record.attempt,
+                "holders": announcement.holder_count,
+                "unconfirmed": sorted(announcement.unconfirmed),
+            },
+        )
+    context.bound_version = context.version
+
+
+def _team(context: request_context_lib.RequestContext) -> str:
+  return context.team.name if context.team else ""
+
+
+def _left_s(context: request_context_lib.RequestContext) -> float:
+  """Returns the seconds for which the caller may resume the stream."""
+  wait_s = context.request.caller_timeout_s or 0.0
+  return max(wait_s, context.route.timeout.total_seconds()) + _RECORD_MARGIN_S
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -91,15 +91,28 @@
     now = self._clock.monotonic()
     if now - self._listed_at > _OUTAGE_GAP_S:
       self._keep_missing_until = now + _REREGISTRATION_S
-    self._listed_at = now
+    live_at, self._listed_at = self._listed_at, now
     listed = {host["name"]: host for host in hosts}
     if now < self._keep_missing_until:
       listed = {**self._hosts, **listed}
     self._hosts = listed
     changed = self.endpoints.update(list(listed.values()))
     self.endpoints.update_cold(listed.values(), now)
+    self.endpoints.note_leaving(live_at)
+    self.endpoints.note_versions(now)
     return changed
 
+  def sole_version(self, kind: str, for_s: float) -> str | None:
+    """Returns the only version that a kind's endpoints had for some time.
+
+    Returns None if there were several, or if it is not known: the list is not
+    current, or it has been followed for less than `for_s`.
+    """
+    now = self._clock.monotonic()
+    if now - self._listed_at > _OUTAGE_GAP_S:
+      return None
+    return self.endpoints.sole_version(kind, for_s, now)
+
   def apply_evacuations(self, evacuated: frozenset[str]) -> bool:
     """Applies the set of evacuated data centres; returns whether it changed.
 
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -112,6 +112,8 @@
   """Requests that it runs at a time; 0: it is not known."""
   listed_at: float = -float("inf")
   """When it was first listed, monotonic seconds; to the tick."""
+  leaving_since: float = -float("inf")
+  """If it leaves: when it was last listed as live, monotonic seconds."""
   is_limited: bool = False
   """Whether it bears only a low rate of requests of all routers together."""
   version: str = ""
@@ -146,6 +148,10 @@
     self.evacuated: frozenset[str] = frozenset()
     """Data centres whose endpoints are sent no requests."""
     self._new_rows_are_cold = cold
+    self._versions: dict[str, dict[str, float]] = {}
+    """When each software version was last listed, by kind and version."""
+    self._versions_since: float | None = None
+    """When the first list was applied, monotonic seconds."""
     self._ticked_at = 0.0
     """Time of the last tick, monotonic seconds."""
 
@@ -261,6 +267,56 @@
         and (kind != "engine" or model in r.models)
     ]
 
+  def of_version(self, kind: str, version: str) -> list[Row]:
+    """Returns the endpoints of a kind with a software version, in any state.
+
+    Endpoints of an evacuated data centre are left out.
+    """
+    return [
+        row
+        for row in self.rows.values()
+        if row.kind == kind
+        and row.version == version
+        and row.datacentre not in self.evacuated
+    ]
+
+  def note_versions(self, now: float) -> None:
+    """Records which software versions are listed."""
+    if self._versions_since is None:
+      self._versions_since = now
+    for row in self.rows.values():
+      if row.state != "unusable":
+        self._versions.setdefault(row.kind, {})[row.version] = now
+
+  def sole_version(self, kind: str, for_s: float, now: float) -> str | None:
+    """Returns the only version that a kind had for some time.
+
+    Returns None if there were several or none, or if it is not known since the
+    lists do not go back so far.
+    """
+    since = self._versions_since
+    if since is None or now - since < for_s:
+      return None
+    seen = [
+        version
+        for version, at in self._versions.get(kind, {}).items()
+        if now - at <= for_s
+    ]
+    return seen[0] if len(seen) == 1 else None
+
+  def note_leaving(self, live_at: float) -> None:
+    """Records since when endpoints leave that were not known to leave before.
+
+    Args:
+      live_at: when the list before the current one was read, monotonic
+        seconds.
+    """
+    for row in self.rows.values():
+      if row.state != "leaving":
+        row.leaving_since = -float("inf")
+      elif row.leaving_since == -float("inf"):
+        row.leaving_since = live_at
+
   def choose(
       self,
       kind: str,
@@ -366,7 +422,8 @@
   """
   started_ms = host.get("started_ms")
   known = row.started_ms is not None and started_ms is not None
-  return known and row.started_ms != started_ms
+  has_new_version = host.get("version", row.version) != row.version
+  return has_new_version or (known and row.started_ms != started_ms)
 
 
 def _apply_host(row: Row, host: EndpointEntry) -> bool:
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -156,6 +156,9 @@
   """Maximum number of unused retries that accumulate per service, in a fleet of
   up to 12 routers. All routers of a larger fleet together accumulate no more
   than 12 routers do."""
+  leaving_use_s: float = pydantic.Field(default=0.0, ge=0)
+  """How long streams are resumed at an endpoint that leaves, counted from when it
+  was last listed as live; 0: not at all."""
   metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port that serves the metrics in the Prometheus format; 0: none."""
 
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -22,6 +22,8 @@
 
 HOST = "shop.example"
 KEY = "key-of-acme"
+DRAIN_S = 2.0
+"""How long a server serves after it is listed as draining."""
 ROUTER_SETTINGS = {
     "tick_s": 0.05,
     "writer": {"interval_s": 0.0, "linger_s": 0.02, "max_keys": 12},
@@ -145,6 +147,8 @@
     self.store_port = 0
     self.network = network_lib.Network(self._is_server)
     self._tasks = None
+    self._scopes: dict[str, anyio.CancelScope] = {}
+    """Ends each gateway, by name."""
 
   def _is_server(self, address: str) -> bool:
     return any(
@@ -226,9 +230,12 @@
     followers = followers_lib.Followers(gateway, gateway.kv, gateway.clock)
     loops = followers.loops()
 
+    scope = self._scopes[name] = anyio.CancelScope()
+
     async def _run():
       network_lib.current_host.set(name)
-      await gateway.run(loops, found.ready, stop or anyio.Event(), 2.0)
+      with scope:
+        await gateway.run(loops, found.ready, stop or anyio.Event(), 2.0)
       self.gateway_stopped = True
 
     self._tasks.start_soon(_run)
@@ -236,6 +243,10 @@
     await self.wait_until(lambda: gateway.ready)
     return gateway
 
+  def kill(self, gateway: gateway_lib.Gateway) -> None:
+    """Ends a gateway as if its process were killed."""
+    self._scopes[gateway.config.name].cancel()
+
   async def add_routers(self, count: int) -> list[gateway_lib.Gateway]:
     """Starts routers that exchange datagrams; returns them."""
     port = fleet.free_port()
@@ -391,7 +402,8 @@
           for role in ("front", "ready", "control")
       },
       "port_range": [datagram_port],
-      "bounds": {"retry_ratio": 0.2, "retry_slack": 58, "grace_s": 3},
+      "bounds": {"retry_ratio": 0.2, "retry_slack": 58, "grace_s": 3}
+      | {"drain_ms": DRAIN_S * 1000},
       "platform": {"address": f"127.0.0.1:{store_port}"},
   }
   return process_settings.decode(given, ROUTER_SETTINGS)
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -3,6 +3,9 @@
 What two versions write does not fit together, and endpoints do not check it.
 """
 
+import contextlib
+from unittest import mock
+
 import anyio
 import testtools
 
@@ -11,6 +14,8 @@
 
 _EVENTS = 6
 _OLD, _NEW = "v1", "v2"
+_LISTING_S = 1.0
+"""Time from the begin of a stream until it breaks off after two events."""
 _MAX_REFUSAL_S = 0.5
 """Time within which a resumption that cannot be served is refused."""
 
@@ -53,10 +58,13 @@
     _begin_with_old(env)
     caller = platformcase.StreamCaller(env, "s")
     async with anyio.create_task_group() as tg:
-      env.servers["i-1"].behaviour.event_interval_s = 0.2
+      env.servers["i-1"].behaviour.event_interval_s = _LISTING_S / 2
       tg.start_soon(caller.attempt)
       await _list_new_version(env)
-    self.assertEqual(([1, 2], {_OLD}), (caller.event_ids, caller.versions))
+      self.assertEqual([], caller.statuses)
+    self.assertEqual({_OLD}, caller.versions)
+    self.assertEqual([1, 2], caller.event_ids[:2])
+    self.assertTrue(len(caller.event_ids) < _EVENTS, caller.event_ids)
     self.assertFalse(caller.is_complete)
     self.assertEqual([], env.servers["i-new"].received)
 
@@ -65,13 +73,14 @@
     """Guards against streams that end though endpoints of their version serve."""
     await test_gateway.fill_retry_budget(env)
     _begin_with_old(env)
-    env.servers["i-1"].behaviour.event_interval_s = 0.2
+    env.servers["i-1"].behaviour.event_interval_s = _LISTING_S / 2
     caller = platformcase.StreamCaller(env, "s")
     async with anyio.create_task_group() as tg:
       tg.start_soon(caller.attempt)
       await _list_new_version(env)
       env.add_server("i-2", _OLD).behaviour.events = _EVENTS
       await _list_at_all(env, "i-2")
+      self.assertEqual([], caller.statuses)
     self.assertEqual([*range(1, _EVENTS + 1)], caller.event_ids)
     self.assertEqual({_OLD}, caller.versions)
 
@@ -115,6 +124,7 @@
     _mend(env)
     for number, caller in enumerate(callers):
       await caller.attempt(routers[number % len(routers)])
+    self.assertEqual([200] * 6, [caller.statuses[-1] for caller in callers])
     self.assertEqual([{_OLD}] * 6, [caller.versions for caller in callers])
     self.assertEqual(
         [[*range(1, _EVENTS + 1)]] * 6, [c.event_ids for c in callers]
@@ -143,3 +153,128 @@
     await _list_new_version(env)
     for value in ("never-seen", "x" * 100, ""):
       await self._check_refused(env, caller, env.gateway, resumes=value)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_caller_without_resumes_is_refused_beside_two_versions(
+      self, env
+  ):
+    """Guards against a guess where the caller does not name the beginning."""
+    _begin_with_old(env)
+    caller = platformcase.StreamCaller(env, "s")
+    await caller.attempt()
+    await _list_new_version(env)
+    await self._check_refused(env, caller, env.gateway, resumes="")
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_repeated_resumes_is_rejected(self, env):
+    """Guards against a choice between two streams that a request names."""
+    async with env.caller() as caller:
+      named = {"resumes": "a", "Resumes": "b"}
+      await caller.send("/text/a", "s", last_event_id="2", **named)
+      response = await caller.receive()
+    self.assertEqual(400, response.status)
+    self.assertEqual([], env.servers["i-1"].received)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_first_router_is_killed(self, env):
+    """Guards against streams whose beginning only their router knew."""
+    routers = await env.add_routers(3)
+    _begin_with_old(env)
+    callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(4)]
+    for caller in callers:
+      await caller.attempt(routers[0])
+    await _list_new_version(env)
+    _mend(env)
+    env.kill(routers[0])
+    for number, caller in enumerate(callers):
+      await caller.attempt(routers[1 + number % 2])
+    self.assertEqual([200] * 4, [caller.statuses[-1] for caller in callers])
+    self.assertEqual([{_OLD}] * 4, [caller.versions for caller in callers])
+    self.assertTrue(all(caller.is_complete for caller in callers))
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_routers_without_datagrams_know_streams(self, env):
+    """Guards against records that are lost where datagrams are."""
+    routers = await env.add_routers(3)
+    _begin_with_old(env)
+    with contextlib.ExitStack() as stack:
+      for router in routers:
+        lost = mock.patch.object(router.datagrams, "_handle")
+        stack.enter_context(lost)
+      caller = platformcase.StreamCaller(env, "s")
+      await caller.attempt(routers[0])
+      await _list_new_version(env)
+      _mend(env)
+      env.kill(routers[0])
+      await caller.attempt(routers[2])
+    self.assertEqual(200, caller.statuses[-1])
+    self.assertEqual({_OLD}, caller.versions)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_stream_goes_on_at_an_endpoint_that_leaves(self, env):
+    """Guards against streams that are stranded while their version drains."""
+    _begin_with_old(env)
+    caller = platformcase.StreamCaller(env, "s")
+    await caller.attempt()
+    await _list_new_version(env)
+    _mend(env)
+    env.drain_server("i-1")
+    await _list_at_all(env, "i-1", "leaving")
+    fresh = platformcase.StreamCaller(env, "new")
+    await fresh.attempt()
+    await caller.attempt()
+    self.assertEqual({_NEW}, fresh.versions)
+    self.assertEqual(
+        ([*range(1, _EVENTS + 1)], {_OLD}), (caller.event_ids, caller.versions)
+    )
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_drained_endpoint_gets_no_resumption(self, env):
+    """Guards against requests that reach an endpoint after its drain."""
+    _begin_with_old(env)
+    caller = platformcase.StreamCaller(env, "s")
+    await caller.attempt()
+    env.drain_server("i-1")
+    await _list_at_all(env, "i-1", "leaving")
+    await anyio.sleep(platformcase.DRAIN_S)
+    await self._check_refused(env, caller, env.gateway)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_stream_is_taken_up_twice(self, env):
+    """Guards against a second resumption whose record has expired or changed."""
+    routers = await env.add_routers(2)
+    _begin_with_old(env)
+    env.servers["i-1"].behaviour.reset_after_events = 1
+    caller = platformcase.StreamCaller(env, "s")
+    await caller.attempt(routers[0])
+    await _list_new_version(env)
+    await caller.attempt(routers[1])
+    self.assertFalse(caller.is_complete)
+    env.kill(routers[0])
+    _mend(env)
+    await caller.attempt(env.gateway)
+    self.assertEqual(
+        ([*range(1, _EVENTS + 1)], {_OLD}), (caller.event_ids, caller.versions)
+    )
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_second_attempt_before_the_first_event_begins_the_stream(
+      self, env
+  ):
+    """Guards against the version of an attempt that wrote no event."""
+    routers = await env.add_routers(2)
+    await test_gateway.fill_retry_budget(env, routers[0])
+    _begin_with_old(env)
+    env.servers["i-1"].behaviour.reset_after_events = 0
+    await _list_new_version(env)
+    env.servers["i-new"].behaviour.reset_after_events = 2
+    callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(4)]
+    for caller in callers:
+      await caller.attempt(routers[0])
+    _mend(env)
+    for caller in callers:
+      await caller.attempt(routers[1])
+    began = [r for r in env.servers["i-1"].received if "/text/" in r.target]
+    self.assertTrue(began)
+    self.assertEqual([{_NEW}] * 4, [caller.versions for caller in callers])
+    self.assertTrue(all(caller.is_complete for caller in callers))
--- a/tests/test_tracking.py
+++ b/tests/test_tracking.py
@@ -225,7 +225,7 @@
     self._handlers[kind] = take
 
   def enqueue(self, kind, content, member):
-    self.enqueue_to(kind, content, datagrams._host_of(member))
+    self.enqueue_to(kind, content, datagrams.host_of(member))
 
   def enqueue_to(self, kind, content, host):
     self.sent += 1
@@ -274,7 +274,7 @@
       first = self.routers[0]._trackers("i-1")[0]
       asker = next(r for r in self.routers if r._members.me != first)
       asker.note_sent("i-1", "p", 0.4)
-      self.network.dead.add(datagrams._host_of(first))
+      self.network.dead.add(datagrams.host_of(first))
       began = anyio.current_time()
       missed = await asker.survey(["i-1"], "p")
       waited_s = anyio.current_time() - began
