--- a/mustardfall/membership/stream_keepers.py
+++ b/mustardfall/membership/stream_keepers.py
@@ -34,14 +34,14 @@
 _ANSWER_S = 0.03
 """How long answers are waited for before a question is repeated. One takes 1 to
 5 ms, and some 15 ms on a busy host of half a core."""
-_REMOTE_ANSWER_S = 0.2
-"""The same for routers of other regions."""
+_REMOTE_ANSWER_S = 0.15
+"""The same for routers of other regions, which are asked once."""
 _ROUNDS = 2
 _SETTLE_S = 0.008
 """How long later answers are waited for after the first record."""
 _MAX_PENDING = 4_096
 """Records that wait for confirmations; more are sent once."""
-_CALL_TIMEOUT_S = 0.25
+_CALL_TIMEOUT_S = 0.2
 _CALLED_ROUTERS = 3
 """Routers that are called if datagrams to them seem to be lost."""
 _MAX_RECORDS_PER_CALL = 500
@@ -322,10 +322,10 @@
       me = self._members.me.name
       return Lookup(found.record, me, found.age_s, 0, 0)
     asked = self._receivers(key, _ASKED_ROUTERS)
-    lookup = await self._ask(key, asked, _ANSWER_S)
+    lookup = await self._ask(key, asked, _ANSWER_S, _ROUNDS)
     remote = self._remote_holders(key) if lookup.record is None else []
     if remote:
-      further = await self._ask(key, remote, _REMOTE_ANSWER_S)
+      further = await self._ask(key, remote, _REMOTE_ANSWER_S, 1)
       lookup = further._replace(
           asked=lookup.asked + further.asked,
           unanswered=lookup.unanswered + further.unanswered,
@@ -368,8 +368,13 @@
     ]
 
   async def _ask(
-      self, key: bytes, asked: list[members_lib.Member], wait_s: float
+      self,
+      key: bytes,
+      asked: list[members_lib.Member],
+      wait_s: float,
+      rounds: int,
   ) -> Lookup:
+    """Asks routers by datagram, in `rounds` rounds of `wait_s` seconds."""
     self._question_count = (self._question_count + 1) & 0xFFFFFFFF
     number = self._question_count
     question = _Question(key)
@@ -379,7 +384,7 @@
     self._questions[number] = question
     content = _QUESTION.pack(number, key)
     try:
-      for _ in range(_ROUNDS if self._datagrams.is_open else 0):
+      for _ in range(rounds if self._datagrams.is_open else 0):
         for host in question.unanswered:
           self._datagrams.enqueue_to(
               datagrams_lib.Kind.STREAM_ASK, content, host
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -144,9 +144,7 @@
     """Responds to one request; cancelled when its caller disconnects."""
     try:
       context = self._admission.admit(request, body, responder)
-      await self._resumption.bind(
-          context, self._admission.jittered_retry_after(_MIN_RETRY_S)
-      )
+      await self._resumption.bind(context, self._admission.jittered_retry_after)
       self._retry_budget(context.service.name).deposit()
     except refusals.RefusalError as refusal:
       await self._refuse(request, responder, refusal)
--- a/mustardfall/proxy/resumption.py
+++ b/mustardfall/proxy/resumption.py
@@ -1,5 +1,6 @@
 """Lets a stream go on only at the software version that began it."""
 
+from collections.abc import Callable
 import logging
 
 from mustardfall.membership import stream_keepers as stream_keepers_lib
@@ -16,6 +17,12 @@
 _RECORD_MARGIN_S = 5.0
 """How long a record is kept after its caller has stopped waiting. Callers count
 from when they sent the request, and the clocks of routers drift."""
+_UNKNOWN_RETRY_S = 0.25
+"""Longest Retry-After of streams that nobody knew. The record may have been
+lost on the way here."""
+_VERSION_RETRY_S = 1.0
+"""The same where no endpoint of the version is listed. One that has crashed is
+back after one or two seconds."""
 _MAX_LOGGED_VERSIONS = 8
 
 
@@ -38,13 +45,13 @@
   async def bind(
       self,
       context: request_context_lib.RequestContext,
-      retry_after_s: float,
+      jitter: Callable[[float], float],
   ) -> None:
     """Binds a request that resumes a stream to what began the stream.
 
     Args:
       context: the request; others are left as they are.
-      retry_after_s: sent if the request is refused.
+      jitter: returns a random Retry-After from the longest one, seconds.
 
     Raises:
       refusals.RefusalError: no router knows what began the stream, or no
@@ -56,7 +63,7 @@
     if request.last_event is None and not request.resumes:
       return
     if not request.resumes:
-      self._bind_to_sole_version(context, retry_after_s)
+      self._bind_to_sole_version(context, jitter(_UNKNOWN_RETRY_S))
       return
     key = stream_holders.key_of(_team(context), request.resumes)
     lookup = await self._keepers.find(key)
@@ -68,11 +75,11 @@
         "unanswered": lookup.unanswered,
     }
     if lookup.record is None:
-      raise refusals.unknown_stream(retry_after_s, facts)
+      raise refusals.unknown_stream(jitter(_UNKNOWN_RETRY_S), facts)
     row = self._find_origin(context.route, lookup.record)
     if row is None:
       facts["versions"] = self._versions(context.route)
-      raise refusals.version_gone(retry_after_s, facts)
+      raise refusals.version_gone(jitter(_VERSION_RETRY_S), facts)
     self._bind_to(context, lookup.record, row)
     count = len(self._directory.endpoints.of_version(row.kind, row.version))
     logger.info(
