Use another port of the range where one for other routers is taken

Callers saw 503 at a router cut off from all endpoints that heard no other router: its UDP or TCP port was held by another process, in production the process before, which still drains. It tried that port again each second and no other.

Now the first free port from load_port or tunnel_port up to last_spare_port is taken at the start, and registered with the router; answers go to the port that a datagram came from. Routers of the version before register none and are reached on the usual port; they do not find those on another one.

Not done: a router that is heard by none for other reasons does not say so.

--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -72,6 +72,8 @@
         url=f"http://{peer.host}:{peer.port}",
         datacentre=config.datacentre,
         region=config.region,
+        load_port=config.load_port,
+        tunnel_port=config.tunnel_port,
     )
     self.members = members_lib.Members(kv, me, config.membership, clock, bus)
     self.peers = peers_lib.Client(post, config.membership)
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 import json
 import logging
+import socket
 from typing import NamedTuple
 
 import anyio
@@ -60,6 +61,7 @@
 from mustardfall.routing import rate_limits as rate_limits_lib
 from mustardfall.routing import reach as reach_lib
 from mustardfall.util import clock as clock_lib
+from mustardfall.util import sockets
 
 logger = logging.getLogger(__name__)
 
@@ -84,6 +86,26 @@
   port: int
 
 
+def _replace_taken_ports(config: settings.Router) -> settings.Router:
+  """Returns the settings with free ports for datagrams and tunnels.
+
+  The process before may still hold them while it drains. Without them, this
+  router would hear no other until it ends.
+  """
+  host = config.peer_listen.host
+  kinds = {
+      "load_port": ("datagrams", socket.SOCK_DGRAM),
+      "tunnel_port": ("tunnels", socket.SOCK_STREAM),
+  }
+  found = {}
+  for field, (purpose, kind) in kinds.items():
+    port = getattr(config, field)
+    if port:
+      ports = range(port, max(port, config.last_spare_port) + 1)
+      found[field] = sockets.find_free_port(purpose, host, kind, ports)
+  return config.model_copy(update=found)
+
+
 class Gateway:
   """One router of a platform deployment.
 
@@ -103,6 +125,7 @@
       make_store: Callable[[http_client.HttpClient], protocol.Store],
       store_headers: tuple[messages.Header, ...] = (),
   ) -> None:
+    config = _replace_taken_ports(config)
     self.config = config
     self.clock = clock
     self.bus = events.Bus()
--- a/mustardfall/membership/datagrams.py
+++ b/mustardfall/membership/datagrams.py
@@ -32,6 +32,10 @@
 by then, are dropped."""
 
 
+_MAX_PORTS = 2_000
+"""More than the number of routers in the largest fleet."""
+
+
 class Kind(enum.Enum):
   """The kind of a datagram; the value is its first byte."""
 
@@ -68,14 +72,16 @@
   kind: Kind
   content: bytes
   host: str
+  port: int
 
 
 class Datagrams:
-  """Sends and receives on one UDP port, the same on all routers.
+  """Sends and receives on one UDP port.
 
   Args:
     host: this router's address.
-    port: the UDP port; 0 disables datagrams.
+    port: the UDP port, which is that of all routers that name no other; 0
+      disables datagrams.
     overhead: counts each datagram.
   """
 
@@ -86,6 +92,8 @@
     self._port = port
     self._overhead = overhead
     self._handlers: dict[bytes, SenderHandler] = {}
+    self._ports: dict[str, int] = {}
+    """Ports other than `port` of routers heard from, by their address."""
     self._udp: abc.UDPSocket | None = None
     self._send_lock = anyio.Lock()
     """Held while sending; anyio raises if two tasks send at the same time."""
@@ -114,7 +122,8 @@
     for member in receivers:
       host = host_of(member)
       if host:
-        await self._send(_Outgoing(kind, content, host))
+        port = member.load_port or self._port
+        await self._send(_Outgoing(kind, content, host, port))
 
   def enqueue(
       self, kind: Kind, content: bytes, member: members_lib.Member
@@ -122,11 +131,16 @@
     """Queues `content` to be sent to a router; does not wait."""
     host = host_of(member)
     if host:
-      self.enqueue_to(kind, content, host)
+      port = member.load_port or self._port
+      self._enqueue(_Outgoing(kind, content, host, port))
 
   def enqueue_to(self, kind: Kind, content: bytes, host: str) -> None:
-    """Queues `content` to be sent to an address."""
-    self._queue.append(_Outgoing(kind, content, host))
+    """Queues `content` to be sent to an address that was heard from."""
+    port = self._ports.get(host, self._port)
+    self._enqueue(_Outgoing(kind, content, host, port))
+
+  def _enqueue(self, outgoing: _Outgoing) -> None:
+    self._queue.append(outgoing)
     self._queued.set()
 
   async def _send(self, outgoing: _Outgoing) -> None:
@@ -137,7 +151,7 @@
     self._overhead.record(f"{outgoing.kind.name.lower()} told", len(raw))
     try:
       async with self._send_lock:
-        await udp.sendto(raw, outgoing.host, self._port)
+        await udp.sendto(raw, outgoing.host, outgoing.port)
     except (OSError, anyio.BrokenResourceError) as exc:
       logger.debug("datagram not sent to %s: %r", outgoing.host, exc)
 
@@ -162,6 +176,7 @@
         async with anyio.create_task_group() as tasks:
           tasks.start_soon(self._send_queue)
           async for raw, sender in udp:
+            self._note_port(*sender)
             self._handle(raw, sender[0])
           tasks.cancel_scope.cancel()
       finally:
@@ -174,6 +189,13 @@
       while self._queue:
         await self._send(self._queue.popleft())
 
+  def _note_port(self, host: str, port: int) -> None:
+    """Records the port of a router, to which answers are sent."""
+    if port == self._port:
+      self._ports.pop(host, None)
+    elif len(self._ports) < _MAX_PORTS or host in self._ports:
+      self._ports[host] = port
+
   def _handle(self, raw: bytes, sender: str) -> None:
     self._overhead.record("datagram heard", len(raw))
     handler = self._handlers.get(raw[:1])
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -71,6 +71,10 @@
   """The address for calls from other routers."""
   datacentre: str
   region: str
+  load_port: int = 0
+  """The port on which it gets datagrams; 0: the same as this router."""
+  tunnel_port: int = 0
+  """The port on which it opens tunnels; 0: the same as this router."""
 
   @property
   def life(self) -> str:
@@ -78,6 +82,12 @@
     return f"{self.name}:{self.epoch}"
 
 
+_MAX_PORT = 65_535
+_PORT_FIELDS = ("load_port", "tunnel_port")
+"""Routers of earlier versions register without them."""
+_TEXT_FIELDS = tuple(f for f in Member._fields if f not in _PORT_FIELDS)
+
+
 class Members:
   """Registers this router and keeps the list of all routers current.
 
@@ -472,9 +482,14 @@
   """Returns the member described by a mapping of its fields.
 
   Raises:
-    KeyError, TypeError: a field is missing, or `row` is not a mapping.
+    KeyError, TypeError, ValueError: a field is missing or invalid, or `row` is
+      not a mapping.
   """
-  return Member(**{field: str(row[field]) for field in Member._fields})
+  texts = {field: str(row[field]) for field in _TEXT_FIELDS}
+  ports = {field: int(row.get(field, 0)) for field in _PORT_FIELDS}
+  if not all(0 <= port <= _MAX_PORT for port in ports.values()):
+    raise ValueError(f"port out of range: {ports}")
+  return Member(**texts, **ports)
 
 
 def decode(records: Iterable[protocol.Record]) -> list[Member]:
--- a/mustardfall/platform/process_settings.py
+++ b/mustardfall/platform/process_settings.py
@@ -195,6 +195,7 @@
       "first_start": optional.bootstrap,
       "load_port": optional.port_range[0],
       "tunnel_port": optional.port_range[0],
+      "last_spare_port": optional.port_range[-1],
       "kv_url": f"http://{store}",
       "hosts_url": f"http://{store}",
       "limits": {"memory_mb": limits.memory_mb, "files": limits.max_fds},
--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -232,7 +232,7 @@
       force_new: bool,
   ) -> connection_pool_lib.Connection:
     host = sockets.split_address(member.url.removeprefix("http://"))[0]
-    address = f"{host}:{self._config.tunnel_port}"
+    address = f"{host}:{member.tunnel_port or self._config.tunnel_port}"
 
     async def _connect(timeout_s: float) -> tunnels.TunnelStream:
       return await tunnels.connect(address, row.url, request_id, timeout_s)
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -197,6 +197,9 @@
   tunnel_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port, the same on all routers, on which each connects others to endpoints
   that they do not reach; 0: none does."""
+  last_spare_port: int = pydantic.Field(default=0, ge=0, le=65535)
+  """The last of the ports after `load_port` and `tunnel_port`, one of which is
+  used instead if another process holds these; 0: none is."""
   kv_url: str
   hosts_url: str
   tick_s: float = pydantic.Field(default=0.5, gt=0)
--- a/mustardfall/util/sockets.py
+++ b/mustardfall/util/sockets.py
@@ -68,6 +68,35 @@
     await anyio.sleep(_BIND_RETRY_INTERVAL_S)
 
 
+def find_free_port(
+    purpose: str, host: str, kind: socket.SocketKind, ports: range
+) -> int:
+  """Returns the first port that no other process holds.
+
+  Args:
+    purpose: what the port is for; logged.
+    host: the address that it will be bound to.
+    kind: `SOCK_STREAM` or `SOCK_DGRAM`.
+    ports: the ports to try, in this order.
+
+  Returns:
+    The first port if none is free; see `bind_with_retry`.
+  """
+  for port in ports:
+    with socket.socket(socket.AF_INET, kind) as tried:
+      if kind == socket.SOCK_STREAM:
+        # As for listeners: connections of the process before are no obstacle.
+        tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+      try:
+        tried.bind((host, port))
+      except OSError as exc:
+        extra = {"serves": purpose, "port": port, "error": str(exc)}
+        logger.warning("port taken", extra=extra)
+        continue
+    return port
+  return ports[0]
+
+
 async def listen(
     purpose: str, host: str, port: int
 ) -> list[abc.SocketListener]:
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -211,10 +211,10 @@
       stop: anyio.Event | None = None,
       started=None,
       host: str = "127.0.0.1",
-      datagram_port: int = 0,
+      port_range: tuple[int, ...] = (0,),
   ) -> gateway_lib.Gateway:
     """Starts a gateway as if on another host; returns it when it is ready."""
-    found = site(self.store_port, name, host, datagram_port)
+    found = site(self.store_port, name, host, port_range)
     clock = clock_lib.SystemClock()
     gateway = gateway_lib.Gateway(
         found.router,
@@ -247,12 +247,14 @@
     """Ends a gateway as if its process were killed."""
     self._scopes[gateway.config.name].cancel()
 
-  async def add_routers(self, count: int) -> list[gateway_lib.Gateway]:
+  async def add_routers(
+      self, count: int, port_range: tuple[int, ...] = ()
+  ) -> list[gateway_lib.Gateway]:
     """Starts routers that exchange datagrams; returns them."""
-    port = fleet.free_port()
+    port_range = port_range or (fleet.free_port(),)
     routers = [
         await self.add_gateway(
-            f"router-{n}", host=f"127.0.0.{n}", datagram_port=port
+            f"router-{n}", host=f"127.0.0.{n}", port_range=port_range
         )
         for n in range(2, 2 + count)
     ]
@@ -389,7 +391,7 @@
     store_port: int,
     name: str = "front-1",
     host: str = "127.0.0.1",
-    datagram_port: int = 0,
+    port_range: tuple[int, ...] = (0,),
 ) -> process_settings.ProcessSettings:
   """Returns the settings that the platform would give to a host."""
   given = {
@@ -401,7 +403,7 @@
           role: f"{host}:{fleet.free_port()}"
           for role in ("front", "ready", "control")
       },
-      "port_range": [datagram_port],
+      "port_range": list(port_range),
       "bounds": {"retry_ratio": 0.2, "retry_slack": 58, "grace_s": 3}
       | {"drain_ms": DRAIN_S * 1000},
       "platform": {"address": f"127.0.0.1:{store_port}"},
