The first tick forgets no failure of an endpoint

Cause, seen by printing an endpoint's failures between the calls: the first tick took the time since the clock's zero for the time since the tick before, and forgot all failures, so that the next request went to the faulty server again and used up the retries. Load and the memory of 0.5 s were not the cause: the calls take 5 to 10 ms each.

Now the first tick only sets the time.

--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -153,7 +153,8 @@
     self._versions_since: float | None = None
     """When the first list was applied, monotonic seconds."""
     self._ticked_at = 0.0
-    """Time of the last tick, monotonic seconds."""
+    """Time of the last tick, monotonic seconds; 0 before the first one."""
+    self._has_ticked = False
 
   def update(self, hosts: list[EndpointEntry]) -> bool:
     """Applies a complete host list; returns whether any row changed."""
@@ -390,7 +391,8 @@
     The limit of an endpoint whose first token is overdue is decreased now and
     not when the token arrives, before many more requests are sent there.
     """
-    elapsed_s, self._ticked_at = now - self._ticked_at, now
+    elapsed_s = now - self._ticked_at if self._has_ticked else 0.0
+    self._ticked_at, self._has_ticked = now, True
     for row in self.rows.values():
       row.failures = max(0.0, row.failures - elapsed_s / _FAILURE_MEMORY_S)
       row.running *= _LOAD_DECAY
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -68,6 +68,14 @@
     table.tick(10.6)
     self.assertEqual(0, table.rows["a"].failures)
 
+  def test_first_tick_forgets_no_failure(self):
+    """Guards against a failing endpoint that is used again after a start."""
+    self._read("a")
+    table = self.directory.endpoints
+    table.rows["a"].failures += 1
+    table.tick(10.0)
+    self.assertEqual(1, table.rows["a"].failures)
+
   def test_leaving_endpoint_is_not_eligible(self):
     self._read("a", times=4)
     self.directory.apply_endpoints(_hosts("a", state="leaving"))
