Try a limit again at routers whose datagrams are disabled

Callers saw 503, "all endpoints are limited", for as long as the run lasted after three servers had stopped naming a limit: at three of six routers without datagrams 36 of 72 requests a second from the fourth second on.

A router that cannot ask an endpoint's issuer got no permit at all where its datagrams are closed; only one whose question had no answer issued its part of what uncertain issuers may issue. Ruled out: datagrams that are sent and lost, which had a test already.

--- a/mustardfall/membership/permits.py
+++ b/mustardfall/membership/permits.py
@@ -240,8 +240,10 @@
     if name == self._members.me.name:
       return self._issue(limit, max_wait_s, "", id_)
     member = self._members.find(name)
-    if member is None or not self._datagrams.is_open:
+    if member is None:
       return Permit(None, _SILENCE_RETRY_S, name, 0.0)
+    if not self._datagrams.is_open:
+      return self._issue_alone(limit, name, max_wait_s)
     question = _Question(name)
     self._questions[id_] = question
     try:
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -78,6 +78,28 @@
     await callers.run(2.0)
     self.assertEqual(1.0, callers.served(routers))
 
+  @test_gateway.in_environment(servers=("i-1", "i-2", "i-3"))
+  async def test_limit_ends_at_routers_without_datagrams(self, env):
+    """Guards against limits that last where datagrams are disabled."""
+    routers = await env.add_routers(2 * _ROUTERS, (0,))
+    callers = platformcase.Callers(env, routers, 1.5 * _CALLS_PER_S)
+    rate_per_s = 2.0
+    allowed = rate_per_s * _WINDOW_S * _OVERSHOOT + _SLACK_REQUESTS
+    for server in env.servers.values():
+      server.behaviour.rate_limit = f"{rate_per_s:g}"
+    await callers.run(_GRACE_S)
+    bound_since = anyio.current_time()
+    await callers.run(_WINDOW_S + 1.0)
+    for name in env.servers:
+      bound = [at for at in _arrivals(env, name) if at >= bound_since]
+      most = most_in_a_window(bound, _WINDOW_S)
+      self.assertTrue(most <= allowed, (most, allowed))
+    for server in env.servers.values():
+      server.behaviour.rate_limit = None
+    await callers.run(5.0)
+    await callers.run(2.0)
+    self.assertEqual(1.0, callers.served(routers))
+
 
 async def _send_nothing(kind, content, receivers) -> None:
   del kind, content, receivers
