Resume streams at endpoints that stay before those that leave; test of split routes

A stream at a draining endpoint breaks off again when that exits. An endpoint of its version that stays is now taken first; draining ones are taken when no other is left untried. Tests: the preference, and that a resumption stays with its service where the route is split over two (it did since streams are bound).

--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -265,10 +265,13 @@
       context: request_context_lib.RequestContext,
   ) -> placement_lib.Placement | None:
     untried = [row for row in rows if row.name not in context.tried_endpoints]
+    # An endpoint that leaves would soon break off the stream again.
+    staying = [row for row in untried if row.state == "live"]
+    preferred = staying or untried or rows
     prompt = request_context_lib.prompt_for_placement(context.request)
     if not self._trackers.is_used:
-      return placement_lib.choose(untried or rows, prompt, self._datacentre)
-    return await self._select_tracked(untried or rows, prompt)
+      return placement_lib.choose(preferred, prompt, self._datacentre)
+    return await self._select_tracked(preferred, prompt)
 
   async def _select_tracked(
       self, rows: list[endpoints.Row], prompt: placement_lib.Prompt
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -22,6 +22,7 @@
 
 HOST = "shop.example"
 KEY = "key-of-acme"
+SPLIT = [{"service": "pool", "weight": 1}, {"service": "other", "weight": 1}]
 DRAIN_S = 2.0
 """How long a server serves after it is listed as draining."""
 ROUTER_SETTINGS = {
@@ -59,8 +60,12 @@
           route("book", "/book/", "unsafe"),
           route("text", "/text/", "streaming", resumable=True),
           route("once", "/once/", "streaming"),
+          route("both", "/both/", "streaming", resumable=True, split=SPLIT),
+      ],
+      "services": [
+          {"name": name, "max_conns": 50, "engine": {"stride": 4}}
+          for name in ("pool", "other")
       ],
-      "services": [{"name": "pool", "max_conns": 50, "engine": {"stride": 4}}],
       "limits": {
           "max_header_bytes": 8192,
           "max_body_bytes": 65536,
@@ -161,21 +166,29 @@
     self.store.put("op/config", configuration(**fields))
 
   def list_server(
-      self, id_: str, port: int, state: str = "ready", version: str = "v1"
+      self,
+      id_: str,
+      port: int,
+      state: str = "ready",
+      version: str = "v1",
+      service: str = "pool",
   ) -> None:
     """Writes a server's entry."""
     entry = server_lib.make_registration(
         f"127.0.0.1:{port}", state=state, version=version
     )
+    entry["service"] = service
     self.store.put(f"servers/{id_}", entry)
 
-  def add_server(self, id_: str, version: str = "v1") -> server_lib.Server:
+  def add_server(
+      self, id_: str, version: str = "v1", service: str = "pool"
+  ) -> server_lib.Server:
     """Starts and lists a server."""
     server = server_lib.Server(id_, version)
     port = fleet.free_port()
     self.servers[id_] = server
     self._tasks.start_soon(server.serve, port)
-    self.list_server(id_, port, version=version)
+    self.list_server(id_, port, version=version, service=service)
     return server
 
   def drain_server(self, id_: str) -> None:
@@ -295,11 +308,15 @@
   Args:
     env: the environment.
     name: the prefix of the attempts' ids.
+    path: the path of the stream.
   """
 
-  def __init__(self, env: Environment, name: str) -> None:
+  def __init__(
+      self, env: Environment, name: str, path: str = "/text/a"
+  ) -> None:
     self._env = env
     self._name = name
+    self._path = path
     self.began_as = ""
     """Id of the attempt that brought the first event."""
     self.events: list[tuple[int, str]] = []
@@ -324,7 +341,7 @@
       named["resumes"] = self.began_as
     named = {name: value for name, value in (named | more).items() if value}
     sent_at = anyio.current_time()
-    response = await self._env.call("/text/a", id_, gateway, **named)
+    response = await self._env.call(self._path, id_, gateway, **named)
     self.took_s = anyio.current_time() - sent_at
     self.statuses.append(response.status)
     self.is_complete = response.status == 200 and response.is_complete  # noqa: PLR2004
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -278,3 +278,44 @@
     self.assertTrue(began)
     self.assertEqual([{_NEW}] * 4, [caller.versions for caller in callers])
     self.assertTrue(all(caller.is_complete for caller in callers))
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_stream_stays_with_its_service(self, env):
+    """Guards against resumptions at the other service of a split route."""
+    routers = await env.add_routers(2)
+    env.add_server("i-other", _OLD, "other")
+    await _list_at_all(env, "i-other")
+    _begin_with_old(env)
+    callers = [
+        platformcase.StreamCaller(env, f"s{n}", "/both/a") for n in range(12)
+    ]
+    for caller in callers:
+      await caller.attempt(routers[0])
+    began = {r.headers["request-id"] for r in env.servers["i-1"].received}
+    _mend(env)
+    for caller in callers:
+      await caller.attempt(routers[1])
+    resumed = {
+        r.headers["resumes"]
+        for r in env.servers["i-1"].received
+        if "resumes" in r.headers
+    }
+    self.assertTrue(0 < len(began) < len(callers), began)
+    self.assertEqual(began, resumed)
+    self.assertTrue(all(caller.is_complete for caller in callers))
+
+  @test_gateway.in_environment(servers=("i-1", "i-2"))
+  async def test_stream_prefers_an_endpoint_that_stays(self, env):
+    """Guards against streams that break off again at an endpoint that leaves."""
+    _begin_with_old(env)
+    callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(4)]
+    for caller in callers:
+      await caller.attempt()
+    _mend(env)
+    env.drain_server("i-1")
+    await _list_at_all(env, "i-1", "leaving")
+    before = len(env.servers["i-1"].received)
+    for caller in callers:
+      await caller.attempt()
+    self.assertTrue(all(caller.is_complete for caller in callers))
+    self.assertEqual(before, len(env.servers["i-1"].received))
