Count an endpoint's drain from when the list before was the list

A list may be applied some time after it was read, by another router or from a copy. leaving_since and the age of the list behind a sole version now follow from when it was read. Tests of both. The fakes of two tests take the new argument.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -329,16 +329,18 @@
         self.accounts.pool.retire(name)
 
   async def apply_endpoints(
-      self, endpoint_list: list[endpoints.EndpointEntry]
+      self,
+      endpoint_list: list[endpoints.EndpointEntry],
+      as_of: float | None = None,
   ) -> None:
-    """Applies a complete list of endpoints.
+    """Applies a complete list of endpoints; see `Directory.apply_endpoints`.
 
     Idle connections to endpoints that were removed or restarted are closed. A
     request sent on one would fail with an unknown outcome, so it could not be
     retried if it must not run twice.
     """
     before = self._lives_by_address()
-    self.directory.apply_endpoints(endpoint_list)
+    self.directory.apply_endpoints(endpoint_list, as_of)
     after = self._lives_by_address()
     for address, life in before.items():
       if after.get(address) != life:
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -286,7 +286,9 @@
     self._gateway.apply_configuration(decoded)
 
   async def _apply_servers(self, document: deltas.Document) -> None:
-    await self._gateway.apply_endpoints(document["hosts"])
+    copy = self._gateway.copies.find(documents.SERVERS_PREFIX)
+    as_of = copy.as_of if copy is not None else None
+    await self._gateway.apply_endpoints(document["hosts"], as_of)
 
   async def _apply_members(self, document: deltas.Document) -> None:
     copy = self._gateway.copies.find(members_lib.PREFIX)
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -46,6 +46,9 @@
     self._hosts: dict[str, endpoints.EndpointEntry] = {}
     self._keep_missing_until = -float("inf")
     self._listed_at = -float("inf")
+    """When a list was last applied, monotonic seconds."""
+    self._list_as_of = -float("inf")
+    """When the newest applied list was the list, monotonic seconds."""
     self.in_force_since: datetime.datetime | None = None
     self._confirmed_at = -float("inf")
 
@@ -86,20 +89,31 @@
     """Seconds since the configuration was last known to be the newest."""
     return self._clock.monotonic() - self._confirmed_at
 
-  def apply_endpoints(self, hosts: list[endpoints.EndpointEntry]) -> bool:
-    """Applies a complete list of endpoints; returns whether any changed."""
+  def apply_endpoints(
+      self,
+      hosts: list[endpoints.EndpointEntry],
+      as_of: float | None = None,
+  ) -> bool:
+    """Applies a complete list of endpoints; returns whether any changed.
+
+    Args:
+      hosts: the list.
+      as_of: when it was the list, monotonic seconds; None: now.
+    """
     now = self._clock.monotonic()
+    as_of = now if as_of is None else as_of
     if now - self._listed_at > _OUTAGE_GAP_S:
       self._keep_missing_until = now + _REREGISTRATION_S
-    live_at, self._listed_at = self._listed_at, now
+    self._listed_at = now
     listed = {host["name"]: host for host in hosts}
     if now < self._keep_missing_until:
       listed = {**self._hosts, **listed}
     self._hosts = listed
     changed = self.endpoints.update(list(listed.values()))
     self.endpoints.update_cold(listed.values(), now)
-    self.endpoints.note_leaving(live_at)
+    self.endpoints.note_leaving(self._list_as_of)
     self.endpoints.note_versions(now)
+    self._list_as_of = max(self._list_as_of, as_of)
     return changed
 
   def sole_version(self, kind: str, for_s: float) -> str | None:
@@ -109,7 +123,7 @@
     current, or it has been followed for less than `for_s`.
     """
     now = self._clock.monotonic()
-    if now - self._listed_at > _OUTAGE_GAP_S:
+    if now - self._list_as_of > _OUTAGE_GAP_S:
       return None
     return self.endpoints.sole_version(kind, for_s, now)
 
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -309,7 +309,7 @@
     """Records since when endpoints leave that were not known to leave before.
 
     Args:
-      live_at: when the list before the current one was read, monotonic
+      live_at: when the list before the current one was the list, monotonic
         seconds.
     """
     for row in self.rows.values():
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -76,6 +76,33 @@
     table.tick(10.0)
     self.assertEqual(1, table.rows["a"].failures)
 
+  def test_leaving_counts_from_the_last_list_without_it(self):
+    """Guards against requests to an endpoint whose drain has ended."""
+    self.directory.apply_endpoints(_hosts("a"), 3.0)
+    self.directory.apply_endpoints(_hosts("a", state="leaving"), 7.0)
+    self.directory.apply_endpoints(_hosts("a", state="leaving"), 8.0)
+    row = self.directory.endpoints.rows["a"]
+    self.assertEqual(3.0, row.leaving_since)
+
+  def test_sole_version_needs_a_current_list_of_some_time(self):
+    """Guards against a version that is taken for the only one too early."""
+
+    def apply(version, after_s):
+      self._advance(after_s)
+      hosts = [{**host, "version": version} for host in _hosts("a")]
+      self.directory.apply_endpoints(hosts)
+
+    apply("v1", 0.0)
+    self.assertIsNone(self.directory.sole_version("pool", 4.0))
+    apply("v1", 5.0)
+    self.assertEqual("v1", self.directory.sole_version("pool", 4.0))
+    apply("v2", 1.0)
+    self.assertIsNone(self.directory.sole_version("pool", 4.0))
+    apply("v2", 5.0)
+    self.assertEqual("v2", self.directory.sole_version("pool", 4.0))
+    self._advance(2.0)
+    self.assertIsNone(self.directory.sole_version("pool", 4.0))
+
   def test_leaving_endpoint_is_not_eligible(self):
     self._read("a", times=4)
     self.directory.apply_endpoints(_hosts("a", state="leaving"))
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -171,7 +171,8 @@
   def is_reader(self) -> bool:
     return self.notices.is_reader
 
-  async def apply_endpoints(self, hosts):
+  async def apply_endpoints(self, hosts, as_of):
+    del as_of
     self.states = {host["name"]: host["state"] for host in hosts}
 
   def apply_configuration(self, new):
--- a/tests/test_server_entries.py
+++ b/tests/test_server_entries.py
@@ -125,8 +125,8 @@
     self.relay = _Relay()
     self.accounts = _Accounts()
 
-  async def apply_endpoints(self, hosts):
-    self.directory.apply_endpoints(hosts)
+  async def apply_endpoints(self, hosts, as_of):
+    self.directory.apply_endpoints(hosts, as_of)
 
 
 class _Fixture:
