--- a/mustardfall/membership/stream_keepers.py
+++ b/mustardfall/membership/stream_keepers.py
@@ -21,16 +21,18 @@
 
 logger = logging.getLogger(__name__)
 
-_COPIES = 3
+_HOLDER_ROUTERS = 3
 """Holders of a record in a large fleet, beside the router that made it."""
-_ASKED_ROUTERS = 2 * _COPIES
+_ASKED_ROUTERS = 2 * _HOLDER_ROUTERS
 """Routers of a region that are asked for a record: its holders, and those that
 were or will be its holders while routers join and leave."""
-_MIN_CONFIRMATIONS = 1
+_MIN_CONFIRMING_ROUTERS = 1
+"""Holders that confirm a record before the first event, one of them in another
+data centre if there is one."""
 _CONFIRM_TIMEOUT_S = 0.025
 """How long a first event waits for confirmations."""
 _RESEND_S = 0.02
-_MAX_SENDS = 4
+_MAX_SEND_ATTEMPTS = 4
 _ANSWER_S = 0.03
 """How long answers are waited for before a question is repeated. One takes 1 to
 5 ms, and some 15 ms on a busy host of half a core."""
@@ -86,7 +88,7 @@
     self.record = record
     self.unconfirmed = {member.life: member for member in holders}
     self.holder_count = len(holders)
-    self._needed = len(holders) if must_reach_all else _MIN_CONFIRMATIONS
+    self._needed = len(holders) if must_reach_all else _MIN_CONFIRMING_ROUTERS
     self._needed = min(self._needed, len(holders))
     self._lacks_remote = any(m.datacentre != datacentre for m in holders)
     self._datacentre = datacentre
@@ -190,6 +192,7 @@
     return [member for member in found if member is not None][:count]
 
   def _receivers(self, key: bytes, count: int) -> list[members_lib.Member]:
+    """Returns the first `count` routers for a stream; all in a small fleet."""
     if not self._members.is_large:
       return self._members.others
     return self._rank(key, self._members.me.region, count)
@@ -206,7 +209,7 @@
       replaces: what was announced of an earlier attempt of the same request.
     """
     self.table.put(record, self._clock.monotonic())
-    holders = self._receivers(record.key, _COPIES)
+    holders = self._receivers(record.key, _HOLDER_ROUTERS)
     announcement = Announcement(
         record, holders, self._members.me.datacentre, replaces is not None
     )
@@ -230,6 +233,7 @@
       await self._resend_unconfirmed()
 
   async def _resend_unconfirmed(self) -> None:
+    """Sends records again when they are due, until cancelled."""
     while True:
       while not self._resends:
         self._resends_added = anyio.Event()
@@ -249,7 +253,7 @@
     key = announcement.record.key
     if self._pending.get(key) is not announcement:
       return
-    if number <= _MAX_SENDS and self._datagrams.is_open:
+    if number <= _MAX_SEND_ATTEMPTS and self._datagrams.is_open:
       self._send(announcement, number)
       return
     del self._pending[key]
@@ -364,7 +368,7 @@
         member
         for region in self._holders.regions
         if region != self._members.me.region
-        for member in self._rank(key, region, _COPIES)
+        for member in self._rank(key, region, _HOLDER_ROUTERS)
     ]
 
   async def _ask(
--- a/mustardfall/proxy/resumption.py
+++ b/mustardfall/proxy/resumption.py
@@ -23,7 +23,7 @@
 _VERSION_RETRY_S = 1.0
 """The same where no endpoint of the version is listed. One that has crashed is
 back after one or two seconds."""
-_MAX_LOGGED_VERSIONS = 8
+_MAX_LOGGED_ENTRIES = 8
 
 
 class Resumption:
@@ -150,7 +150,7 @@
     found = {
         f"{row.kind} {row.version}" for row in rows if row.kind in services
     }
-    return sorted(found)[:_MAX_LOGGED_VERSIONS]
+    return sorted(found)[:_MAX_LOGGED_ENTRIES]
 
   def _bind_to(
       self,
