--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -316,10 +316,17 @@
       await caller.attempt()
     env.add_server("i-other", _OLD, "other").behaviour.events = _EVENTS
     await _list_at_all(env, "i-other")
-    known = env.gateway.directory
-    services = dict(known.configuration.services)
-    del services["pool"]
-    with mock.patch.object(known.configuration, "services", services):
+    keepers, known = env.gateway.stream_keepers, env.gateway.directory
+    find = keepers.find
+
+    async def _find_while_the_service_goes(key):
+      lookup = await find(key)
+      services = known.configuration.services
+      known.configuration.services = {"other": services["other"]}
+      return lookup
+
+    lookup = mock.patch.object(keepers, "find", _find_while_the_service_goes)
+    with lookup:
       await self._check_refused(env, caller, env.gateway)
 
   @test_gateway.in_environment(servers=("i-1", "i-2"))
