--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -80,7 +80,9 @@
     self._unstored: list[quarantine.QuarantineUpdate] = []
     """New verdicts of this router that are not yet stored."""
     self._unstored_added = anyio.Event()
-    datagrams.connect(datagrams_lib.Kind.SUSPECT, self._handle_crash_report)
+    datagrams.connect_with_sender(
+        datagrams_lib.Kind.SUSPECT, self._handle_crash_report
+    )
 
   def note_end(self, report: quarantine.CrashReport) -> None:
     """Records that an endpoint crashed while running a request."""
@@ -88,7 +90,7 @@
     for router in self._counting_routers(report.fingerprint):
       for _ in range(2):  # one datagram in some hundreds is lost
         self._datagrams.enqueue(datagrams_lib.Kind.SUSPECT, content, router)
-    self._count_crash(report)
+    self._count_crash(report, "")
 
   def note_success(self, fingerprint: str) -> None:
     """Records that an endpoint completed a request; clears the request."""
@@ -111,8 +113,22 @@
     candidates = self._members.candidates(fingerprint)
     return [member for member in candidates if member.life != me]
 
-  def _count_crash(self, report: quarantine.CrashReport) -> None:
-    if self._table.note_crash(report):
+  def _count_crash(self, report: quarantine.CrashReport, reporter: str) -> None:
+    """Counts a crash that `reporter` saw; empty: this router."""
+    before = self._table.crash_count(report.fingerprint)
+    is_quarantined = self._table.note_crash(report)
+    crashes = self._table.crash_count(report.fingerprint)
+    if crashes != before:
+      extra = {
+          "key": report.fingerprint,
+          "team": report.team,
+          "crashes": crashes,
+          "endpoint": report.endpoint,
+          "ran_s": round(report.ran_s, 3),
+          "reporter": reporter,
+      }
+      logger.info("crash counted", extra=extra)
+    if is_quarantined:
       self._publish(
           quarantine.QuarantineUpdate(
               report.fingerprint, report.team, quarantine.QUARANTINE_S
@@ -124,11 +140,12 @@
     self._unstored.append(verdict)
     self._unstored_added.set()
 
-  def _handle_crash_report(self, raw: bytes) -> None:
+  def _handle_crash_report(self, raw: bytes, sender: str) -> None:
     fingerprint, team, endpoint, ran_s = json.loads(raw)
     names.check(fingerprint, team, endpoint)
     self._count_crash(
-        quarantine.CrashReport(fingerprint, team, endpoint, float(ran_s))
+        quarantine.CrashReport(fingerprint, team, endpoint, float(ran_s)),
+        sender,
     )
 
   async def run(self) -> None:
--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -11,6 +11,9 @@
 
 logger = logging.getLogger(__name__)
 
+_MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that are named in a log line."""
+
 
 class CrashGuard:
   """Detects crashes of endpoints and refuses requests that are quarantined.
@@ -70,6 +73,14 @@
         extra={
             "request": context.request.id,
             "fingerprint": context.fingerprint,
+            "parts": [
+                quarantine.part_key(team, part.id)
+                for part in context.request.parts[:-1][:_MAX_LOGGED_PARTS]
+            ],
+            "team": team,
+            "route": context.route.name,
+            "events": context.attempt_events,
+            "try": context.attempts_sent,
             "endpoint": row.life,
             "address": row.url,
             "ran_s": round(ran_s, 3),
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -282,6 +282,7 @@
     attempt = self._endpoint_selector.start_attempt(context, placement)
     may_have_run_before, context.may_have_run = context.may_have_run, True
     context.attempts_sent += 1
+    context.attempt_events = 0
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     self._request_log.log_resumed_send(context, row)
@@ -429,6 +430,7 @@
     try:
       async for data in self._stream_chunks(context, exchange):
         events = parser.feed(data)
+        context.attempt_events += len(events)
         accepted = [e.raw for e in events if context.sequencer.accept(e)]
         if accepted:
           await self._resumption.begin(context)
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -52,6 +52,8 @@
   reservation: allotment.Reservation | None = None
   attempts_sent: int = 0
   """Number of attempts, each of which sent the request to an endpoint."""
+  attempt_events: int = 0
+  """Events that the endpoint of the current attempt has sent."""
   has_retry: bool = False
   """Whether a retry was withdrawn for the next attempt."""
   failed_connects: int = 0
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -67,6 +67,13 @@
   return digest.hexdigest()
 
 
+def part_key(team: str, part: str) -> str:
+  """Returns a hash that is equal for requests of a team with a prompt part."""
+  digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+  digest.update(f"{len(team)}:{team}{part}".encode())
+  return digest.hexdigest()
+
+
 @dataclasses.dataclass
 class _Row:
   """One suspected or quarantined request."""
@@ -131,6 +138,11 @@
     self._quarantine(report.fingerprint, row, QUARANTINE_S)
     return True
 
+  def crash_count(self, fingerprint_: str) -> int:
+    """Returns the crashes that count against a request."""
+    row = self._rows.get(fingerprint_)
+    return row.crashes if row is not None else 0
+
   def note_success(self, fingerprint_: str) -> bool:
     """Records that an endpoint completed a request.
 
