--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -40,6 +40,9 @@
   """Bytes appended to the body of a plain response."""
   crash_on: bytes | None = None
   """If the body contains this, the server crashes after the response head."""
+  crash_on_part: str | None = None
+  """If the prompt has this part, which must not be the last one, the server
+  crashes after the response head."""
   encoded: bool = False
   rate_limit: str | None = None
   """Value of the `Server-Limit` header; None: the header is left out."""
@@ -221,13 +224,25 @@
       writer = _ResponseWriter(
           stream, request, behaviour, self.id, self.version
       )
-      if behaviour.crash_on and behaviour.crash_on in request.body:
+      if _crashes_on(request, behaviour):
         await writer.send_head()
         await self.crash()
       await writer.run()
       tg.cancel_scope.cancel()
 
 
+def _crashes_on(request: ReceivedRequest, behaviour: Behaviour) -> bool:
+  if behaviour.crash_on and behaviour.crash_on in request.body:
+    return True
+  return behaviour.crash_on_part in prompt_parts(request)[:-1]
+
+
+def prompt_parts(request: ReceivedRequest) -> list[str]:
+  """Returns the ids of the parts of a request's prompt, in order."""
+  prefix = request.headers.get("prompt-prefix", "")
+  return [part.partition(":")[0] for part in prefix.split(",")]
+
+
 async def _watch_disconnect(
     stream: abc.SocketStream, request: ReceivedRequest, scope: anyio.CancelScope
 ) -> None:
@@ -281,6 +296,9 @@
   async def send_head(self) -> None:
     """Writes only the head of the response, whose body never follows."""
     await anyio.sleep(self._behaviour.response_delay_s)
+    if self._behaviour.events:
+      await self._send_stream_head()
+      return
     await self._stream.send(_head(200, self._headers(), 1_000) + b"\r\n")
 
   async def run(self) -> None:
@@ -320,14 +338,17 @@
     head = _head(self._behaviour.status, self._headers(), length)
     await self._stream.send(head + b"\r\n" + body)
 
-  async def _send_events(self) -> None:
-    behaviour = self._behaviour
+  async def _send_stream_head(self) -> None:
     headers = {
         **self._headers(),
         "content-type": "text/event-stream",
         "transfer-encoding": "chunked",
     }
     await self._stream.send(_head(200, headers, None) + b"\r\n")
+
+  async def _send_events(self) -> None:
+    behaviour = self._behaviour
+    await self._send_stream_head()
     last = int(
         self._request.headers.get("last-event-id", behaviour.first_id - 1)
     )
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -205,9 +205,14 @@
     self.list_server(id_, server.port, "draining", server.version)
 
   async def restart_crashed_servers(
-      self, crash_on: bytes, delay_s: float = 0.3
+      self, behaviour: server_lib.Behaviour, delay_s: float = 0.3
   ) -> None:
-    """Replaces each crashed server, after a delay, by one with a new id."""
+    """Replaces each crashed server, after a delay, by one with a new id.
+
+    Args:
+      behaviour: that of the replacements.
+      delay_s: how long it takes.
+    """
     for number in itertools.count():
       crashed = [
           server for server in self.servers.values() if server.crashed.is_set()
@@ -216,15 +221,17 @@
         del self.servers[server.id]
         self.crash_count += 1
         self.store.remove(f"servers/{server.id}")
-        self._tasks.start_soon(self._add_after_delay, number, crash_on, delay_s)
+        self._tasks.start_soon(
+            self._add_after_delay, number, behaviour, delay_s
+        )
       await anyio.sleep(0.01)
 
   async def _add_after_delay(
-      self, number: int, crash_on: bytes, delay_s: float
+      self, number: int, behaviour: server_lib.Behaviour, delay_s: float
   ) -> None:
     await anyio.sleep(delay_s)
     replacement = self.add_server(f"i-again{number}-{self.crash_count}")
-    replacement.behaviour.crash_on = crash_on
+    replacement.behaviour = dataclasses.replace(behaviour)
 
   async def add_gateway(
       self,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,6 +8,7 @@
 import anyio
 import testtools
 
+from mustardfall.emulator import server as server_lib
 from tests import test_gateway
 
 _MAX_CRASHES = 3
@@ -39,7 +40,9 @@
     """Guards against a request that crashes one server after another."""
     self._poison(env)
     async with anyio.create_task_group() as tg:
-      tg.start_soon(env.restart_crashed_servers, _POISON)
+      tg.start_soon(
+          env.restart_crashed_servers, server_lib.Behaviour(crash_on=_POISON)
+      )
       responses = await self._send_repeatedly(env, 12)
       tg.cancel_scope.cancel()
     self.assertTrue(env.crash_count <= _MAX_CRASHES, env.crash_count)
@@ -60,7 +63,9 @@
         await anyio.sleep(0.05)
 
     async with anyio.create_task_group() as tg:
-      tg.start_soon(env.restart_crashed_servers, _POISON)
+      tg.start_soon(
+          env.restart_crashed_servers, server_lib.Behaviour(crash_on=_POISON)
+      )
       async with anyio.create_task_group() as callers:
         callers.start_soon(self._send_repeatedly, env, 12)
         for number in range(4):
