Blame the part of a prompt that recurs, and try open parts one at a time

What callers saw: requests of which no two are alike, but which share one part of their prompt, ended endpoint after endpoint; all streams beside them broke off.

Cause: a crash counted against the fingerprint of the whole request only, a key that never recurs here. Ruled out: verdicts known too late (no fingerprint was sent after its quarantine was known), crashes that are none. Our own second sends doubled the number.

Now crashes count for each unit: the request, and each part of its prompt but the last, by team. A part is blamed only if different requests had it. What an endpoint answered to its end clears its units of the crashes before the answer began; a success before them raises the limits, and routers that know of one say so. A part with two crashes (three if it was sound before) is open: one request at a time, in the whole fleet, may have it, by a slot permit of its own; the others wait. Three crashes with no other suspected part, or five, quarantine it for 15 s, doubled with each further crash. The unit that is quarantined explains its crashes in all others. A request is not sent to a second endpoint while a part of it is suspected. Endpoints that leave are not counted.

--- a/mustardfall/bench/virtual/stream_fleet.py
+++ b/mustardfall/bench/virtual/stream_fleet.py
@@ -6,10 +6,8 @@
 callers come back at any router that is up.
 """
 
-import asyncio
 import collections
 import dataclasses
-import random
 import statistics
 from typing import Any, NamedTuple
 
@@ -17,7 +15,7 @@
 
 from mustardfall import errors
 from mustardfall.bench.virtual import loop
-from mustardfall.membership import datagrams as datagrams_lib
+from mustardfall.bench.virtual import routers
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import stream_keepers
 from mustardfall.routing import stream_holders
@@ -25,8 +23,6 @@
 
 _VERSIONS = ("v1", "v2", "v3")
 _HOP_S = 0.001
-_REMOTE_HOP_S = 0.03
-"""One way between regions."""
 _LEASE_S = 6.0
 """How long a router that was killed stays listed."""
 _PREFILL_S = 0.06
@@ -109,129 +105,33 @@
     }
 
 
-class _Members:
-  """The list of routers; killed ones leave it when their lease ends."""
-
-  def __init__(self, fleet: "_Fleet", me: members_lib.Member) -> None:
-    self._fleet = fleet
-    self.me = me
-
-  @property
-  def lives(self) -> dict[str, members_lib.Member]:
-    return self._fleet.lives
-
-  @property
-  def others(self) -> list[members_lib.Member]:
-    return [m for m in self._fleet.lives.values() if m.name != self.me.name]
-
-  @property
-  def is_large(self) -> bool:
-    return len(self._fleet.lives) > members_lib.MAX_SMALL_FLEET
-
-  def find(self, name: str) -> members_lib.Member | None:
-    return self._fleet.by_name.get(name)
-
-
-class _Port:
-  """Carries a router's datagrams; see `datagrams.Datagrams`."""
-
-  is_open = True
-
-  def __init__(self, fleet: "_Fleet", name: str) -> None:
-    self._fleet = fleet
-    self._name = name
-    self.handlers: dict[datagrams_lib.Kind, Any] = {}
-
-  def connect_with_sender(self, kind, handler) -> None:
-    self.handlers[kind] = handler
-
-  def enqueue(self, kind, content, member) -> None:
-    self.enqueue_to(kind, content, member.name)
-
-  def enqueue_to(self, kind, content, host) -> None:
-    self._fleet.carry(kind, content, self._name, host)
-
-
 class _Router:
   """One life of a router."""
 
   def __init__(self, fleet: "_Fleet", me: members_lib.Member) -> None:
     self.me = me
-    self.port = _Port(fleet, me.name)
+    self.port = routers.Port(fleet, me.name)
     self.keepers = stream_keepers.StreamKeepers(
-        _Members(fleet, me), self.port, fleet.call, loop.Clock()
+        routers.Members(fleet, me), self.port, fleet.call, loop.Clock()
     )
     self.scope = anyio.CancelScope()
-    """Ends what runs in this life."""
 
   async def run(self) -> None:
     with self.scope:
       await self.keepers.run()
 
 
-class _Fleet:
+class _Fleet(routers.Fleet):
   """All routers of a day, and the callers of their streams."""
 
   def __init__(self, day: Day, seed: int, tasks) -> None:
-    self.day = day
-    self.rng = random.Random(f"{seed}")
     self.result = Result(day)
-    self.tasks = tasks
-    self.lives: dict[str, members_lib.Member] = {}
-    self.by_name: dict[str, members_lib.Member] = {}
-    self.up: dict[str, _Router] = {}
-    members = []
-    for number in range(day.routers):
-      datacentre = number % day.datacentres
-      name = f"r{number:03}"
-      members.append(
-          members_lib.Member(
-              name,
-              "1",
-              f"http://{name}:1",
-              f"dc{datacentre}",
-              f"region{datacentre % day.regions}",
-          )
-      )
-    count = round(day.unheard * day.routers)
-    self.unheard = {m.name for m in self.rng.sample(members, count)}
-    self._list(members)
-    for member in members:
-      self._start(member)
-
-  def _list(self, members: list[members_lib.Member]) -> None:
-    self.lives = {m.life: m for m in members}
-    self.by_name = {m.name: m for m in members}
+    super().__init__(day, seed, tasks)
+    self.result.datagrams = self.datagrams
+    self.result.sent_bytes = self.sent_bytes
 
-  def _start(self, member: members_lib.Member) -> None:
-    router = self.up[member.name] = _Router(self, member)
-    self.tasks.start_soon(router.run)
-
-  def carry(self, kind, content: bytes, sender: str, host: str) -> None:
-    """Delivers a datagram after a hop, unless it is lost."""
-    self.result.datagrams[sender] += 1
-    self.result.sent_bytes[sender] += len(content) + 1
-    if self.unheard & {sender, host}:
-      return
-    copies = 2 if self.rng.random() < self.day.doubled else 1
-    for _ in range(copies):
-      if self.rng.random() < self.day.loss:
-        continue
-      delay_s = self._hop_s(sender, host)
-      if self.rng.random() < self.day.late:
-        delay_s += self.rng.uniform(0.0, 0.05)
-      asyncio.get_running_loop().call_later(
-          delay_s, self._deliver, kind, content, sender, host
-      )
-
-  def _hop_s(self, sender: str, host: str) -> float:
-    regions = {self.by_name[name].region for name in (sender, host)}
-    return _HOP_S if len(regions) == 1 else _REMOTE_HOP_S
-
-  def _deliver(self, kind, content: bytes, sender: str, host: str) -> None:
-    router = self.up.get(host)
-    if router is not None:
-      router.port.handlers[kind](content, sender)
+  def make_router(self, member: members_lib.Member) -> _Router:
+    return _Router(self, member)
 
   async def call(self, url: str, body: dict, timeout_s: float) -> dict:
     """Calls a router; see `peers.Post`."""
@@ -242,22 +142,6 @@
       raise errors.PeerUnavailableError("killed")
     return await router.keepers.serve(body)
 
-  async def kill(self) -> None:
-    """Kills some routers, which start again with nothing."""
-    await anyio.sleep(self.day.kill_at_s)
-    count = min(self.day.routers - 1, round(self.day.killed * self.day.routers))
-    for name in self.rng.sample(sorted(self.up), count):
-      router = self.up.pop(name)
-      router.scope.cancel()
-      self.tasks.start_soon(self._start_again, router.me)
-
-  async def _start_again(self, before: members_lib.Member) -> None:
-    await anyio.sleep(self.day.down_s)
-    member = before._replace(epoch="2")
-    others = [m for m in self.lives.values() if m.name != member.name]
-    self._list([*others, member])
-    self._start(member)
-
   async def serve(self, number: int) -> None:
     """Plays one stream, and its resumption if it breaks off."""
     self.result.streams += 1
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -37,6 +37,7 @@
 from mustardfall.membership import relay as relay_lib
 from mustardfall.membership import stream_keepers as stream_keepers_lib
 from mustardfall.membership import trackers as trackers_lib
+from mustardfall.membership import trials as trials_lib
 from mustardfall.membership import verdicts as verdicts_lib
 from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import connection_pool as connection_pool_lib
@@ -259,6 +260,7 @@
         self.kv,
         clock,
     )
+    self.trials = trials_lib.Trials(self.quarantine, self.permits, clock)
     self.relay = relay_lib.Relay(
         self.accounts.members, self._call_peer, self.copies, clock
     )
@@ -383,7 +385,11 @@
           self.instruments,
           self._endpoint_selector,
           crash_guard_lib.CrashGuard(
-              self.quarantine, self.verdicts, self.paths
+              self.quarantine,
+              self.verdicts,
+              self.trials,
+              self.paths,
+              self.clock,
           ),
           self._endpoint_limiter,
           self.paths,
--- a/mustardfall/membership/permits.py
+++ b/mustardfall/membership/permits.py
@@ -173,13 +173,17 @@
     self._counts["granted" if permit.is_granted else "refused"] += 1
     return permit
 
-  def end(self, endpoint: str, permit: Permit) -> None:
-    """Ends the lease of a request that is no longer in flight."""
+  def abandon(self, endpoint: str, permit: Permit) -> None:
+    """Renews a lease no longer; it expires some seconds later."""
     held = self._held.get(permit.issuer, {})
     numbers = held.get(endpoint, set())
     numbers.discard(permit.lease)
     if not numbers:
       held.pop(endpoint, None)
+
+  def end(self, endpoint: str, permit: Permit) -> None:
+    """Ends the lease of a request that is no longer in flight."""
+    self.abandon(endpoint, permit)
     limit = self._limits.find_life(endpoint)
     current = self._issuer_of(limit) if limit is not None else None
     for issuer in {permit.issuer, current or permit.issuer}:
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -6,9 +6,11 @@
 stores it in the KV for the case that all routers restart.
 """
 
+from collections.abc import Iterable, Sequence
 import json
 import logging
-from typing import NamedTuple
+import random
+from typing import Any, NamedTuple
 
 import anyio
 
@@ -27,8 +29,15 @@
 PREFIX = "quarantine/"
 _READ_INTERVAL_S = 1.0
 """Interval between two attempts to read the stored verdicts after the start."""
-_MAX_VERDICTS_PER_DATAGRAM = 20
-"""Each verdict takes some 60 bytes."""
+_MAX_VERDICTS_PER_DATAGRAM = 12
+"""Each verdict takes some 100 bytes."""
+_REPORT_FIELDS = 4
+"""Fields of the report of a request. If the prompt has parts, `has_begun`, the
+number of those that are unproven and their keys follow."""
+_NO_SUSPECTS = quarantine.Suspects([], 0)
+_ANSWER_SPREAD_S = 0.001
+"""Mean time between two routers' answers to a verdict of which they know
+better."""
 
 
 class _StoredVerdict(NamedTuple):
@@ -71,7 +80,7 @@
     self._clock = clock
     self._gossip = gossip_lib.Gossip(
         datagrams_lib.Kind.VERDICT,
-        table,
+        self,
         members,
         datagrams,
         clock,
@@ -80,79 +89,209 @@
     self._unstored: list[quarantine.QuarantineUpdate] = []
     """New verdicts of this router that are not yet stored."""
     self._unstored_added = anyio.Event()
+    self._outdated: dict[str, float] = {}
+    """Units of which another router does not know a success, and when it is to
+    be published."""
+    self._outdated_added = anyio.Event()
+    table.on_outdated = self._note_outdated
     datagrams.connect_with_sender(
         datagrams_lib.Kind.SUSPECT, self._handle_crash_report
     )
 
-  def note_end(self, report: quarantine.CrashReport) -> None:
-    """Records that an endpoint crashed while running a request."""
-    content = json.dumps(report).encode()
-    for router in self._counting_routers(report.fingerprint):
+  def note_end(
+      self,
+      report: quarantine.CrashReport,
+      suspects: quarantine.Suspects = _NO_SUSPECTS,
+  ) -> None:
+    """Records that an endpoint crashed while running a request.
+
+    Args:
+      report: the request and the endpoint.
+      suspects: the parts of its prompt.
+    """
+    fields = list(report[:_REPORT_FIELDS])
+    if suspects.parts:
+      fields += [report.has_begun, suspects.unproven_count, *suspects.parts]
+    content = json.dumps(fields).encode()
+    keys = (report.fingerprint, *suspects.parts)
+    for router in self._counting_routers(keys):
       for _ in range(2):  # one datagram in some hundreds is lost
         self._datagrams.enqueue(datagrams_lib.Kind.SUSPECT, content, router)
-    self._count_crash(report, "")
-
-  def note_success(self, fingerprint: str) -> None:
-    """Records that an endpoint completed a request; clears the request."""
-    was_quarantined = bool(self._table.remaining_s(fingerprint))
-    if not self._table.note_success(fingerprint):
-      return
-    cleared = quarantine.QuarantineUpdate(fingerprint, "", 0.0)
-    if was_quarantined:
-      self._publish(cleared)
-      return
-    # Not sent to all: an endpoint that crashes runs dozens of requests, most of
-    # which succeed at the next one.
-    self._gossip.send_to(fingerprint, self._counting_routers(fingerprint))
-
-  def _counting_routers(self, fingerprint: str) -> list[members_lib.Member]:
-    """Returns the other routers that count crashes for a request."""
+    self._count_crash(report, suspects, "")
+
+  def note_success(self, *keys: str, age_s: float = 0.0) -> None:
+    """Records that an endpoint completed a request; clears its units.
+
+    Args:
+      keys: the units.
+      age_s: seconds since the endpoint began to write the answer.
+    """
+    for key in keys:
+      before = self._table.standing(key)
+      crashes = self._table.crash_count(key)
+      if self._table.note_success(key, age_s):
+        self._announce_success(key, before, crashes)
+
+  def _announce_success(
+      self, key: str, before: quarantine.Standing, crashes: float
+  ) -> None:
+    if before is not quarantine.Standing.CLEAR:
+      extra = {"key": key, "standing": before.value, "crashes": crashes}
+      logger.info("blame cleared by a success", extra=extra)
+    if before is quarantine.Standing.QUARANTINED:
+      self._publish(quarantine.QuarantineUpdate(key, "", 0.0))
+    elif before is quarantine.Standing.OPEN:
+      self._gossip.publish(key)
+    else:
+      # Not sent to all: an endpoint that crashes runs dozens of requests, most
+      # of which succeed at the next one.
+      self._gossip.send_to(key, self._counting_routers((key,)))
+
+  def _counting_routers(
+      self, keys: Sequence[str]
+  ) -> Iterable[members_lib.Member]:
+    """Returns the other routers that count crashes for any of the units."""
     if not self._members.is_large:
       return self._members.others
-    me = self._members.me.life
-    candidates = self._members.candidates(fingerprint)
-    return [member for member in candidates if member.life != me]
+    found = {
+        member.life: member
+        for key in keys
+        for member in self._members.candidates(key)
+    }
+    found.pop(self._members.me.life, None)
+    return found.values()
 
-  def _count_crash(self, report: quarantine.CrashReport, reporter: str) -> None:
+  def _count_crash(
+      self,
+      report: quarantine.CrashReport,
+      suspects: quarantine.Suspects,
+      reporter: str,
+  ) -> None:
     """Counts a crash that `reporter` saw; empty: this router."""
-    before = self._table.crash_count(report.fingerprint)
-    is_quarantined = self._table.note_crash(report)
-    crashes = self._table.crash_count(report.fingerprint)
-    if crashes != before:
+    counts = {}
+    for one in self._reports(report, suspects):
+      key = one.fingerprint
+      before = self._table.standing(key)
+      crashes = self._table.crash_count(key)
+      if self._table.note_crash(one):
+        left_s = self._table.remaining_s(key)
+        self._publish(quarantine.QuarantineUpdate(key, one.team, left_s))
+      if self._table.crash_count(key) != crashes:
+        counts[key] = self._table.crash_count(key)
+      after = self._table.standing(key)
+      if after is not before:
+        self._note_standing(key, after)
+    if counts:
       extra = {
-          "key": report.fingerprint,
+          "counts": counts,
+          "request": report.fingerprint,
           "team": report.team,
-          "crashes": crashes,
           "endpoint": report.endpoint,
           "ran_s": round(report.ran_s, 3),
           "reporter": reporter,
       }
       logger.info("crash counted", extra=extra)
-    if is_quarantined:
-      self._publish(
-          quarantine.QuarantineUpdate(
-              report.fingerprint, report.team, quarantine.QUARANTINE_S
-          )
+
+  def _reports(
+      self, report: quarantine.CrashReport, suspects: quarantine.Suspects
+  ) -> Iterable[quarantine.CrashReport]:
+    """Yields the report of each unit of a request."""
+    yield report
+    unproven_count = suspects.unproven_count or len(suspects.parts)
+    for rank, part in enumerate(suspects.parts):
+      yield report._replace(
+          fingerprint=part,
+          request=report.fingerprint,
+          is_isolated=rank == 0 and unproven_count == 1,
+          is_proven=rank >= suspects.unproven_count,
       )
 
+  def _note_standing(self, key: str, standing: quarantine.Standing) -> None:
+    """Tells the others that a unit is open, unless all of them count."""
+    crashes = self._table.crash_count(key)
+    extra = {"key": key, "standing": standing.value, "crashes": crashes}
+    logger.info("blame changed", extra=extra)
+    if standing is quarantine.Standing.OPEN and self._members.is_large:
+      self._gossip.publish(key)
+
   def _publish(self, verdict: quarantine.QuarantineUpdate) -> None:
     self._gossip.publish(verdict.fingerprint)
     self._unstored.append(verdict)
     self._unstored_added.set()
 
+  def _note_outdated(self, key: str) -> None:
+    """Has a success published that another router does not know."""
+    # Many routers may know of one. The first to send it spares the others that.
+    wait_s = random.uniform(0, _ANSWER_SPREAD_S * len(self._members.lives))
+    self._outdated.setdefault(key, self._clock.monotonic() + wait_s)
+    self._outdated_added.set()
+
+  async def _publish_outdated(self) -> None:
+    """Publishes successes that another router does not know."""
+    while True:
+      if not self._outdated:
+        await self._outdated_added.wait()
+      self._outdated_added = anyio.Event()
+      now = self._clock.monotonic()
+      for key, due_at in list(self._outdated.items()):
+        if due_at <= now:
+          del self._outdated[key]
+          self._gossip.publish(key)
+      if self._outdated:
+        due_at = min(self._outdated.values())
+        with anyio.move_on_after(max(0.0, due_at - now)):
+          await self._outdated_added.wait()
+
   def _handle_crash_report(self, raw: bytes, sender: str) -> None:
-    fingerprint, team, endpoint, ran_s = json.loads(raw)
-    names.check(fingerprint, team, endpoint)
-    self._count_crash(
-        quarantine.CrashReport(fingerprint, team, endpoint, float(ran_s)),
-        sender,
+    fingerprint, team, endpoint, ran_s, *more = json.loads(raw)
+    has_begun, unproven_count, *parts = more or (False, 0)
+    names.check(fingerprint, team, endpoint, *parts)
+    report = quarantine.CrashReport(
+        fingerprint, team, endpoint, float(ran_s), has_begun=has_begun is True
+    )
+    suspects = quarantine.Suspects(
+        parts[: quarantine.MAX_PARTS], int(unproven_count)
     )
+    self._count_crash(report, suspects, sender)
+
+  def keys(self) -> list[str]:
+    """Returns the units that others have to know of; see `gossip.Table`."""
+    return self._table.keys()
+
+  def fact(self, key: str) -> list[Any]:
+    """Returns what others have to know of a unit; see `gossip.Table`."""
+    return self._table.fact(key)
+
+  def apply(self, fact: list[Any]) -> None:
+    """Applies what another router knows of a unit.
+
+    Raises:
+      TypeError, ValueError: `fact` is malformed.
+    """
+    update = quarantine.decode(fact)
+    key = update.fingerprint
+    before = self._table.standing(key)
+    self._table.apply_update(update)
+    after = self._table.standing(key)
+    if not update.is_open and update.left_s <= 0:
+      self._outdated.pop(key, None)  # another router has published it
+    if after is not before:
+      extra = {
+          "key": key,
+          "standing": after.value,
+          "crashes": update.crashes,
+          "told_left_s": update.left_s,
+          "crashed_s": update.crashed_s,
+          "succeeded_s": update.succeeded_s,
+      }
+      logger.info("blame changed by another router", extra=extra)
 
   async def run(self) -> None:
     """Sends, stores and gossips verdicts until cancelled."""
     async with anyio.create_task_group() as tasks:
       tasks.start_soon(self._gossip.run)
       tasks.start_soon(self._store_new)
+      tasks.start_soon(self._publish_outdated)
       tasks.start_soon(self._read_stored)
 
   async def _store_new(self) -> None:
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -84,6 +84,7 @@
         self._require_current_configuration(config.version)
         raise refusals.unknown_key(config.version)
     service = config.services[self._choose_service(route)]
+    team_name = team.name if team else ""
     timeout_s = route.timeout.total_seconds()
     if request.caller_timeout_s is not None:
       timeout_s = min(timeout_s, request.caller_timeout_s)
@@ -98,7 +99,10 @@
         deadline=arrived_at + timeout_s,
         sequencer=streams.EventSequencer(request.last_event),
         fingerprint=quarantine.fingerprint(
-            team.name if team else "", request.method, request.target, body
+            team_name, request.method, request.target, body
+        ),
+        parts=quarantine.part_keys(
+            team_name, [part.id for part in request.parts]
         ),
     )
 
--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -2,12 +2,14 @@
 
 import logging
 
+from mustardfall.membership import trials as trials_lib
 from mustardfall.membership import verdicts as verdicts_lib
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import quarantine
+from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
 
@@ -21,18 +23,24 @@
   Args:
     table: the quarantined requests.
     verdicts: reports crashes and successes to the other routers.
+    trials: admits requests with open units.
     paths: connects to endpoints.
+    clock: the time source.
   """
 
   def __init__(
       self,
       table: quarantine.Table,
       verdicts: verdicts_lib.Verdicts,
+      trials: trials_lib.Trials,
       paths: endpoint_paths_lib.EndpointPaths,
+      clock: clock_lib.Clock,
   ) -> None:
     self._table = table
     self._verdicts = verdicts
+    self._trials = trials
     self._paths = paths
+    self._clock = clock
 
   def refuse_quarantined(
       self, context: request_context_lib.RequestContext
@@ -42,16 +50,51 @@
     Raises:
       refusals.RefusalError: the request must not be sent to any endpoint now.
     """
-    left_s = self._table.remaining_s(context.fingerprint)
+    left_s, unit = max(
+        (self._table.remaining_s(unit), unit) for unit in context.units
+    )
     if not left_s:
       return
     if context.may_have_run:
       raise refusals.response_lost()
-    raise refusals.quarantined(left_s)
+    facts = {"unit": unit, "crashes": self._table.crash_count(unit)}
+    raise refusals.quarantined(left_s, facts)
+
+  async def admit(self, context: request_context_lib.RequestContext) -> None:
+    """Waits until a request may be sent to an endpoint.
+
+    Raises:
+      refusals.RefusalError: it must not be sent to any now.
+    """
+    context.endpoint_crashed = False
+    context.trial = await self._trials.begin(context.request.id, context.parts)
+    self.refuse_quarantined(context)
+
+  def end_attempt(self, context: request_context_lib.RequestContext) -> None:
+    """Ends the trial that an attempt was, if it was one."""
+    trial, context.trial = context.trial, None
+    if trial is None:
+      return
+    if context.endpoint_crashed and not context.attempt_events:
+      self._trials.abandon(trial)
+    else:
+      self._trials.end(trial, "endpoint is up")
+
+  def is_blame_open(self, context: request_context_lib.RequestContext) -> bool:
+    """Whether a part of the prompt may have crashed the last endpoint.
+
+    An endpoint that has sent events had processed the prompt.
+    """
+    if not context.endpoint_crashed or context.attempt_events:
+      return False
+    return any(map(self._table.is_suspected, context.parts))
 
   def record_success(self, context: request_context_lib.RequestContext) -> None:
     """Records that an endpoint completed a request."""
-    self._verdicts.note_success(context.fingerprint)
+    age_s = 0.0
+    if context.attempt_began_at is not None:
+      age_s = self._clock.monotonic() - context.attempt_began_at
+    self._verdicts.note_success(*context.units, age_s=age_s)
 
   async def check_for_crash(
       self,
@@ -67,16 +110,20 @@
     """
     if not await self._paths.has_ended(row, context.request.id):
       return
+    if row.state != "live":
+      extra = {"request": context.request.id, "endpoint": row.life}
+      logger.info("endpoint that leaves has ended", extra=extra)
+      return
+    context.endpoint_crashed = True
+    suspects = self._table.rank_suspects(context.parts)
     team = context.team.name if context.team else ""
     logger.info(
         "endpoint ended under a request",
         extra={
             "request": context.request.id,
             "fingerprint": context.fingerprint,
-            "parts": [
-                quarantine.part_key(team, part.id)
-                for part in context.request.parts[:-1][:_MAX_LOGGED_PARTS]
-            ],
+            "parts": suspects.parts[:_MAX_LOGGED_PARTS],
+            "unproven": suspects.unproven_count,
             "team": team,
             "route": context.route.name,
             "events": context.attempt_events,
@@ -87,5 +134,12 @@
         },
     )
     self._verdicts.note_end(
-        quarantine.CrashReport(context.fingerprint, team, row.life, ran_s)
+        quarantine.CrashReport(
+            context.fingerprint,
+            team,
+            row.life,
+            ran_s,
+            has_begun=context.attempt_events > 0,
+        ),
+        suspects,
     )
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -192,8 +192,9 @@
       self, context: request_context_lib.RequestContext
   ) -> None:
     while True:
-      placement = await self._endpoint_selector.select(context)
       try:
+        await self._crash_guard.admit(context)
+        placement = await self._endpoint_selector.select(context)
         self._crash_guard.refuse_quarantined(context)
         if placement is None:
           await self._finish_unserved(context)
@@ -204,6 +205,7 @@
         self._request_log.log_failed_attempt(context, placement.row, str(exc))
       finally:
         self._endpoint_limiter.end(context)
+        self._crash_guard.end_attempt(context)
       if not self._may_retry(context):
         await self._finish_unserved(context)
         return
@@ -217,6 +219,8 @@
       return False
     if context.is_cut_off or context.failed_connects >= _MAX_FAILED_CONNECTS:
       return False
+    if self._crash_guard.is_blame_open(context):
+      return False
     if not self._endpoint_selector.has_candidate(context):
       return False
     if context.attempts_sent == 0 or context.has_retry:
@@ -282,7 +286,7 @@
     attempt = self._endpoint_selector.start_attempt(context, placement)
     may_have_run_before, context.may_have_run = context.may_have_run, True
     context.attempts_sent += 1
-    context.attempt_events = 0
+    context.attempt_events, context.attempt_began_at = 0, None
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     self._request_log.log_resumed_send(context, row)
@@ -430,6 +434,8 @@
     try:
       async for data in self._stream_chunks(context, exchange):
         events = parser.feed(data)
+        if events and not context.attempt_events:
+          context.attempt_began_at = self._clock.monotonic()
         context.attempt_events += len(events)
         accepted = [e.raw for e in events if context.sequencer.accept(e)]
         if accepted:
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -71,9 +71,9 @@
   return RefusalError(429, "budget cannot cover it now", retry_after_s, facts)
 
 
-def quarantined(retry_after_s: float) -> RefusalError:
-  """The request crashed endpoints that ran it; it was not sent to any now."""
-  return RefusalError(503, "request is quarantined", retry_after_s)
+def quarantined(retry_after_s: float, facts: Mapping[str, Any]) -> RefusalError:
+  """The request, or a part of its prompt, crashed endpoints that ran it."""
+  return RefusalError(503, "request is quarantined", retry_after_s, facts)
 
 
 def no_endpoint(retry_after_s: float, facts: Mapping[str, Any]) -> RefusalError:
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -6,6 +6,7 @@
 from mustardfall.budget import allotment
 from mustardfall.membership import permits
 from mustardfall.membership import stream_keepers
+from mustardfall.membership import trials
 from mustardfall.proxy import http_server
 from mustardfall.proxy import messages
 from mustardfall.proxy import streams
@@ -49,11 +50,19 @@
   sequencer: streams.EventSequencer
   fingerprint: str
   """Identifies repetitions of the same request, see `routing.quarantine`."""
+  parts: tuple[str, ...] = ()
+  """The keys of the prompt's parts that other requests may share, likewise."""
   reservation: allotment.Reservation | None = None
   attempts_sent: int = 0
   """Number of attempts, each of which sent the request to an endpoint."""
   attempt_events: int = 0
   """Events that the endpoint of the current attempt has sent."""
+  attempt_began_at: float | None = None
+  """When that endpoint sent the first event, monotonic seconds."""
+  endpoint_crashed: bool = False
+  """Whether the endpoint of the current attempt crashed while it ran it."""
+  trial: trials.Trial | None = None
+  """The permits of the current attempt, if it has open units."""
   has_retry: bool = False
   """Whether a retry was withdrawn for the next attempt."""
   failed_connects: int = 0
@@ -88,6 +97,11 @@
   error_response: tuple[messages.ResponseHead, bytes] | None = None
   """A 5xx response of an endpoint, passed on if no other attempt succeeds."""
 
+  @property
+  def units(self) -> tuple[str, ...]:
+    """The keys of what may crash endpoints: the request and its parts."""
+    return (self.fingerprint, *self.parts)
+
   def note_events(self) -> None:
     """Records that events of the current endpoint are passed on."""
     if self.event_versions[-1:] != [self.version]:
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -1,61 +1,201 @@
-"""Quarantine for requests that crash the endpoints that run them.
-
-Retried by its caller or by a router, such a request would crash one endpoint
-after the other and abort the requests that run beside it. A crash counts
-against every request that was running on the endpoint. Most of these did not
-cause the crash: they are involved in few crashes, or succeed at the next
-endpoint.
+"""Blame for what crashes the endpoints that run it.
+
+Retried by its caller or by a router, a request that crashes endpoints would
+crash one after the other and abort the requests that run beside it. Other
+requests may share with it only the part of the prompt that does it. So crashes
+are counted for each unit that may recur: the whole request, and each part of
+its prompt but the last, which belongs to the request itself.
+
+A crash counts against all requests that were running on the endpoint. Most of
+these did not cause it: they are involved in few crashes, or succeed at the next
+endpoint. A unit with several crashes is tried by one request at a time until
+one succeeds, or until so many have crashed that it is quarantined.
 """
 
 import collections
+from collections.abc import Callable, Iterable, Sequence
 import dataclasses
+import enum
 import hashlib
 import logging
 from typing import Any, NamedTuple
 
+import anyio
+
 from mustardfall.util import clock as clock_lib
 from mustardfall.util import names
 
 logger = logging.getLogger(__name__)
 
-CRASH_LIMIT = 3
-"""Crashes of endpoints running a request after which it is quarantined."""
 QUARANTINE_S = 600.0
-"""How long a request is quarantined. After that, a single further crash
-quarantines it again."""
+"""How long a request is quarantined, and the longest quarantine of a part.
+After that, a single further crash quarantines it again."""
+_FIRST_PART_QUARANTINE_S = 15.0
+"""The first quarantine of a part, which concerns many requests; doubled with
+each further crash."""
 _RETENTION_S = 120.0
-"""How long a crash counts against a request, and a success clears it."""
+"""How long a crash counts against a unit, and a success speaks for it."""
 _SAME_CAUSE_S = 0.1
 """Crashes this close together may have one external cause, such as a rack
-losing power. They count once against a request that ran on several of the
+losing power. They count once against a unit that ran on several of the
 endpoints."""
-_MAX_ROWS = 4_096
-"""Suspected and quarantined requests kept."""
-_MAX_ROWS_PER_TEAM = 128
-"""Of these, for one team: a team that exceeds it evicts only its own rows."""
+_BEGUN_WEIGHT = 0.5
+"""Weight of a crash against a part if the endpoint had sent events."""
+_MAX_ROWS = 8_192
+"""Suspected and quarantined units kept."""
+_MAX_ROWS_PER_TEAM = 512
+"""Of these, for one team: a team that exceeds it evicts only its own rows. An
+endpoint runs dozens of requests with a few units each."""
+_MAX_REQUESTS_PER_ROW = 4
+"""Requests by which a row is told apart as a part."""
+_MAX_ENDPOINTS_PER_ROW = 16
+_MAX_CRASHES_PER_ROW = 8
+"""Crashes kept with their times; older ones are added up."""
 _MAX_SUCCEEDED = 8_192
-"""Recently succeeded requests kept."""
+"""Units kept that recently succeeded."""
+MAX_PARTS = 32
+"""Parts of a prompt that are counted; further ones are not."""
 _DIGEST_BYTES = 12
 
 
+class Standing(enum.Enum):
+  """What may be done with requests that have a unit."""
+
+  CLEAR = "clear"
+  OPEN = "open"
+  """Only one request at a time, of all routers, may run."""
+  QUARANTINED = "quarantined"
+
+
+class Policy(NamedTuple):
+  """The crashes at which the standing of a unit changes."""
+
+  trial_crashes: int = 2
+  """A part that never succeeded is open from so many on."""
+  crash_limit: int = 3
+  """A unit that never succeeded is quarantined from so many on."""
+  proven_trial_crashes: int = 3
+  """The same as `trial_crashes` for units that succeeded before."""
+  proven_crash_limit: int = 5
+  """The same as `crash_limit` for these, and for parts that did not run without
+  another suspected part."""
+
+
+DEFAULT_POLICY = Policy()
+CRASH_LIMIT = DEFAULT_POLICY.crash_limit
+"""Crashes of endpoints running a request after which it is quarantined."""
+
+
+class Record(NamedTuple):
+  """What is known of one unit when it is judged."""
+
+  crashes: float
+  """Crashes since its last success; with a common cause they count once, and
+  those of runs that had sent events as a half."""
+  requests: int
+  """Different requests that were running then, of a part; 1 for a request."""
+  is_part: bool
+  is_proven: bool
+  """Whether an endpoint recently completed a request with it."""
+  was_isolated: bool
+  """Whether one of the requests had no other suspected part."""
+
+
+def judge(record: Record, policy: Policy = DEFAULT_POLICY) -> Standing:
+  """Returns the standing of a unit.
+
+  Blame belongs to the unit that recurs: a part of only one request is not
+  blamed, since that request may have crashed the endpoints by itself.
+  """
+  if record.is_part and record.requests < 2:  # noqa: PLR2004
+    return Standing.CLEAR
+  limit = policy.crash_limit
+  if record.is_proven or not record.was_isolated:
+    limit = policy.proven_crash_limit
+  if record.crashes >= limit:
+    return Standing.QUARANTINED
+  first = policy.trial_crashes
+  if record.is_proven:
+    first = policy.proven_trial_crashes
+  if record.is_part and record.crashes >= first:
+    return Standing.OPEN
+  return Standing.CLEAR
+
+
+def term_s(crashes: float, is_part: bool, policy: Policy) -> float:
+  """Returns how long a unit is quarantined, seconds."""
+  if not is_part:
+    return QUARANTINE_S
+  further = min(max(0.0, crashes - policy.crash_limit), 16.0)
+  return min(QUARANTINE_S, _FIRST_PART_QUARANTINE_S * 2**further)
+
+
 class CrashReport(NamedTuple):
   """A report that an endpoint crashed while it ran a request."""
 
   fingerprint: str
+  """The key of the request, or of a part of its prompt."""
   team: str
   endpoint: str
   """The endpoint's life (one run of its process), see `endpoints.Row.life`."""
   ran_s: float
   """How long the request had been running there."""
+  request: str = ""
+  """The request's key, in the report of a part; empty in that of a request."""
+  has_begun: bool = False
+  """Whether the endpoint had sent events: it had processed the prompt, so that
+  a part is less suspected."""
+  is_isolated: bool = True
+  """Whether the request had no other suspected part."""
+  is_proven: bool = False
+  """Whether the reporter knows a recent success of the unit."""
+
+
+class Suspects(NamedTuple):
+  """The parts of a request that ran on an endpoint when it crashed."""
+
+  parts: list[str]
+  """Their keys; the one that succeeded last, or most recently, comes last."""
+  unproven_count: int
+  """How many of them, the first ones, did not succeed recently."""
 
 
 class QuarantineUpdate(NamedTuple):
-  """Tells other routers that a request is quarantined or has succeeded."""
+  """Tells other routers of a unit's standing."""
 
   fingerprint: str
   team: str
   left_s: float
-  """Seconds of quarantine left; 0 or less: the request has succeeded."""
+  """Seconds of quarantine left; 0 or less: it succeeded `-left_s` seconds
+  ago."""
+  crashed_s: float = 0.0
+  """Seconds since its last crash."""
+  crashes: float = float(CRASH_LIMIT)
+  """Crashes since its last success; see `Record`."""
+  is_part: bool = False
+  is_open: bool = False
+  """Whether it is open; `left_s` means nothing then."""
+  succeeded_s: float = -1.0
+  """Seconds since its last success, which was before these crashes; negative:
+  none is known."""
+
+
+def decode(fact: list[Any]) -> QuarantineUpdate:
+  """Returns the update of another router.
+
+  Raises:
+    TypeError, ValueError: `fact` is malformed.
+  """
+  update = QuarantineUpdate(*fact)
+  names.check(update.fingerprint, update.team)
+  return update._replace(
+      left_s=float(update.left_s),
+      crashed_s=max(0.0, float(update.crashed_s)),
+      crashes=float(update.crashes),
+      is_part=update.is_part is True,
+      is_open=update.is_open is True,
+      succeeded_s=float(update.succeeded_s),
+  )
 
 
 def fingerprint(team: str, method: bytes, target: bytes, body: bytes) -> str:
@@ -74,166 +214,355 @@
   return digest.hexdigest()
 
 
+def part_keys(team: str, parts: Sequence[str]) -> tuple[str, ...]:
+  """Returns the keys of a prompt's parts without the last, in their order."""
+  shared = dict.fromkeys(parts[:-1][:MAX_PARTS])
+  return tuple(part_key(team, part) for part in shared)
+
+
+class _Crash(NamedTuple):
+  """A crash that counts against a unit."""
+
+  at: float
+  """When it was reported, monotonic seconds."""
+  weight: float
+
+
 @dataclasses.dataclass
 class _Row:
-  """One suspected or quarantined request."""
+  """One suspected or quarantined unit."""
 
   team: str
   endpoints: set[str] = dataclasses.field(default_factory=set)
   """Endpoints that crashed while they ran it."""
-  crashes: int = 0
-  """Crashes counted; those with a likely common cause count once."""
-  last_crash_at: float = -float("inf")
-  """When the last counted crash was reported."""
+  requests: set[str] = dataclasses.field(default_factory=set)
+  """Keys of requests with it that ran there; empty: it is a request."""
+  crash_log: list[_Crash] = dataclasses.field(default_factory=list)
+  """Crashes counted since the last success, in order."""
   quarantined_until: float = -float("inf")
   """When its quarantine ends."""
+  is_part: bool = False
+  is_proven: bool = False
+  was_isolated: bool = False
+  told_open: bool = False
+  """Whether another router found it open."""
+
+  @property
+  def crashes(self) -> float:
+    """Crashes counted; those with a likely common cause count once."""
+    return sum(crash.weight for crash in self.crash_log)
+
+  @property
+  def last_crash_at(self) -> float:
+    """When the last counted crash was reported."""
+    return self.crash_log[-1].at if self.crash_log else -float("inf")
+
+  def log_crash(self, at: float, weight: float) -> None:
+    """Counts a crash, or several that were counted elsewhere."""
+    self.crash_log.append(_Crash(at, weight))
+    if len(self.crash_log) > _MAX_CRASHES_PER_ROW:
+      oldest, second = self.crash_log[:2]
+      merged = _Crash(second.at, oldest.weight + second.weight)
+      self.crash_log[:2] = [merged]
+
+  @property
+  def was_quarantined(self) -> bool:
+    return self.quarantined_until > -float("inf")
+
+  @property
+  def record(self) -> Record:
+    """The input of `judge`."""
+    return Record(
+        self.crashes,
+        len(self.requests),
+        self.is_part,
+        self.is_proven,
+        self.was_isolated,
+    )
 
 
 class Table:
-  """Suspected and quarantined requests, by fingerprint.
+  """Suspected and quarantined units, by key.
 
   Args:
     clock: the time source.
+    policy: the crashes at which standings change.
   """
 
-  def __init__(self, clock: clock_lib.Clock) -> None:
+  def __init__(
+      self, clock: clock_lib.Clock, policy: Policy = DEFAULT_POLICY
+  ) -> None:
     self._clock = clock
+    self._policy = policy
     self._rows: collections.OrderedDict[str, _Row] = collections.OrderedDict()
-    self._rows_per_team: collections.Counter[str] = collections.Counter()
+    self._keys_by_team: dict[str, dict[str, None]] = {}
+    """The keys of each team's rows, oldest first."""
     self._succeeded_at: collections.OrderedDict[str, float]
     self._succeeded_at = collections.OrderedDict()
+    self.on_outdated: Callable[[str], None] = lambda key: None
+    """Called with a unit whose standing another router has sent if this router
+    knows a success that the other does not."""
+    self._changed: anyio.Event | None = None
+    """Set at the next change of a standing; None if nobody waits for it."""
+
+  def __len__(self) -> int:
+    return len(self._rows)
+
+  async def wait_for_change(self) -> None:
+    """Waits until the standing of some unit changes."""
+    if self._changed is None:
+      self._changed = anyio.Event()
+    await self._changed.wait()
+
+  def _note_change(self) -> None:
+    if self._changed is not None:
+      self._changed.set()
+      self._changed = None
 
   def remaining_s(self, fingerprint_: str) -> float:
-    """Returns the seconds of quarantine left for a request, 0 if none."""
+    """Returns the seconds of quarantine left for a unit, 0 if none."""
     row = self._rows.get(fingerprint_)
     if row is None:
       return 0.0
     return max(0.0, row.quarantined_until - self._clock.monotonic())
 
+  def standing(self, key: str) -> Standing:
+    """Returns the standing of a unit."""
+    row = self._rows.get(key)
+    return Standing.CLEAR if row is None else self._standing_of(row)
+
+  def _standing_of(self, row: _Row) -> Standing:
+    now = self._clock.monotonic()
+    if row.quarantined_until > now:
+      return Standing.QUARANTINED
+    if row.was_quarantined:
+      return Standing.OPEN if row.is_part else Standing.CLEAR
+    if now - row.last_crash_at > _RETENTION_S:
+      return Standing.CLEAR
+    if row.told_open:
+      return Standing.OPEN
+    return judge(row.record, self._policy)
+
+  def open_units(self, keys: Iterable[str]) -> list[str]:
+    """Returns the units that only one request at a time may have, sorted."""
+    if not self._rows:
+      return []
+    return sorted(k for k in keys if self.standing(k) is Standing.OPEN)
+
+  def rank_suspects(self, keys: Sequence[str]) -> Suspects:
+    """Returns the parts of a request that crashed its endpoint, ranked."""
+    succeeded_at = {k: self._succeeded_at.get(k, -float("inf")) for k in keys}
+    ranked = sorted(keys, key=succeeded_at.__getitem__)
+    return Suspects(ranked, sum(not self.is_proven(key) for key in keys))
+
+  def is_proven(self, key: str) -> bool:
+    """Whether an endpoint recently completed a request with a unit."""
+    succeeded_at = self._succeeded_at.get(key, -float("inf"))
+    return self._clock.monotonic() - succeeded_at < _RETENTION_S
+
+  def is_suspected(self, key: str) -> bool:
+    """Whether a part that just ran on a crashed endpoint may have caused it.
+
+    The crash itself speaks against it only if it has not succeeded recently.
+    """
+    return not self.is_proven(key) or self.crash_count(key) > 1
+
   def note_crash(self, report: CrashReport) -> bool:
-    """Records that an endpoint crashed while it ran a request.
+    """Records that an endpoint crashed while it ran a unit.
 
     Returns:
-      Whether this put the request into quarantine.
+      Whether this put the unit into quarantine.
     """
-    if self._succeeded_recently(report.fingerprint):
-      return False
     now = self._clock.monotonic()
     row = self._row(report.fingerprint, report.team)
-    was_quarantined = row.quarantined_until > -float("inf")
+    row.is_part = row.is_part or bool(report.request)
+    row.is_proven = row.is_proven or report.is_proven
     since_last_s = now - row.last_crash_at
-    if since_last_s > _RETENTION_S and not was_quarantined:
-      row.endpoints.clear()
-      row.crashes = 0
+    if since_last_s > _RETENTION_S and not row.was_quarantined:
+      self._reset(report.fingerprint, row)
     if report.endpoint in row.endpoints or row.quarantined_until > now:
       return False
     row.endpoints.add(report.endpoint)
+    if len(row.endpoints) > _MAX_ENDPOINTS_PER_ROW:
+      row.endpoints.pop()
     # A request that ran for less time than has passed since the last crash was
     # sent after that crash, so this one has a cause of its own.
     if since_last_s > min(_SAME_CAUSE_S, report.ran_s):
-      row.crashes += 1
-      row.last_crash_at = now
-    if row.crashes < CRASH_LIMIT and not was_quarantined:
+      is_weak = row.is_part and report.has_begun
+      row.log_crash(now, _BEGUN_WEIGHT if is_weak else 1.0)
+      row.was_isolated = row.was_isolated or report.is_isolated
+    if len(row.requests) < _MAX_REQUESTS_PER_ROW:
+      row.requests.add(report.request or report.fingerprint)
+    standing = judge(row.record, self._policy)
+    if standing is not Standing.QUARANTINED and not row.was_quarantined:
       return False
-    self._quarantine(report.fingerprint, row, QUARANTINE_S)
+    self._quarantine(report.fingerprint, row)
+    self._explain_crashes(row)
     return True
 
-  def crash_count(self, fingerprint_: str) -> int:
-    """Returns the crashes that count against a request."""
+  def _explain_crashes(self, culprit: _Row) -> None:
+    """Forgets the crashes that a unit explains in the other rows of its team."""
+    for key in list(self._keys_by_team[culprit.team]):
+      row = self._rows[key]
+      if not row.was_quarantined and row.endpoints <= culprit.endpoints:
+        self._drop(key)
+
+  def _reset(self, key: str, row: _Row) -> None:
+    """Forgets the crashes of a unit, which are too old."""
+    row.endpoints.clear()
+    row.requests.clear()
+    row.crash_log.clear()
+    row.was_isolated = row.told_open = False
+    row.is_proven = row.is_proven or self.is_proven(key)
+
+  def crash_count(self, fingerprint_: str) -> float:
+    """Returns the crashes that count against a unit; see `Record`."""
     row = self._rows.get(fingerprint_)
-    return row.crashes if row is not None else 0
+    return row.crashes if row is not None else 0.0
+
+  def note_success(self, fingerprint_: str, age_s: float = 0.0) -> bool:
+    """Records that an endpoint completed a request with a unit.
 
-  def note_success(self, fingerprint_: str) -> bool:
-    """Records that an endpoint completed a request.
+    Args:
+      fingerprint_: the unit's key.
+      age_s: seconds since the endpoint began to write the answer. Crashes since
+        then still count: what was sound may have become faulty.
 
     Returns:
-      Whether the request was suspected until now.
+      Whether the unit was suspected until now.
     """
-    self._succeeded_at.pop(fingerprint_, None)
-    self._succeeded_at[fingerprint_] = self._clock.monotonic()
+    if age_s >= _RETENTION_S:
+      return False
+    at = self._clock.monotonic() - age_s
+    before = self._succeeded_at.pop(fingerprint_, -float("inf"))
+    self._succeeded_at[fingerprint_] = max(before, at)
     if len(self._succeeded_at) > _MAX_SUCCEEDED:
       self._succeeded_at.popitem(last=False)
-    return self._drop(fingerprint_)
-
-  def _succeeded_recently(self, fingerprint_: str) -> bool:
-    """Whether an endpoint recently completed the request."""
-    succeeded_at = self._succeeded_at.get(fingerprint_, -float("inf"))
-    return self._clock.monotonic() - succeeded_at < _RETENTION_S
+    row = self._rows.get(fingerprint_)
+    if row is None:
+      return False
+    row.crash_log = [crash for crash in row.crash_log if crash.at > at]
+    if not row.crash_log:
+      return self._drop(fingerprint_)
+    if not row.is_proven:
+      # A success before the crashes: more of them are needed for blame.
+      row.is_proven, row.told_open = True, False
+      if judge(row.record, self._policy) is not Standing.QUARANTINED:
+        row.quarantined_until = -float("inf")
+      self._note_change()
+    return False
 
   def apply_update(self, update: QuarantineUpdate) -> bool:
     """Applies an update from another router.
 
     Returns:
-      Whether this put the request into quarantine.
+      Whether this put the unit into quarantine.
     """
-    if update.left_s <= 0:
-      self.note_success(update.fingerprint)
+    key = update.fingerprint
+    if not update.is_open and update.left_s <= 0:
+      self.note_success(key, -update.left_s)
+      return False
+    is_news = update.succeeded_s < 0 and self.is_proven(key)
+    if update.succeeded_s >= 0:
+      self.note_success(key, update.succeeded_s)
+    crashed_at = self._clock.monotonic() - update.crashed_s
+    is_cleared = self._succeeded_at.get(key, -float("inf")) >= crashed_at
+    if is_news or is_cleared:
+      self.on_outdated(key)
+    if is_cleared or self.remaining_s(key):
       return False
-    if self._succeeded_recently(update.fingerprint) or self.remaining_s(
-        update.fingerprint
-    ):
+    row = self._row(key, update.team)
+    row.is_part = row.is_part or update.is_part
+    missed = update.crashes - row.crashes
+    if missed > 0:
+      row.log_crash(max(row.last_crash_at, crashed_at), missed)
+    if update.is_open or (is_news and row.is_part):
+      row.told_open = not is_news
       return False
-    row = self._row(update.fingerprint, update.team)
-    self._quarantine(update.fingerprint, row, min(update.left_s, QUARANTINE_S))
+    self._quarantine(key, row, min(update.left_s, QUARANTINE_S))
     return True
 
   def keys(self) -> list[str]:
-    """Returns the fingerprints of quarantined requests, most recent first."""
-    now = self._clock.monotonic()
+    """Returns the units that are quarantined or open, most recent first."""
     return [
         key
         for key, row in reversed(self._rows.items())
-        if row.quarantined_until > now
+        if self._standing_of(row) is not Standing.CLEAR
     ]
 
   def fact(self, key: str) -> list[Any]:
-    """Returns what others have to know of a request; see `apply`."""
+    """Returns what others have to know of a unit; see `decode`."""
+    now = self._clock.monotonic()
     row = self._rows.get(key)
-    team = row.team if row is not None else ""
-    return list(QuarantineUpdate(key, team, round(self.remaining_s(key), 1)))
-
-  def apply(self, fact: list[Any]) -> None:
-    """Applies a `QuarantineUpdate` of another router.
-
-    Raises:
-      TypeError, ValueError: `fact` is malformed.
-    """
-    fingerprint_, team, left_s = fact
-    names.check(fingerprint_, team)
-    self.apply_update(QuarantineUpdate(fingerprint_, team, float(left_s)))
+    standing = Standing.CLEAR if row is None else self._standing_of(row)
+    succeeded_s = round(now - self._succeeded_at.get(key, -float("inf")), 3)
+    if row is None or standing is Standing.CLEAR:
+      succeeded_s = min(succeeded_s, _RETENTION_S)
+      return list(QuarantineUpdate(key, "", -succeeded_s))
+    return list(
+        QuarantineUpdate(
+            key,
+            row.team,
+            round(self.remaining_s(key), 1),
+            round(now - row.last_crash_at, 3),
+            row.crashes,
+            row.is_part,
+            standing is Standing.OPEN,
+            succeeded_s if succeeded_s < _RETENTION_S else -1.0,
+        )
+    )
 
   def _row(self, fingerprint_: str, team: str) -> _Row:
-    """Returns a request's row; adds it, evicting another, if missing."""
+    """Returns a unit's row; adds it, evicting another, if missing."""
     row = self._rows.get(fingerprint_)
     if row is None:
-      if self._rows_per_team[team] >= _MAX_ROWS_PER_TEAM:
-        oldest = next(k for k, r in self._rows.items() if r.team == team)
-        self._drop(oldest)
-      elif len(self._rows) >= _MAX_ROWS:
-        self._drop(next(iter(self._rows)))
+      self._make_room(team)
       row = self._rows[fingerprint_] = _Row(team)
-      self._rows_per_team[team] += 1
+      row.is_proven = self.is_proven(fingerprint_)
     self._rows.move_to_end(fingerprint_)
+    keys = self._keys_by_team.setdefault(row.team, {})
+    keys.pop(fingerprint_, None)
+    keys[fingerprint_] = None
     return row
 
+  def _make_room(self, team: str) -> None:
+    """Evicts a row if there are too many, of the same team if possible."""
+    keys = self._keys_by_team.get(team, {})
+    if len(keys) >= _MAX_ROWS_PER_TEAM:
+      # Most of them only ran beside; one that is blamed must not be lost.
+      clear = (k for k in keys if self.standing(k) is Standing.CLEAR)
+      self._drop(next(clear, next(iter(keys))))
+    elif len(self._rows) >= _MAX_ROWS:
+      self._drop(next(iter(self._rows)))
+
   def _drop(self, fingerprint_: str) -> bool:
-    """Removes a request's row; returns whether there was one."""
+    """Removes a unit's row; returns whether there was one."""
     row = self._rows.pop(fingerprint_, None)
     if row is None:
       return False
-    self._rows_per_team[row.team] -= 1
-    if not self._rows_per_team[row.team]:
-      del self._rows_per_team[row.team]
+    keys = self._keys_by_team[row.team]
+    del keys[fingerprint_]
+    if not keys:
+      del self._keys_by_team[row.team]
+    self._note_change()
     return True
 
-  def _quarantine(self, fingerprint_: str, row: _Row, term_s: float) -> None:
-    row.quarantined_until = self._clock.monotonic() + term_s
+  def _quarantine(
+      self, key: str, row: _Row, left_s: float | None = None
+  ) -> None:
+    """Quarantines a unit; `left_s` is None if this router found it."""
+    if left_s is None:
+      left_s = term_s(row.crashes, row.is_part, self._policy)
+    row.quarantined_until = self._clock.monotonic() + left_s
+    self._note_change()
     logger.warning(
         "request quarantined",
         extra={
-            "fingerprint": fingerprint_,
+            "fingerprint": key,
+            "is_part": row.is_part,
             "team": row.team,
+            "crashes": row.crashes,
             "endpoints": sorted(row.endpoints),
-            "term_s": round(term_s, 1),
+            "term_s": round(left_s, 1),
         },
     )
