--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -41,7 +41,7 @@
 endpoints."""
 _BEGUN_WEIGHT = 0.5
 """Weight of a crash against a part if the endpoint had sent events."""
-_MAX_ROWS = 8_192
+_MAX_ROWS = 4_096
 """Suspected and quarantined units kept."""
 _MAX_ROWS_PER_TEAM = 512
 """Of these, for one team: a team that exceeds it evicts only its own rows. An
@@ -297,6 +297,8 @@
     self._rows: collections.OrderedDict[str, _Row] = collections.OrderedDict()
     self._keys_by_team: dict[str, dict[str, None]] = {}
     """The keys of each team's rows, oldest first."""
+    self._blamed: dict[str, None] = {}
+    """Units that were open or quarantined when last judged, oldest first."""
     self._succeeded_at: collections.OrderedDict[str, float]
     self._succeeded_at = collections.OrderedDict()
     self.on_outdated: Callable[[str], None] = lambda key: None
@@ -395,6 +397,8 @@
       row.requests.add(report.request or report.fingerprint)
     standing = judge(row.record, self._policy)
     if standing is not Standing.QUARANTINED and not row.was_quarantined:
+      if standing is Standing.OPEN:
+        self._blamed[report.fingerprint] = None
       return False
     self._quarantine(report.fingerprint, row)
     self._explain_crashes(row)
@@ -478,17 +482,17 @@
       row.log_crash(max(row.last_crash_at, crashed_at), missed)
     if update.is_open or (is_news and row.is_part):
       row.told_open = not is_news
+      self._blamed[key] = None
       return False
     self._quarantine(key, row, min(update.left_s, QUARANTINE_S))
     return True
 
   def keys(self) -> list[str]:
     """Returns the units that are quarantined or open, most recent first."""
-    return [
-        key
-        for key, row in reversed(self._rows.items())
-        if self._standing_of(row) is not Standing.CLEAR
-    ]
+    for key in list(self._blamed):
+      if self.standing(key) is Standing.CLEAR:
+        del self._blamed[key]
+    return list(reversed(self._blamed))
 
   def fact(self, key: str) -> list[Any]:
     """Returns what others have to know of a unit; see `decode`."""
@@ -540,6 +544,7 @@
     row = self._rows.pop(fingerprint_, None)
     if row is None:
       return False
+    self._blamed.pop(fingerprint_, None)
     keys = self._keys_by_team[row.team]
     del keys[fingerprint_]
     if not keys:
@@ -554,6 +559,8 @@
     if left_s is None:
       left_s = term_s(row.crashes, row.is_part, self._policy)
     row.quarantined_until = self._clock.monotonic() + left_s
+    self._blamed.pop(key, None)
+    self._blamed[key] = None
     self._note_change()
     logger.warning(
         "request quarantined",
--- /dev/null
+++ b/tests/test_blame_fleet.py
@@ -0,0 +1,91 @@
+"""Blame for crashing parts of prompts in fleets of any size.
+
+In virtual time, with the product's tables, verdicts and trials on all routers,
+while endpoints die for other reasons, datagrams are lost and routers killed.
+"""
+
+import testtools
+
+from mustardfall.bench.virtual import blame_fleet
+
+_MAX_ENDED = 8
+"""Five, and those whose requests were in flight before all routers knew."""
+_MAX_LATE = 3
+_SERVED_SHARE = 0.97
+_MAX_HELD_S = 4.0
+"""The term of a trial's permit, and a trial."""
+_MAX_BYTES_PER_S = 7_000
+
+
+class BlameFleetTest(testtools.TestCase):
+
+  def _play(self, seed=1, **day):
+    return blame_fleet.simulate(blame_fleet.Day(**day), seed=seed)
+
+  def _check(self, figures, ended=_MAX_ENDED):
+    self.assertTrue(figures["ended_most"] <= ended, figures)
+    self.assertTrue(figures["late"] <= _MAX_LATE, figures)
+    self.assertTrue(figures["served"] >= _SERVED_SHARE, figures)
+    self.assertEqual(0, figures["false_parts"], figures)
+    self.assertTrue(figures["held_max_ms"] <= 1000 * _MAX_HELD_S, figures)
+    self.assertTrue(figures["bytes_s"] <= _MAX_BYTES_PER_S, figures)
+
+  def test_few_endpoints_end_in_fleets_of_all_sizes(self):
+    """Guards against blame that some routers of a larger fleet do not learn."""
+    # Of four endpoints of the smallest fleet none would be left.
+    self._check(self._play(routers=2, endpoints_per_router=5, seconds=14.0))
+    for size in (9, 13, 80):
+      self._check(self._play(routers=size, seconds=14.0))
+    # Fewer requests a router: those of 300 take long to play.
+    self._check(
+        self._play(routers=300, requests_per_s=2.0, seconds=12.0, regions=3)
+    )
+
+  def test_lost_datagrams(self):
+    """Guards against blame that is lost with a fifth of the datagrams."""
+    for seed in range(5):
+      self._check(self._play(seed, loss=0.2, late=0.3))
+
+  def test_killed_routers(self):
+    """Guards against routers that forget blame with their process."""
+    for seed in range(5):
+      self._check(self._play(seed, killed=0.34))
+      self._check(self._play(seed, killed=0.67, kill_at_s=12.0))
+
+  def test_several_bad_parts(self):
+    """Guards against parts that hide each other's crashes."""
+    for seed in range(5):
+      self._check(self._play(seed, bad_parts=3))
+
+  def test_parts_that_always_come_with_the_same_first_part(self):
+    """Guards against blame for the first part, which sound requests share."""
+    for seed in range(5):
+      self._check(self._play(seed, bad_first=3))
+
+  def test_part_that_was_sound_before(self):
+    """Guards against earlier successes that hide a part gone bad."""
+    for seed in range(5):
+      figures = self._play(seed, bad_first=3, sound_before=True)
+      self._check(figures, ended=12)
+
+  def test_part_that_is_sound_again_is_admitted_soon(self):
+    """Guards against a part that is refused for minutes."""
+    for seed in range(3):
+      figures = self._play(seed, bad_until_s=14.0, seconds=40.0)
+      self._check(figures)
+      self.assertTrue(0 <= figures["again_s"] <= 20.0, figures)
+
+  def test_endpoints_that_end_for_other_reasons_blame_no_part(self):
+    """Guards against blame for what ran on endpoints that died."""
+    for seed in range(3):
+      self._check(self._play(seed, bad_parts=0, deaths_per_s=0.5))
+      self._check(self._play(seed, bad_parts=0, rack=6))
+      figures = self._play(seed, bad_parts=0, rollout_per_s=0.5)
+      self._check(figures)
+      self.assertEqual(0, figures["rows"])
+
+  def test_idle_blame_sends_little(self):
+    """Guards against gossip that grows with the fleet."""
+    for size in (9, 80):
+      figures = self._play(routers=size, bad_until_s=8.0, seconds=14.0)
+      self.assertTrue(figures["datagrams_s"] <= 20, figures)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,7 +10,8 @@
 _RAN_S = 0.2
 
 
-class TableTest(testtools.TestCase):
+class _TableCase(testtools.TestCase):
+  """A table, and endpoints that crash under requests."""
 
   def setUp(self):
     super().setUp()
@@ -24,6 +25,9 @@
     report = quarantine.CrashReport(request, team, endpoint, ran_s)
     return self.table.note_crash(report)
 
+
+class TableTest(_TableCase):
+
   def _crash_apart(self, request, number, team="acme"):
     """Has endpoints that run one request crash one after the other."""
     found = []
@@ -107,3 +111,161 @@
     self.table.apply_update(update._replace(left_s=0.0))
     self.assertEqual(0, self.table.remaining_s("x"))
     self.assertFalse(self.table.apply_update(update))
+
+
+class JudgeTest(testtools.TestCase):
+
+  def _judge(self, crashes, requests=9, proven=False, isolated=True):
+    record = quarantine.Record(crashes, requests, True, proven, isolated)
+    return quarantine.judge(record).value
+
+  def test_standing_of_a_part_by_what_is_known(self):
+    """Guards against blame with too little evidence, and without an end."""
+    cases = [
+        ("clear", {"crashes": 1}),
+        ("open", {"crashes": 2}),
+        ("quarantined", {"crashes": 3}),
+        ("open", {"crashes": 3, "isolated": False}),
+        ("quarantined", {"crashes": 5, "isolated": False}),
+        ("clear", {"crashes": 2, "proven": True}),
+        ("open", {"crashes": 4, "proven": True}),
+        ("quarantined", {"crashes": 5, "proven": True}),
+    ]
+    for expected, known in cases:
+      self.assertEqual(expected, self._judge(**known), known)
+
+  def test_part_of_a_single_request_is_not_blamed(self):
+    """Guards against blame for a part if one request crashes by itself."""
+    self.assertEqual("clear", self._judge(9, requests=1))
+
+  def test_quarantine_of_a_part_begins_short_and_is_doubled(self):
+    """Guards against a sound part that is refused for minutes."""
+    policy = quarantine.DEFAULT_POLICY
+    found = [quarantine.term_s(n, True, policy) for n in (3, 4, 5, 30)]
+    self.assertEqual([15.0, 30.0, 60.0, quarantine.QUARANTINE_S], found)
+
+
+class PartTest(_TableCase):
+
+  def _crash_part(self, part, number, **more):
+    """Has an endpoint crash under a request that is unlike all others."""
+    self._advance(1.0)
+    report = quarantine.CrashReport(
+        part, "acme", f"e{number}", _RAN_S, f"q{number}", **more
+    )
+    return self.table.note_crash(report)
+
+  def _standing(self, part):
+    return self.table.standing(part).value
+
+  def test_part_of_different_requests_is_quarantined(self):
+    """Guards against requests that share only the part that crashes."""
+    found = [self._crash_part("p", n) for n in range(3)]
+    self.assertEqual([False, False, True], found)
+    self._advance(16.0)
+    self.assertEqual("open", self._standing("p"))
+    self.assertTrue(self._crash_part("p", 9))
+    self.assertEqual(30.0, self.table.remaining_s("p"))
+
+  def test_success_counts_from_when_the_answer_began(self):
+    """Guards against answers begun before that clear a part gone bad."""
+    for number in range(4):
+      self._crash_part("p", number, is_proven=True)
+    self.table.note_success("p", age_s=2.5)
+    self.assertEqual(3, self.table.crash_count("p"))
+    self.table.note_success("p", age_s=0.0)
+    self.assertEqual(0, self.table.crash_count("p"))
+
+  def test_success_elsewhere_before_the_crashes_raises_the_limit(self):
+    """Guards against blame for a sound first part that another router knows."""
+    self._crash_part("p", 0)
+    self._crash_part("p", 1)
+    self.assertEqual("open", self._standing("p"))
+    told = quarantine.QuarantineUpdate("p", "acme", -30.0)
+    self.table.apply_update(told)
+    self.assertEqual("clear", self._standing("p"))
+    self.assertTrue(self.table.is_proven("p"))
+
+  def test_router_that_knows_better_answers_an_open_part(self):
+    """Guards against a part that stays open although a router ran it."""
+    told = quarantine.QuarantineUpdate(
+        "p", "acme", 0.0, 1.0, 2.0, is_part=True, is_open=True
+    )
+    for age_s, standing, answers in ((0.5, "clear", 1), (30.0, "clear", 1)):
+      table = quarantine.Table(self.clock)
+      outdated = []
+      table.on_outdated = outdated.append
+      table.note_success("p", age_s)
+      table.apply_update(told)
+      self.assertEqual(standing, table.standing("p").value)
+      self.assertEqual(answers, len(outdated))
+    self.table.apply_update(told)
+    self.assertEqual("open", self._standing("p"))
+
+  def test_late_quarantine_does_not_undo_a_success(self):
+    """Guards against a quarantine that gossip brings back."""
+    told = quarantine.QuarantineUpdate("p", "acme", 9.0, 1.0, 3.0, True)
+    self.table.note_success("p")
+    self.assertFalse(self.table.apply_update(told))
+    self._advance(5.0)
+    self.assertTrue(self.table.apply_update(told._replace(succeeded_s=6.0)))
+
+  def test_runs_that_had_sent_events_count_half(self):
+    """Guards against blame for the parts of streams that ran beside."""
+    for number in range(3):
+      self._crash_part("p", number, has_begun=True)
+    self.assertEqual(1.5, self.table.crash_count("p"))
+    self.assertEqual("clear", self._standing("p"))
+
+  def test_culprit_explains_the_crashes_of_others(self):
+    """Guards against blame for the parts that always came with the culprit."""
+    for number in range(3):
+      self._crash_part("beside", number, is_isolated=False)
+      self._crash_part("p", number)
+    self.assertEqual("quarantined", self._standing("p"))
+    self.assertEqual(0, self.table.crash_count("beside"))
+
+  def test_rack_failure_blames_no_part(self):
+    """Guards against blame for a part of many requests when a rack fails."""
+    for number in range(20):
+      self._advance(0.003)
+      report = quarantine.CrashReport(
+          "p", "acme", f"e{number}", _RAN_S, f"q{number}"
+      )
+      self.table.note_crash(report)
+    self.assertEqual("clear", self._standing("p"))
+
+  def test_no_team_can_blame_parts_of_another(self):
+    """Guards against a team that crashes endpoints with another's parts."""
+    ours, theirs = (quarantine.part_keys(t, ["p", "x"]) for t in ("a", "b"))
+    self.assertEqual(1, len(ours))
+    self.assertNotEqual(ours, theirs)
+
+  def test_last_part_is_never_blamed(self):
+    self.assertEqual((), quarantine.part_keys("acme", ["own"]))
+    self.assertEqual((), quarantine.part_keys("acme", []))
+
+  def test_blamed_rows_are_not_evicted_by_suspected_ones(self):
+    """Guards against a crash of many requests that ends a quarantine."""
+    for number in range(3):
+      self._crash_part("p", number)
+    for number in range(quarantine._MAX_ROWS_PER_TEAM + 100):
+      self._crash(f"many{number}", "e")
+    self.assertEqual("quarantined", self._standing("p"))
+    self.assertEqual(quarantine._MAX_ROWS_PER_TEAM, len(self.table))
+
+  def test_open_part_is_clear_when_its_crashes_are_old(self):
+    self._crash_part("p", 0)
+    self._crash_part("p", 1)
+    self._advance(130.0)
+    self.assertEqual("clear", self._standing("p"))
+
+  def test_malformed_updates_are_rejected(self):
+    for fact in (
+        [],
+        ["p"],
+        ["p", "t", "x"],
+        [3, "t", 1.0],
+        ["p", "t", 1.0, []],
+    ):
+      self.assertRaises((TypeError, ValueError), quarantine.decode, fact)
