Leave out endpoints that another router confirms to have ended

Crashed servers stay listed for some seconds.

A refused connection is now confirmed through another router. If that is refused, too, the endpoint is left out for 5 s, unless all are, says nothing of this router's own reach, and does not count towards the four failed connections of a request.

--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -262,10 +262,19 @@
     except errors.NoExitError:
       return not self._reach.is_detoured(row)
     except errors.EndpointUnreachableError as exc:
+      if exc.is_refused:
+        self._note_ended(row)
       return exc.is_refused
     await self._connection_pool.release(connection, None)
     return False
 
+  def _note_ended(self, row: endpoints.Row) -> None:
+    now = anyio.current_time()
+    if not row.has_ended(now):
+      extra = {"endpoint": row.life, "address": row.url, "state": row.state}
+      logger.info("endpoint has ended", extra=extra)
+    row.ended_at = now
+
   def note_sent(self, row: endpoints.Row) -> None:
     """Records that a request was sent on a direct connection."""
     self._reach.note_sent(row)
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -218,16 +218,20 @@
     """Returns the endpoints that may run a request.
 
     A stream that has begun goes on only at the version that began it, also at
-    endpoints that leave soon.
+    endpoints that leave soon. Endpoints that have ended are left out, unless
+    all have.
     """
     table, service = self._directory.endpoints, context.service.name
     if context.bound_version is None:
-      return table.eligible(service, "", avoid)
-    return [
-        row
-        for row in table.of_version(service, context.bound_version)
-        if row.name not in avoid and self._may_resume(row)
-    ]
+      rows = table.eligible(service, "", avoid)
+    else:
+      rows = [
+          row
+          for row in table.of_version(service, context.bound_version)
+          if row.name not in avoid and self._may_resume(row)
+      ]
+    now = self._clock.monotonic()
+    return [row for row in rows if not row.has_ended(now)] or rows
 
   def _may_resume(self, row: endpoints.Row) -> bool:
     """Whether an endpoint takes requests that resume a stream."""
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -328,13 +328,29 @@
           row, context.request.id, force_new=context.attempts_sent > 0
       )
     except errors.EndpointUnreachableError as exc:
-      context.failed_connects += 1
       context.is_cut_off = isinstance(exc, errors.NoExitError)
+      if not await self._is_confirmed_end(context, row, exc):
+        context.failed_connects += 1
       row.failures += 2
       if not self._reach.is_detoured(row):
         self._endpoint_selector.record_unreachable(row)
       raise _RetryableError(str(exc)) from exc
 
+  async def _is_confirmed_end(
+      self,
+      context: request_context_lib.RequestContext,
+      row: endpoints.Row,
+      exc: errors.EndpointUnreachableError,
+  ) -> bool:
+    """Whether another router confirms that an endpoint has ended.
+
+    It is not tried again then, so that such connections need no limit.
+    """
+    if not exc.is_refused or context.is_cut_off:
+      return False
+    await self._paths.has_ended(row, context.request.id)
+    return row.has_ended(self._clock.monotonic())
+
   def _forwarding_info(
       self, context: request_context_lib.RequestContext, row: endpoints.Row
   ) -> messages.ForwardingInfo:
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -37,6 +37,8 @@
 new tokens a second, a cache of 384,000 tokens is overwritten in 19 s."""
 _FAILURE_MEMORY_S = 0.5
 """Time after which one failure no longer counts."""
+_ENDED_RETRY_S = 5.0
+"""How long an endpoint that has ended is not tried again if it stays listed."""
 _LOAD_DECAY = 0.5
 """Factor applied to a reported load each tick: engines complete most of their
 requests within a second."""
@@ -112,6 +114,9 @@
   """Requests that it runs at a time; 0: it is not known."""
   listed_at: float = -float("inf")
   """When it was first listed, monotonic seconds; to the tick."""
+  ended_at: float = -float("inf")
+  """When another router confirmed that it refuses connections, monotonic
+  seconds."""
   leaving_since: float = -float("inf")
   """If it leaves: when it was last listed as live, monotonic seconds."""
   is_limited: bool = False
@@ -128,6 +133,10 @@
       return self.name
     return f"{self.name}:{self.started_ms}"
 
+  def has_ended(self, now: float) -> bool:
+    """Whether it has ended, as far as known, and is not to be tried again."""
+    return now - self.ended_at < _ENDED_RETRY_S
+
   @property
   def free_capacity(self) -> float:
     """Requests that this router may still send there."""
--- a/mustardfall/routing/reach.py
+++ b/mustardfall/routing/reach.py
@@ -291,11 +291,12 @@
     return [row for row in rows if row is not None]
 
   def rows_of(self, kind: str) -> list[endpoints.Row]:
-    """Returns the listed endpoints of a kind, without those that leave."""
+    """Returns the listed endpoints of a kind that are up and stay, as known."""
+    now = self._clock.monotonic()
     return [
         row
         for row in self._table.rows.values()
-        if row.kind == kind and row.state == "live"
+        if row.kind == kind and row.state == "live" and not row.has_ended(now)
     ]
 
   @property
