--- a/mustardfall/bench/virtual/days.py
+++ b/mustardfall/bench/virtual/days.py
@@ -92,6 +92,16 @@
   x: float
 
 
+class ConnectionSkew(_HostEvent):
+  """The load balancer sends most new connections to the first of `hosts`.
+
+  While that one is not up, they go to any other; `share` is that of the
+  requests.
+  """
+
+  kind: Literal["skew"] = "skew"
+
+
 class LimitIncrease(_BaseEvent):
   """The limit of a team's budget is multiplied by `x`."""
 
@@ -107,6 +117,7 @@
     | Kill
     | RollingRestart
     | TrafficBurst
+    | ConnectionSkew
     | LimitIncrease,
     pydantic.Field(discriminator="kind"),
 ]
--- a/mustardfall/bench/virtual/traffic.py
+++ b/mustardfall/bench/virtual/traffic.py
@@ -59,11 +59,29 @@
   limits = {
       team: int(tokens * paid) for team, tokens in baseline_tokens.items()
   }
+  requests = _skew(day, seed, requests)
   requests.sort()
   return Plan(requests, limits, teams)
 
 
-def _is_active(at_s: float, event: days.TrafficBurst) -> bool:
+def _skew(day: days.Day, seed: int, requests: list[Request]) -> list[Request]:
+  """Returns the requests at the hosts to which the load balancer sends them."""
+  rng = random.Random(f"skew {seed}")
+  for event in day.events:
+    if isinstance(event, days.ConnectionSkew):
+      host = event.hosts[0] if event.hosts else rng.choice(day.hosts)
+      requests = [
+          request._replace(host=host)
+          if _is_active(request.at_s, event) and rng.random() < event.share
+          else request
+          for request in requests
+      ]
+  return requests
+
+
+def _is_active(
+    at_s: float, event: days.TrafficBurst | days.ConnectionSkew
+) -> bool:
   return event.at_s <= at_s < event.at_s + event.for_s
 
 
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -402,6 +402,7 @@
           lambda: self.directory.limits,
           self.clock,
           resource_limiter=self._resource_limiter,
+          sheds_connections=True,
       )
       # The callers' port is opened before the loops start: the router reports
       # readiness as soon as the loops have read the configuration.
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -19,6 +19,7 @@
 from mustardfall.proxy import messages
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
 from mustardfall.routing import configuration
+from mustardfall.util import accept_queue
 from mustardfall.util import clock as clock_lib
 from mustardfall.util import sockets
 
@@ -125,6 +126,7 @@
     name: whom the server serves, for the log.
     resource_limiter: limits connections and memory; by default, only the
       process's descriptors limit the connections.
+    sheds_connections: whether to close waiting connections when overloaded.
   """
 
   def __init__(
@@ -135,12 +137,14 @@
       clock: clock_lib.Clock,
       name: str = "callers",
       resource_limiter: resource_limiter_lib.ResourceLimiter | None = None,
+      sheds_connections: bool = False,
   ) -> None:
     self._name = name
     self.resource_limiter = (
         resource_limiter
         or resource_limiter_lib.new_caller_limiter(settings.Limits())
     )
+    self._sheds_connections = sheds_connections
     self.dialect = dialect
     self.handler = handler
     self.limits = limits
@@ -163,8 +167,16 @@
     task_status.started()
     async with anyio.create_task_group() as tasks:
       for listener in listeners:
+        queue = None
+        if self._sheds_connections:
+          queue = accept_queue.AcceptQueue(self._name, listener)
         tasks.start_soon(
-            sockets.accept, self._name, listener, self._serve_connection, tasks
+            sockets.accept,
+            self._name,
+            listener,
+            self._serve_connection,
+            tasks,
+            queue,
         )
 
   async def _serve_connection(self, stream: abc.SocketStream) -> None:
--- a/mustardfall/util/sockets.py
+++ b/mustardfall/util/sockets.py
@@ -5,7 +5,7 @@
 import logging
 import select
 import socket
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import anyio
 from anyio import abc
@@ -137,11 +137,22 @@
     sock.setsockopt(*option)
 
 
+class AcceptQueue(Protocol):
+  """Closes connections that wait too long; see `util.accept_queue`."""
+
+  def shed(self) -> None:
+    """Closes connections that wait if there are too many."""
+
+  def note_accepted(self) -> None:
+    """Records that a connection was accepted."""
+
+
 async def accept(
     purpose: str,
     listener: abc.SocketListener,
     serve: Callable[[abc.SocketStream], Awaitable[None]],
     tasks: abc.TaskGroup,
+    queue: AcceptQueue | None = None,
 ) -> None:
   """Accepts connections until cancelled, also after a failed accept.
 
@@ -150,9 +161,12 @@
     listener: the open port.
     serve: serves one connection.
     tasks: runs `serve` for each connection.
+    queue: closes connections that wait too long; None: they wait.
   """
   async with listener:
     while True:
+      if queue is not None:
+        queue.shed()
       try:
         stream = await listener.accept()
       except OSError as exc:
@@ -162,6 +176,8 @@
         )
         await anyio.sleep(_ACCEPT_RETRY_S)
         continue
+      if queue is not None:
+        queue.note_accepted()
       tasks.start_soon(serve, stream)
 
 
@@ -182,7 +198,11 @@
 
 def is_socket_readable(stream: abc.ByteStream) -> bool:
   """Whether a connection's socket has unread bytes or was closed."""
-  sock = stream.extra(abc.SocketAttribute.raw_socket)
+  return is_ready(stream.extra(abc.SocketAttribute.raw_socket))
+
+
+def is_ready(sock: socket.socket) -> bool:
+  """Whether a socket has unread bytes, waiting connections or was closed."""
   poll = select.poll()
   poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
   return bool(poll.poll(0))
