A stream without length or chunks that brings no event is broken off

A server that crashed after the head of an answer that ends with its connection looked like one that had completed it: the caller got an empty stream that looks complete, and the parts of its prompt were cleared of blame. test_stream_without_any_event_is_not_complete got 200 before, 502 now. An answer that ends with its connection clears suspected units only if the endpoint still accepts connections. The other cases (whole streams, ended inside an event with and without resuming, reset between events, plain answers) were served rightly before; they have tests now. A crash exactly between two events of such a stream cannot be told from its end.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -5,6 +5,8 @@
 """
 
 import dataclasses
+import socket
+import struct
 from typing import Any
 
 import anyio
@@ -12,6 +14,8 @@
 import h11
 
 _READ_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a connection resets it."""
 
 
 @dataclasses.dataclass
@@ -34,7 +38,10 @@
   extra_response: bool = False
   """Sends a second response after the first."""
   close_delimited: bool = False
-  """Sends no Content-Length; the end of the connection ends the body."""
+  """Sends neither a length nor chunks; the end of the connection ends the body,
+  also of a stream."""
+  reset: bool = False
+  """Resets the connection at the end, as if the server had crashed."""
   unsigned: bool = False
   padding: int = 0
   """Bytes appended to the body of a plain response."""
@@ -136,6 +143,9 @@
     try:
       while await self._serve_one(stream, parser):
         parser.start_next_cycle()
+      if self.behaviour.reset:
+        sock = stream.extra(abc.SocketAttribute.raw_socket)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     except* (anyio.BrokenResourceError, anyio.ClosedResourceError):
       pass  # the router closed the connection
     except* h11.ProtocolError:
@@ -339,11 +349,9 @@
     await self._stream.send(head + b"\r\n" + body)
 
   async def _send_stream_head(self) -> None:
-    headers = {
-        **self._headers(),
-        "content-type": "text/event-stream",
-        "transfer-encoding": "chunked",
-    }
+    headers = {**self._headers(), "content-type": "text/event-stream"}
+    if not self._behaviour.close_delimited:
+      headers["transfer-encoding"] = "chunked"
     await self._stream.send(_head(200, headers, None) + b"\r\n")
 
   async def _send_events(self) -> None:
@@ -360,12 +368,18 @@
           and events_sent >= behaviour.reset_after_events
       ):
         if behaviour.partial_event:
-          await self._stream.send(_chunk(f"id: {number}\nda".encode()))
+          await self._send_piece(f"id: {number}\nda")
         return
-      event = f"id: {number}\ndata: x {self._version}\n\n"
-      await self._stream.send(_chunk(event.encode()))
+      await self._send_piece(f"id: {number}\ndata: x {self._version}\n\n")
       await anyio.sleep(behaviour.event_interval_s)
-    await self._stream.send(b"0\r\n\r\n")
+    if not behaviour.close_delimited:
+      await self._stream.send(b"0\r\n\r\n")
+
+  async def _send_piece(self, text: str) -> None:
+    data = text.encode()
+    if not self._behaviour.close_delimited:
+      data = _chunk(data)
+    await self._stream.send(data)
 
 
 def _chunk(data: bytes) -> bytes:
--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -5,6 +5,7 @@
 from mustardfall.membership import trials as trials_lib
 from mustardfall.membership import verdicts as verdicts_lib
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
+from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import endpoints
@@ -89,8 +90,24 @@
       return False
     return any(map(self._table.is_suspected, context.parts))
 
-  def record_success(self, context: request_context_lib.RequestContext) -> None:
-    """Records that an endpoint completed a request."""
+  async def record_success(
+      self,
+      context: request_context_lib.RequestContext,
+      row: endpoints.Row,
+      exchange: exchange_lib.Exchange,
+  ) -> None:
+    """Records that an endpoint completed a request.
+
+    An answer that ends with its connection may end so because the endpoint
+    crashed. It speaks for a suspected unit only if the endpoint is up.
+    """
+    if exchange.ends_with_connection and any(
+        map(self._table.crash_count, context.units)
+    ):
+      ran_s = self._clock.monotonic() - context.arrived_at
+      await self.check_for_crash(context, row, ran_s)
+      if context.endpoint_crashed:
+        return
     age_s = 0.0
     if context.attempt_began_at is not None:
       age_s = self._clock.monotonic() - context.attempt_began_at
--- a/mustardfall/proxy/exchange.py
+++ b/mustardfall/proxy/exchange.py
@@ -79,6 +79,9 @@
     """Content-Length of the response; 0 if there is none."""
     self.received = False
     """Whether any byte was received."""
+    self.ends_with_connection = False
+    """Whether the response has neither a length nor chunks, so that one that was
+    broken off may look complete."""
 
   def _new_parser(self) -> h11.Connection:
     """Returns a parser that expects the response to this request."""
@@ -158,14 +161,14 @@
       head = decode(event.status_code, list(event.headers))
       if head.request_id in (request_id, ""):
         self._content_length = messages.content_length(event.headers)
+        self.ends_with_connection = not _has_framing(event)
         return head
       await self._skip_response(event)
     raise errors.InvalidResponseError("responses to other requests only")
 
   async def _skip_response(self, head: h11.Response) -> None:
     """Reads the response to another request to its end."""
-    names = {name for name, _ in head.headers}
-    if not names & {b"content-length", b"transfer-encoding"}:
+    if not _has_framing(head):
       raise errors.InvalidResponseError(
           "response to another request, without length"
       )
@@ -257,3 +260,9 @@
       return False  # the body ended with the connection
     rest, ended = self._parser.trailing_data
     return not rest and not ended
+
+
+def _has_framing(head: h11.Response) -> bool:
+  """Whether a response has a length or comes in chunks."""
+  names = {name for name, _ in head.headers}
+  return bool(names & {b"content-length", b"transfer-encoding"})
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -406,7 +406,7 @@
     if head.has_content_encoding or not head.signed or not head.request_id:
       raise errors.InvalidResponseError("not the endpoint's own answer")
     if head.is_event_stream and head.status == _OK:
-      await self._relay_events(context, exchange, head)
+      await self._relay_events(context, row, exchange, head)
     else:
       await self._relay_body(context, row, exchange, head)
 
@@ -418,7 +418,7 @@
       head: messages.ResponseHead,
   ) -> None:
     body = await exchange.read_body(_MAX_BODY_BYTES, context.responder)
-    self._crash_guard.record_success(context)
+    await self._crash_guard.record_success(context, row, exchange)
     if head.status >= _SERVER_ERROR:
       row.failures += 1
       context.error_response = (head, body)
@@ -443,6 +443,7 @@
   async def _relay_events(
       self,
       context: request_context_lib.RequestContext,
+      row: endpoints.Row,
       exchange: exchange_lib.Exchange,
       head: messages.ResponseHead,
   ) -> None:
@@ -462,7 +463,9 @@
       raise errors.InvalidResponseError(str(exc)) from exc
     if parser.incomplete:
       raise errors.InvalidResponseError("stream ended within an event")
-    self._crash_guard.record_success(context)
+    if exchange.ends_with_connection and not context.attempt_events:
+      raise errors.InvalidResponseError("stream ended before an event")
+    await self._crash_guard.record_success(context, row, exchange)
     await self._write(context, head, b"")
     await context.responder.end()
     self._request_log.log_end(context, "answered", head.status)
