--- a/mustardfall/bench/virtual/blame_fleet.py
+++ b/mustardfall/bench/virtual/blame_fleet.py
@@ -80,6 +80,8 @@
   bad_per_s: float = 4.0
   """Requests with a bad part, at all routers together, for each part."""
   bad_from_s: float = 6.0
+  bad_writes_s: float = 0.0
+  """How long endpoints write an answer on a bad part until they crash."""
   sound_before: bool = False
   """Whether requests had the bad parts before they crashed endpoints."""
   bad_until_s: float = float("inf")
@@ -350,13 +352,14 @@
         router.verdicts.note_success(request.key, *keys, age_s=began)
       elif not crashed.is_leaving:
         self._report(router, request, parts, crashed, began)
-      if trial is not None and (crashed is None or began):
+      was_writing = began >= quarantine.WRITING_S
+      if trial is not None and (crashed is None or was_writing):
         router.trials.end(trial, "")
       elif trial is not None:
         router.trials.abandon(trial)
       if crashed is None:
         return "served"
-      is_open = not began and any(map(router.table.is_suspected, parts))
+      is_open = not was_writing and any(map(router.table.is_suspected, parts))
       if self.way.stops_retries and is_open and not crashed.is_leaving:
         return "lost"
     return "lost"
@@ -375,7 +378,7 @@
         _TEAM,
         crashed.life,
         max(ran_s, _QUEUE_S),
-        has_begun=ran_s > 0,
+        was_writing=ran_s >= quarantine.WRITING_S,
     )
     router.verdicts.note_end(report, suspects)
 
@@ -394,8 +397,9 @@
       return 0.0, endpoint
     for part in request.parts:
       if self.is_bad(part):
+        await anyio.sleep(self.day.bad_writes_s)
         await self.end_endpoint(endpoint, part)
-        return 0.0, endpoint
+        return self.day.bad_writes_s, endpoint
     run_s = self.load_rng.expovariate(1 / self.day.run_s)
     if await self._wait(endpoint, run_s):
       return run_s, endpoint
--- a/mustardfall/membership/trials.py
+++ b/mustardfall/membership/trials.py
@@ -127,7 +127,7 @@
       )
 
   def abandon(self, trial: Trial) -> None:
-    """Ends a trial that crashed its endpoint before the first event.
+    """Ends a trial that crashed its endpoint as that began its answer.
 
     Its permits are not given back but expire, so that all routers learn of the
     crash before the next trial.
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -32,7 +32,7 @@
 _MAX_VERDICTS_PER_DATAGRAM = 12
 """Each verdict takes some 100 bytes."""
 _REPORT_FIELDS = 4
-"""Fields of the report of a request. If the prompt has parts, `has_begun`, the
+"""Fields of the report of a request. If the prompt has parts, `was_writing`, the
 number of those that are unproven and their keys follow."""
 _NO_SUSPECTS = quarantine.Suspects([], 0)
 _ANSWER_SPREAD_S = 0.001
@@ -111,7 +111,7 @@
     """
     fields = list(report[:_REPORT_FIELDS])
     if suspects.parts:
-      fields += [report.has_begun, suspects.unproven_count, *suspects.parts]
+      fields += [report.was_writing, suspects.unproven_count, *suspects.parts]
     content = json.dumps(fields).encode()
     keys = (report.fingerprint, *suspects.parts)
     for router in self._counting_routers(keys):
@@ -244,10 +244,14 @@
 
   def _handle_crash_report(self, raw: bytes, sender: str) -> None:
     fingerprint, team, endpoint, ran_s, *more = json.loads(raw)
-    has_begun, unproven_count, *parts = more or (False, 0)
+    was_writing, unproven_count, *parts = more or (False, 0)
     names.check(fingerprint, team, endpoint, *parts)
     report = quarantine.CrashReport(
-        fingerprint, team, endpoint, float(ran_s), has_begun=has_begun is True
+        fingerprint,
+        team,
+        endpoint,
+        float(ran_s),
+        was_writing=was_writing is True,
     )
     suspects = quarantine.Suspects(
         parts[: quarantine.MAX_PARTS], int(unproven_count)
--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -76,20 +76,24 @@
     trial, context.trial = context.trial, None
     if trial is None:
       return
-    if context.endpoint_crashed and not context.attempt_events:
+    if context.endpoint_crashed and not self._was_writing(context):
       self._trials.abandon(trial)
     else:
       self._trials.end(trial, "endpoint is up")
 
   def is_blame_open(self, context: request_context_lib.RequestContext) -> bool:
-    """Whether a part of the prompt may have crashed the last endpoint.
-
-    An endpoint that has sent events had processed the prompt.
-    """
-    if not context.endpoint_crashed or context.attempt_events:
+    """Whether a part of the prompt may have crashed the last endpoint."""
+    if not context.endpoint_crashed or self._was_writing(context):
       return False
     return any(map(self._table.is_suspected, context.parts))
 
+  def _was_writing(self, context: request_context_lib.RequestContext) -> bool:
+    """Whether the endpoint had been writing the answer for a while."""
+    began_at = context.attempt_began_at
+    if began_at is None:
+      return False
+    return self._clock.monotonic() - began_at >= quarantine.WRITING_S
+
   async def record_success(
       self,
       context: request_context_lib.RequestContext,
@@ -156,7 +160,7 @@
             team,
             row.life,
             ran_s,
-            has_begun=context.attempt_events > 0,
+            was_writing=self._was_writing(context),
         ),
         suspects,
     )
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -39,8 +39,11 @@
 """Crashes this close together may have one external cause, such as a rack
 losing power. They count once against a unit that ran on several of the
 endpoints."""
-_BEGUN_WEIGHT = 0.5
-"""Weight of a crash against a part if the endpoint had sent events."""
+_WRITING_WEIGHT = 0.5
+"""Weight of a crash against a part if the endpoint had been writing the answer:
+it had processed the prompt."""
+WRITING_S = 0.25
+"""How long it must have been writing for that."""
 _MAX_ROWS = 4_096
 """Suspected and quarantined units kept."""
 _MAX_ROWS_PER_TEAM = 512
@@ -91,7 +94,7 @@
 
   crashes: float
   """Crashes since its last success; with a common cause they count once, and
-  those of runs that had sent events as a half."""
+  those amid an answer as a half."""
   requests: int
   """Different requests that were running then, of a part; 1 for a request."""
   is_part: bool
@@ -142,9 +145,8 @@
   """How long the request had been running there."""
   request: str = ""
   """The request's key, in the report of a part; empty in that of a request."""
-  has_begun: bool = False
-  """Whether the endpoint had sent events: it had processed the prompt, so that
-  a part is less suspected."""
+  was_writing: bool = False
+  """Whether the endpoint had been writing the answer for `WRITING_S`."""
   is_isolated: bool = True
   """Whether the request had no other suspected part."""
   is_proven: bool = False
@@ -390,8 +392,8 @@
     # A request that ran for less time than has passed since the last crash was
     # sent after that crash, so this one has a cause of its own.
     if since_last_s > min(_SAME_CAUSE_S, report.ran_s):
-      is_weak = row.is_part and report.has_begun
-      row.log_crash(now, _BEGUN_WEIGHT if is_weak else 1.0)
+      is_weak = row.is_part and report.was_writing
+      row.log_crash(now, _WRITING_WEIGHT if is_weak else 1.0)
       row.was_isolated = row.was_isolated or report.is_isolated
     if len(row.requests) < _MAX_REQUESTS_PER_ROW:
       row.requests.add(report.request or report.fingerprint)
--- a/tests/test_blame_fleet.py
+++ b/tests/test_blame_fleet.py
@@ -62,6 +62,12 @@
     for seed in range(5):
       self._check(self._play(seed, bad_first=3))
 
+  def test_part_that_crashes_endpoints_amid_their_answer(self):
+    """Guards against events that clear the part on which they were written."""
+    for seed in range(5):
+      self._check(self._play(seed, bad_writes_s=0.1))
+      self._check(self._play(seed, bad_writes_s=0.3), ended=12)
+
   def test_part_that_was_sound_before(self):
     """Guards against earlier successes that hide a part gone bad."""
     for seed in range(5):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -210,10 +210,10 @@
     self._advance(5.0)
     self.assertTrue(self.table.apply_update(told._replace(succeeded_s=6.0)))
 
-  def test_runs_that_had_sent_events_count_half(self):
+  def test_crashes_amid_an_answer_count_half(self):
     """Guards against blame for the parts of streams that ran beside."""
     for number in range(3):
-      self._crash_part("p", number, has_begun=True)
+      self._crash_part("p", number, was_writing=True)
     self.assertEqual(1.5, self.table.crash_count("p"))
     self.assertEqual("clear", self._standing("p"))
 
