--- a/mustardfall/bench/virtual/blame_fleet.py
+++ b/mustardfall/bench/virtual/blame_fleet.py
@@ -17,6 +17,7 @@
 
 from mustardfall.bench.virtual import loop
 from mustardfall.bench.virtual import routers
+from mustardfall.kv import protocol
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import permits as permits_lib
 from mustardfall.membership import trials as trials_lib
@@ -32,6 +33,7 @@
 """Mean time from sending a request to the begin of its answer."""
 _MAX_ATTEMPTS = 2
 _TICK_S = 0.05
+_STORE_CALL_S = 0.004
 
 
 class Way(NamedTuple):
@@ -169,22 +171,37 @@
         "rows": self.most_rows,
         "datagrams_s": round(fleet.datagrams.total() / rate, 2),
         "bytes_s": round(fleet.sent_bytes.total() / rate),
+        "store_calls": fleet.store.calls,
     }
 
 
 class _Store:
-  """A store that loses what it is given: each router must learn from others."""
+  """The store, as far as verdicts need it."""
+
+  def __init__(self) -> None:
+    self.records: dict[str, protocol.Record] = {}
+    self.calls = 0
+
+  async def _call(self) -> None:
+    self.calls += 1
+    await anyio.sleep(_STORE_CALL_S)
 
   async def grant_lease(self, ttl_s: float) -> int:
+    """Returns a lease; it does not end on the day."""
     del ttl_s
+    await self._call()
     return 1
 
   async def put(self, key: str, value: bytes, lease: int = 0) -> None:
-    """Writes nothing."""
+    """Writes a record."""
+    await self._call()
+    self.records[key] = protocol.Record(key, value, 1, lease)
 
-  async def get_prefix(self, prefix: str) -> tuple[int, list]:
+  async def get_prefix(self, prefix: str) -> tuple[int, list[protocol.Record]]:
+    """Returns all records."""
     del prefix
-    return 1, []
+    await self._call()
+    return 1, list(self.records.values())
 
 
 class _Notices:
@@ -225,12 +242,15 @@
     members = routers.Members(fleet, me)
     self.table = quarantine.Table(clock, fleet.way.policy)
     self.verdicts = verdicts_lib.Verdicts(
-        self.table, members, self.port, _Notices(), _Store(), clock
+        self.table, members, self.port, _Notices(), fleet.store, clock
     )
+    instruments = _Instruments()
     self.permits = permits_lib.Permits(
-        members, self.port, _Limits(), _Instruments(), clock
+        members, self.port, _Limits(), instruments, clock
+    )
+    self.trials = trials_lib.Trials(
+        self.table, self.permits, instruments, clock
     )
-    self.trials = trials_lib.Trials(self.table, self.permits, clock)
 
   async def run(self) -> None:
     """Runs the router's modules until its scope is cancelled."""
@@ -246,6 +266,7 @@
   def __init__(self, day: Day, way: Way, seed: int, tasks) -> None:
     self.way = way
     self.result = Result()
+    self.store = _Store()
     self.load_rng = random.Random(f"load {seed}")
     count = max(4, round(day.routers * day.endpoints_per_router))
     self.endpoints = {n: _Endpoint(f"e{n}-0") for n in range(count)}
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -260,7 +260,9 @@
         self.kv,
         clock,
     )
-    self.trials = trials_lib.Trials(self.quarantine, self.permits, clock)
+    self.trials = trials_lib.Trials(
+        self.quarantine, self.permits, self.instruments, clock
+    )
     self.relay = relay_lib.Relay(
         self.accounts.members, self._call_peer, self.copies, clock
     )
--- a/mustardfall/membership/trials.py
+++ b/mustardfall/membership/trials.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from mustardfall import metrics
 from mustardfall.membership import permits as permits_lib
 from mustardfall.routing import limited_endpoints
 from mustardfall.routing import quarantine
@@ -40,6 +41,7 @@
   Args:
     table: the standings of units.
     permits: issues one permit at a time for each unit.
+    instruments: exports counters.
     clock: the time source.
   """
 
@@ -47,6 +49,7 @@
       self,
       table: quarantine.Table,
       permits: permits_lib.Permits,
+      instruments: metrics.Instruments,
       clock: clock_lib.Clock,
   ) -> None:
     self._table = table
@@ -54,6 +57,10 @@
     self._clock = clock
     self.waiting = 0
     """Requests that wait for a trial of another to end."""
+    self._counts = {"waited": 0, "begun": 0, "crashed": 0}
+    instruments.observe_totals(
+        "mustardfall.trials", "", "requests with open units", self._counts
+    )
 
   async def begin(self, request: str, units: Sequence[str]) -> Trial | None:
     """Waits until a request may run.
@@ -72,6 +79,7 @@
     began_at = self._clock.monotonic()
     self._log("request waits for a trial", request, open_units, 0.0)
     trial = None
+    self._counts["waited"] += 1
     self.waiting += 1
     try:
       while trial is None and open_units:
@@ -83,6 +91,7 @@
     finally:
       self.waiting -= 1
     waited_s = self._clock.monotonic() - began_at
+    self._counts["begun"] += trial is not None
     event = "trial begins" if trial else "request waits no longer"
     self._log(event, request, list(trial.permits) if trial else [], waited_s)
     return trial
@@ -132,6 +141,7 @@
     Its permits are not given back but expire, so that all routers learn of the
     crash before the next trial.
     """
+    self._counts["crashed"] += 1
     for unit, permit in trial.permits.items():
       self._permits.abandon(unit, permit)
     logger.info(
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -47,6 +47,11 @@
   team: str
   until_s: float
   """Unix seconds."""
+  is_part: bool = False
+  """False in those that earlier versions have stored, as the next two."""
+  crashes: float = float(quarantine.CRASH_LIMIT)
+  crashed_s: float = 0.0
+  """When the last crash was, Unix seconds; 0: unknown."""
 
 
 class Verdicts:
@@ -174,8 +179,7 @@
       before = self._table.standing(key)
       crashes = self._table.crash_count(key)
       if self._table.note_crash(one):
-        left_s = self._table.remaining_s(key)
-        self._publish(quarantine.QuarantineUpdate(key, one.team, left_s))
+        self._publish(quarantine.decode(self._table.fact(key)))
       if self._table.crash_count(key) != crashes:
         counts[key] = self._table.crash_count(key)
       after = self._table.standing(key)
@@ -216,8 +220,10 @@
 
   def _publish(self, verdict: quarantine.QuarantineUpdate) -> None:
     self._gossip.publish(verdict.fingerprint)
-    self._unstored.append(verdict)
-    self._unstored_added.set()
+    storing = self._members.candidates(verdict.fingerprint)
+    if self._members.me.life in {member.life for member in storing}:
+      self._unstored.append(verdict)
+      self._unstored_added.set()
 
   def _note_outdated(self, key: str) -> None:
     """Has a success published that another router does not know."""
@@ -316,9 +322,16 @@
   async def _store(self, verdict: quarantine.QuarantineUpdate) -> None:
     """Stores a verdict in the KV, under a lease for its remaining term."""
     key = PREFIX + verdict.fingerprint
-    until_s = self._clock.wall().timestamp() + verdict.left_s
+    now_s = self._clock.wall().timestamp()
     value = json.dumps(
-        _StoredVerdict(verdict.fingerprint, verdict.team, until_s)
+        _StoredVerdict(
+            verdict.fingerprint,
+            verdict.team,
+            now_s + verdict.left_s,
+            verdict.is_part,
+            verdict.crashes,
+            now_s - verdict.crashed_s,
+        )
     )
     try:
       lease = await self._kv.grant_lease(max(1, int(verdict.left_s)))
@@ -346,13 +359,19 @@
         stored = _StoredVerdict(*json.loads(record.value))
         names.check(stored.fingerprint, stored.team)
         left_s = float(stored.until_s) - now_s
+        crashed_s = max(0.0, now_s - float(stored.crashed_s or now_s))
+        verdict = quarantine.QuarantineUpdate(
+            stored.fingerprint,
+            stored.team,
+            left_s,
+            crashed_s,
+            float(stored.crashes),
+            stored.is_part is True,
+        )
       except (TypeError, ValueError) as exc:
         extra = {"entry": record.key, "error": repr(exc)}
         logger.error("verdict unreadable", extra=extra)
         continue
-      verdict = quarantine.QuarantineUpdate(
-          stored.fingerprint, stored.team, left_s
-      )
       if left_s > 0 and self._table.apply_update(verdict):
         self._gossip.publish(verdict.fingerprint)
     return True
