A second attempt's record is sent to its holders by call, too

What callers saw: a stream was resumed at another software version than the one that began it, where all datagrams are lost, its first attempt had failed before an event and its router was killed: holders had the record of the first attempt by call, that of the second only after four sends.

A record that replaces one of another version is now sent to all its holders at once by call beside the datagrams, and a call confirms it like a datagram. Such attempts are rare: a call to each holder (three in a large fleet).

--- a/mustardfall/membership/stream_keepers.py
+++ b/mustardfall/membership/stream_keepers.py
@@ -164,8 +164,9 @@
     self._resends: list[tuple[float, int, Announcement]] = []
     """Due time and number of the next send of records, in order of time."""
     self._resends_added = anyio.Event()
-    self._uncalled: dict[str, dict[bytes, stream_records.StreamRecord]] = {}
-    """Records to be sent to routers by call, by the router's life."""
+    self._uncalled: dict[str, dict[bytes, Announcement]] = {}
+    """What is to be sent to routers by call, by the router's life and the
+    record's key."""
     self._uncalled_added = anyio.Event()
     self._questions: dict[int, _Question] = {}
     self._question_count = 0
@@ -216,6 +217,10 @@
     if announcement.unconfirmed and len(self._pending) < _MAX_PENDING:
       self._pending[record.key] = announcement
     self._send(announcement, 1)
+    if replaces is not None:
+      # A holder that keeps the record of the earlier attempt would have the
+      # stream resumed at the wrong version, so that a lost datagram matters.
+      self._call_later(announcement, announcement.holder_count)
     return announcement
 
   def _send(self, announcement: Announcement, number: int) -> None:
@@ -257,15 +262,14 @@
       self._send(announcement, number)
       return
     del self._pending[key]
-    self._call_later(announcement)
+    if not announcement.confirmed.is_set():
+      self._call_later(announcement, _CALLED_ROUTERS)
 
-  def _call_later(self, announcement: Announcement) -> None:
-    """Leaves a record to calls that no holder confirmed by datagram."""
-    if announcement.confirmed.is_set():
-      return
-    record = announcement.record
-    for member in list(announcement.unconfirmed.values())[:_CALLED_ROUTERS]:
-      self._uncalled.setdefault(member.life, {})[record.key] = record
+  def _call_later(self, announcement: Announcement, count: int) -> None:
+    """Has a record sent by call to holders that have not confirmed it."""
+    key = announcement.record.key
+    for member in list(announcement.unconfirmed.values())[:count]:
+      self._uncalled.setdefault(member.life, {})[key] = announcement
     self._uncalled_added.set()
 
   async def _call_holders(self) -> None:
@@ -275,28 +279,31 @@
       self._uncalled_added = anyio.Event()
       uncalled, self._uncalled = self._uncalled, {}
       async with anyio.create_task_group() as tasks:
-        for life, records in uncalled.items():
-          tasks.start_soon(self._call_holder, life, list(records.values()))
+        for life, announcements in uncalled.items():
+          newest = list(announcements.values())[-_MAX_RECORDS_PER_CALL:]
+          tasks.start_soon(self._call_holder, life, newest)
 
   async def _call_holder(
-      self, life: str, records: list[stream_records.StreamRecord]
+      self, life: str, announcements: list[Announcement]
   ) -> None:
     member = self._members.lives.get(life)
     if member is None:
       return
-    encoded = [r.encode().hex() for r in records[-_MAX_RECORDS_PER_CALL:]]
-    await self._call(member, {"records": encoded})
+    encoded = [one.record.encode().hex() for one in announcements]
+    if await self._call(member, {"records": encoded}) is not None:
+      for announcement in announcements:
+        announcement.note_confirmed(life)
 
   async def _call(
       self, member: members_lib.Member, body: dict[str, Any]
-  ) -> dict[str, Any]:
-    """Calls another router; returns an empty answer if it gave none."""
+  ) -> dict[str, Any] | None:
+    """Calls another router; returns None if it gave no answer."""
     try:
       return await self._post(member.url + PATH, body, _CALL_TIMEOUT_S)
     except errors.PeerUnavailableError as exc:
       extra = {"peer": member.life, "call": PATH, "error": repr(exc)}
       logger.info("peer call failed", extra=extra)
-      return {}
+      return None
 
   async def serve(self, body: dict[str, Any]) -> dict[str, Any]:
     """Serves another router's call.
@@ -345,7 +352,7 @@
     found: list[tuple[str, stream_records.StreamRecord]] = []
 
     async def ask_one(member: members_lib.Member) -> None:
-      answer = await self._call(member, {"key": key.hex()})
+      answer = await self._call(member, {"key": key.hex()}) or {}
       text = answer.get("record")
       if text:
         record = stream_records.decode_record(bytes.fromhex(text))
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -53,6 +53,16 @@
         )
     )
 
+  def test_second_attempts_are_known_where_all_datagrams_are_lost(self):
+    """Guards against holders that keep the version of the first attempt."""
+    day = {"loss": 0.3, "late": 0.5, "doubled": 0.5, "unheard": 1.0}
+    for seed, killed in ((90, 0.6), (275, 0.6), (357, 0.33), (369, 0.33)):
+      routers = 2 if seed % 2 == 0 else 9
+      figures = self._play(
+          seed, routers=routers, killed=killed, second_attempts=0.3, **day
+      )
+      self._check(figures)
+
   def test_small_fleet_knows_all_streams_of_killed_routers(self):
     """Guards against streams that are lost with most of a small fleet."""
     figures = self._play(routers=9, killed=0.6)
