A connection that has just begun to wait is not closed for another one

What callers saw: cut off without an answer while their request was on its way, when a router ran out of connections or memory for callers: the connection idle for longest was closed, also one that was just accepted.

--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import re
+from typing import NamedTuple
 
 import anyio
 from anyio import abc
@@ -34,6 +35,9 @@
 """How long bytes are still read after the last response. Closing a connection
 with unread bytes resets it, and the caller may lose a response that it has not
 read yet."""
+_MIN_IDLE_S = 0.5
+"""How long a connection must have waited for a request to be closed in favour of
+others."""
 _RETRY_AFTER_S = 1.0
 """Retry-After of callers refused for lack of connections or memory, in seconds.
 Mostly the load balancer sends the retry to another router."""
@@ -112,6 +116,14 @@
     )
 
 
+class _IdleConnection(NamedTuple):
+  """A connection that waits for a request."""
+
+  allocation: resource_limiter_lib.Allocation
+  since: float
+  """When it began to wait, monotonic seconds."""
+
+
 Handler = Callable[[messages.Request, bytes, Responder], Awaitable[None]]
 
 
@@ -151,9 +163,9 @@
     self.clock = clock
     self.draining = False
     self.in_flight = 0
-    self._idle: dict[anyio.CancelScope, resource_limiter_lib.Allocation] = {}
-    """Connections that wait for a request, longest waiting first: the cancel
-    scope of each wait and the connection's allocation."""
+    self._idle: dict[anyio.CancelScope, _IdleConnection] = {}
+    """Connections that wait for a request, longest waiting first, by the cancel
+    scope of the wait."""
 
   async def serve(
       self,
@@ -220,10 +232,16 @@
     return True
 
   def _close_longest_idle(self) -> bool:
-    """Closes the connection idle for longest; returns False if none is idle."""
-    for scope, allocation in self._idle.items():
+    """Closes the connection idle for longest; returns False if there is none.
+
+    Those that have just begun to wait are kept: the request of a new connection
+    is on its way, and its caller would be cut off without an answer.
+    """
+    for scope, idle in self._idle.items():
+      if self.clock.monotonic() - idle.since < _MIN_IDLE_S:
+        return False
       del self._idle[scope]
-      allocation.evict()
+      idle.allocation.evict()
       scope.cancel()
       return True
     return False
@@ -234,7 +252,7 @@
   ) -> Iterator[None]:
     """Limits the wait for a request; the connection may be closed meanwhile."""
     with anyio.move_on_after(timeout_s) as scope:
-      self._idle[scope] = allocation
+      self._idle[scope] = _IdleConnection(allocation, self.clock.monotonic())
       try:
         yield
       finally:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -451,6 +451,7 @@
     datagrams = [b"", b"l", b"n", b"x", b"l[1]", b"n[]", b'n{"a": "x"}']
     datagrams += [b"l" + b"[" * 9000, b"n" + b"[" * 9000, b"\xff" * 500]
     datagrams += [b'l["r",1,{"i":[1,2]},{"i":[3]}]', b'l[{},[],"x",3]']
+    datagrams += [b's["f","t","e",0.1,true,"x","p"]', b's["f","t","e",1,0,1,3]']
     datagrams += [b"s", b"s[]", b's["f", 1, {}, "x"]', b's["f","t","e",NaN]']
     for verdicts in (3, [], [3], [[1, 2, 3]], [["f", "t", "x"]], {"f": "t"}):
       datagrams.append(b"v" + zlib.compress(json.dumps(verdicts).encode()))
