A crash is judged by when it was seen; told units are not explained by others

Found on reading the change: whether an endpoint had been writing was computed again after the check of its port, which may take longer than the bound; and a quarantine dropped units of the team that this router knows only from others, whose set of endpoints is empty.

--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -76,14 +76,14 @@
     trial, context.trial = context.trial, None
     if trial is None:
       return
-    if context.endpoint_crashed and not self._was_writing(context):
+    if context.endpoint_crashed and not context.crashed_writing:
       self._trials.abandon(trial)
     else:
       self._trials.end(trial, "endpoint is up")
 
   def is_blame_open(self, context: request_context_lib.RequestContext) -> bool:
     """Whether a part of the prompt may have crashed the last endpoint."""
-    if not context.endpoint_crashed or self._was_writing(context):
+    if not context.endpoint_crashed or context.crashed_writing:
       return False
     return any(map(self._table.is_suspected, context.parts))
 
@@ -129,13 +129,14 @@
     them, packets are lost, or a response is lost. The endpoint counts as
     crashed only if it refuses a new connection, also one of another router.
     """
+    was_writing = self._was_writing(context)
     if not await self._paths.has_ended(row, context.request.id):
       return
     if row.state != "live":
       extra = {"request": context.request.id, "endpoint": row.life}
       logger.info("endpoint that leaves has ended", extra=extra)
       return
-    context.endpoint_crashed = True
+    context.endpoint_crashed, context.crashed_writing = True, was_writing
     suspects = self._table.rank_suspects(context.parts)
     team = context.team.name if context.team else ""
     logger.info(
@@ -160,7 +161,7 @@
             team,
             row.life,
             ran_s,
-            was_writing=self._was_writing(context),
+            was_writing=was_writing,
         ),
         suspects,
     )
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -61,6 +61,8 @@
   """When that endpoint sent the first event, monotonic seconds."""
   endpoint_crashed: bool = False
   """Whether the endpoint of the current attempt crashed while it ran it."""
+  crashed_writing: bool = False
+  """Whether it had been writing the answer for a while then."""
   trial: trials.Trial | None = None
   """The permits of the current attempt, if it has open units."""
   has_retry: bool = False
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -157,7 +157,7 @@
   """The parts of a request that ran on an endpoint when it crashed."""
 
   parts: list[str]
-  """Their keys; the one that succeeded last, or most recently, comes last."""
+  """Their keys; the one with the most recent success comes last."""
   unproven_count: int
   """How many of them, the first ones, did not succeed recently."""
 
@@ -410,7 +410,8 @@
     """Forgets the crashes that a unit explains in the other rows of its team."""
     for key in list(self._keys_by_team[culprit.team]):
       row = self._rows[key]
-      if not row.was_quarantined and row.endpoints <= culprit.endpoints:
+      is_explained = row.endpoints and row.endpoints <= culprit.endpoints
+      if is_explained and not row.was_quarantined:
         self._drop(key)
 
   def _reset(self, key: str, row: _Row) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -225,6 +225,16 @@
     self.assertEqual("quarantined", self._standing("p"))
     self.assertEqual(0, self.table.crash_count("beside"))
 
+  def test_culprit_explains_nothing_that_others_reported(self):
+    """Guards against an open part forgotten for a quarantine of another."""
+    told = quarantine.QuarantineUpdate(
+        "p", "acme", 0.0, 1.0, 2.0, is_part=True, is_open=True
+    )
+    self.table.apply_update(told)
+    for number in range(3):
+      self._crash_part("other", number)
+    self.assertEqual("open", self._standing("p"))
+
   def test_rack_failure_blames_no_part(self):
     """Guards against blame for a part of many requests when a rack fails."""
     for number in range(20):
