A success that clears only some crashes is announced, too

Found on reading: where an answer began between two crashes, the router that saw it end forgot the first, and the other counting routers did not; a unit that another router had found open stayed open.

--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -1,9 +1,10 @@
-"""Shares verdicts on requests that crash the endpoints that run them.
+"""Shares verdicts on what crashes the endpoints that run it.
 
-A router that sees an endpoint crash reports the request that it was running, by
-datagram, to the few routers that count crashes for each request. A router that
-has counted too many for a request publishes a verdict to all others, and
-stores it in the KV for the case that all routers restart.
+A router that sees an endpoint crash reports the request that it was running, and
+the parts of its prompt, by datagram, to the few routers that count crashes for
+each of these units. A router that has counted too many for a unit publishes a
+verdict to all others, and stores it in the KV for the case that all routers
+restart. Successes clear units in the same way.
 """
 
 from collections.abc import Iterable, Sequence
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -436,7 +436,7 @@
         then still count: what was sound may have become faulty.
 
     Returns:
-      Whether the unit was suspected until now.
+      Whether crashes that counted until now are forgotten.
     """
     if age_s >= _RETENTION_S:
       return False
@@ -448,16 +448,18 @@
     row = self._rows.get(fingerprint_)
     if row is None:
       return False
+    crash_count = len(row.crash_log)
     row.crash_log = [crash for crash in row.crash_log if crash.at > at]
     if not row.crash_log:
       return self._drop(fingerprint_)
+    row.told_open = False
     if not row.is_proven:
       # A success before the crashes: more of them are needed for blame.
-      row.is_proven, row.told_open = True, False
+      row.is_proven = True
       if judge(row.record, self._policy) is not Standing.QUARANTINED:
         row.quarantined_until = -float("inf")
-      self._note_change()
-    return False
+    self._note_change()
+    return len(row.crash_log) < crash_count
 
   def apply_update(self, update: QuarantineUpdate) -> bool:
     """Applies an update from another router.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -171,8 +171,9 @@
     """Guards against answers begun before that clear a part gone bad."""
     for number in range(4):
       self._crash_part("p", number, is_proven=True)
-    self.table.note_success("p", age_s=2.5)
+    self.assertTrue(self.table.note_success("p", age_s=2.5))
     self.assertEqual(3, self.table.crash_count("p"))
+    self.assertFalse(self.table.note_success("p", age_s=2.5))
     self.table.note_success("p", age_s=0.0)
     self.assertEqual(0, self.table.crash_count("p"))
 
