--- a/mustardfall/bench/virtual/routers.py
+++ b/mustardfall/bench/virtual/routers.py
@@ -18,7 +18,7 @@
 _HOP_S = 0.001
 _REMOTE_HOP_S = 0.03
 """One way between regions."""
-_CANDIDATES = 3
+_CANDIDATE_ROUTERS = 3
 """The owner of a key, and its deputies."""
 
 
@@ -183,7 +183,7 @@
   def candidates(self, key: str) -> list[members_lib.Member]:
     """Returns the owner of a key and its deputies."""
     if key not in self._found:
-      self._found[key] = self._ring.find(key, _CANDIDATES)
+      self._found[key] = self._ring.find(key, _CANDIDATE_ROUTERS)
     return [self.by_name[name] for name in self._found[key]]
 
   def _start(self, member: members_lib.Member) -> None:
--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -50,6 +50,8 @@
   crash_on_part: str | None = None
   """If the prompt has this part, which must not be the last one, the server
   crashes after the response head."""
+  crash_for_team: str = ""
+  """If set, it does so for this team only."""
   encoded: bool = False
   rate_limit: str | None = None
   """Value of the `Server-Limit` header; None: the header is left out."""
@@ -244,6 +246,8 @@
 def _crashes_on(request: ReceivedRequest, behaviour: Behaviour) -> bool:
   if behaviour.crash_on and behaviour.crash_on in request.body:
     return True
+  if behaviour.crash_for_team not in ("", request.headers.get("tenant")):
+    return False
   return behaviour.crash_on_part in prompt_parts(request)[:-1]
 
 
--- a/mustardfall/util/accept_queue.py
+++ b/mustardfall/util/accept_queue.py
@@ -18,10 +18,10 @@
 
 _MAX_STANDING_S = 0.15
 """How long connections may have been waiting without a break."""
-_MIN_ACCEPTED = 8
+_MIN_ACCEPTED_CONNECTIONS = 8
 """Connections that must have been accepted in that time. After a pause of the
 process, some wait although it keeps up with them."""
-_MAX_CLOSED = 512
+_MAX_CLOSED_CONNECTIONS = 512
 """Connections closed at once: the length of the queue."""
 
 
@@ -37,7 +37,7 @@
 def is_overloaded(backlog: Backlog) -> bool:
   """Whether more connections are opened than the process serves."""
   is_standing = backlog.standing_s > _MAX_STANDING_S
-  return is_standing and backlog.accepted >= _MIN_ACCEPTED
+  return is_standing and backlog.accepted >= _MIN_ACCEPTED_CONNECTIONS
 
 
 class AcceptQueue:
@@ -83,10 +83,10 @@
 
   def _close_waiting(self) -> int:
     """Closes the connections that wait, unread; returns their number."""
-    for number in range(_MAX_CLOSED):
+    for number in range(_MAX_CLOSED_CONNECTIONS):
       try:
         connection, _ = self._socket.accept()
       except OSError:  # none is waiting any more, or no descriptor is free
         return number
       connection.close()
-    return _MAX_CLOSED
+    return _MAX_CLOSED_CONNECTIONS
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -54,6 +54,7 @@
     version: int = 1,
     prepaid: int = 100_000,
     services: tuple[str, ...] = ("pool",),
+    teams: tuple[str, ...] = ("acme",),
 ) -> dict[str, Any]:
   """Returns a configuration with a route of each kind.
 
@@ -80,7 +81,10 @@
           "header_timeout_ms": 1000,
           "idle_timeout_ms": 3000,
       },
-      "tenants": [{"name": "acme", "api_keys": [KEY], "prepaid": prepaid}],
+      "tenants": [
+          {"name": name, "api_keys": [f"key-of-{name}"], "prepaid": prepaid}
+          for name in teams
+      ],
   }
 
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -10,6 +10,7 @@
 import testtools
 
 from mustardfall.emulator import server as server_lib
+from tests import platformcase
 from tests import test_gateway
 
 _MAX_CRASHES = 5
@@ -32,10 +33,15 @@
     parts: the shared parts of the sound requests.
     bad_parts: the shared parts of the others.
     delay_s: how long a server works before it begins to write.
+    sound_key: the API key of the sound requests; by default that of the others.
+    more: further behaviour of the servers.
   """
 
-  def __init__(self, env, parts, bad_parts, delay_s=0.0) -> None:
+  def __init__(
+      self, env, parts, bad_parts, delay_s=0.0, sound_key="", **more
+  ) -> None:
     self._env = env
+    self._sound_key = sound_key or platformcase.KEY
     self._parts = parts
     self._bad_parts = bad_parts
     self._behaviour = server_lib.Behaviour(
@@ -43,6 +49,7 @@
         event_interval_s=0.02,
         crash_on_part=_BAD,
         response_delay_s=delay_s,
+        **more,
     )
     for server in env.servers.values():
       server.behaviour = self._behaviour
@@ -56,6 +63,7 @@
     """Sends a request that is unlike all others."""
     number = next(self._numbers)
     prefix = ",".join(f"{part}:100" for part in (*parts, f"e{number:06x}"))
+    is_bad = statuses is self.bad_statuses
     routers = self._env.gateways[-3:]
     began_at = anyio.current_time()
     response = await self._env.call(
@@ -64,6 +72,7 @@
         routers[number % len(routers)],
         body=b"%d" % number,
         prompt_prefix=prefix,
+        credential=platformcase.KEY if is_bad else self._sound_key,
         token_usage="300,10",
         model="m",
     )
@@ -98,9 +107,9 @@
       for _ in range(24):
         tg.start_soon(load.call, load._parts, [])
 
-  async def _check(self, env, parts, bad_parts):
+  async def _check(self, env, parts, bad_parts, **more):
     await env.add_routers(3)
-    load = _Load(env, parts, bad_parts)
+    load = _Load(env, parts, bad_parts, **more)
     await self._warm_up(load)
     await load.run(_CONTACT_S)
     crashes = env.crash_count
@@ -123,3 +132,17 @@
   async def test_few_servers_crash_on_the_first_part(self, env):
     """Guards against the same where the part begins the prompt."""
     await self._check(env, ("a0", "b0"), (_BAD, "b0"))
+
+  @test_gateway.in_environment(
+      servers=_SERVERS, prepaid=10_000_000, teams=("acme", "other")
+  )
+  async def test_part_that_crashes_servers_for_one_team_only(self, env):
+    """Guards against blame for another team that uses the same parts."""
+    parts = ("a0", _BAD)
+    await self._check(
+        env,
+        parts,
+        parts,
+        sound_key="key-of-other",
+        crash_for_team="acme",
+    )
