Reports and verdicts by call to routers from which no datagram arrives

Blame was known by datagram only: routers that hear no other count for themselves. Both new tests, in the model and on three routers with their port disabled, fail on the commit before.

--- a/mustardfall/bench/virtual/blame_fleet.py
+++ b/mustardfall/bench/virtual/blame_fleet.py
@@ -9,12 +9,14 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import json
 import random
 import statistics
 from typing import Any, NamedTuple
 
 import anyio
 
+from mustardfall import errors
 from mustardfall.bench.virtual import loop
 from mustardfall.bench.virtual import routers
 from mustardfall.kv import protocol
@@ -34,6 +36,7 @@
 _MAX_ATTEMPTS = 2
 _TICK_S = 0.05
 _STORE_CALL_S = 0.004
+_PEER_CALL_S = 0.003
 
 
 class Way(NamedTuple):
@@ -149,6 +152,8 @@
   sound_again_s: float = -1.0
   """Time from when a bad part is sound until one such request completes."""
   most_rows: int = 0
+  peer_calls: int = 0
+  """Calls between routers."""
 
   def summary(self, fleet: "_Fleet") -> dict[str, Any]:
     """The figures of the day."""
@@ -172,6 +177,7 @@
         "datagrams_s": round(fleet.datagrams.total() / rate, 2),
         "bytes_s": round(fleet.sent_bytes.total() / rate),
         "store_calls": fleet.store.calls,
+        "peer_calls": self.peer_calls,
     }
 
 
@@ -242,7 +248,13 @@
     members = routers.Members(fleet, me)
     self.table = quarantine.Table(clock, fleet.way.policy)
     self.verdicts = verdicts_lib.Verdicts(
-        self.table, members, self.port, _Notices(), fleet.store, clock
+        self.table,
+        members,
+        self.port,
+        _Notices(),
+        fleet.store,
+        clock,
+        fleet.post,
     )
     instruments = _Instruments()
     self.permits = permits_lib.Permits(
@@ -278,6 +290,17 @@
     """Returns a new life of a router."""
     return _Router(self, member)
 
+  async def post(
+      self, url: str, body: dict[str, Any], timeout_s: float
+  ) -> dict[str, Any]:
+    """Calls a router; see `peers.Post`."""
+    self.result.peer_calls += 1
+    router = self.up.get(url.removeprefix("http://").partition(":")[0])
+    await anyio.sleep(_PEER_CALL_S if router is not None else timeout_s)
+    if router is None:
+      raise errors.PeerUnavailableError("killed")
+    return await router.verdicts.serve(json.loads(json.dumps(body)))
+
   def is_bad(self, part: str) -> bool:
     """Whether a part crashes endpoints now."""
     now = anyio.current_time()
--- a/mustardfall/bench/virtual/routers.py
+++ b/mustardfall/bench/virtual/routers.py
@@ -108,6 +108,11 @@
     """The same for a handler that does not need the sender."""
     self.connect_with_sender(kind, lambda content, sender: handler(content))
 
+  def heard_s(self, member: members_lib.Member | None = None) -> float:
+    """Returns the seconds since a router was heard from; None: any router."""
+    names = {self._name} if member is None else {self._name, member.name}
+    return float("inf") if self._fleet.unheard & names else 0.0
+
   def enqueue(self, kind, content, member) -> None:
     """Sends to a router."""
     self.enqueue_to(kind, content, member.name)
@@ -158,7 +163,7 @@
     self._found: dict[str, list[str]] = {}
     members = [self._member(number) for number in range(day.routers)]
     count = round(day.unheard * day.routers)
-    self._unheard = {m.name for m in self.rng.sample(members, count)}
+    self.unheard = {m.name for m in self.rng.sample(members, count)}
     self._list(members)
     self._ring.set(list(self.names))
     for member in members:
@@ -194,7 +199,7 @@
     """Delivers a datagram after a hop, unless it is lost."""
     self.datagrams[sender] += 1
     self.sent_bytes[sender] += len(content) + 1
-    if self._unheard & {sender, host}:
+    if self.unheard & {sender, host}:
       return
     copies = 2 if self.rng.random() < self.day.doubled else 1
     for _ in range(copies):
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -259,6 +259,7 @@
         self.notices,
         self.kv,
         clock,
+        self._call_peer,
     )
     self.trials = trials_lib.Trials(
         self.quarantine, self.permits, self.instruments, clock
@@ -451,6 +452,7 @@
         {
             relay_lib.PATH: self.relay.serve,
             stream_keepers_lib.PATH: self.stream_keepers.serve,
+            verdicts_lib.PATH: self.verdicts.serve,
             clockcheck.PATH: self.accounts.clock_check.serve,
         },
     )
--- a/mustardfall/membership/datagrams.py
+++ b/mustardfall/membership/datagrams.py
@@ -94,6 +94,8 @@
     self._handlers: dict[bytes, SenderHandler] = {}
     self._ports: dict[str, int] = {}
     """Ports other than `port` of routers heard from, by their address."""
+    self._heard_at: dict[str, float] = {}
+    """When routers were last heard from, monotonic seconds, by their address."""
     self._udp: abc.UDPSocket | None = None
     self._send_lock = anyio.Lock()
     """Held while sending; anyio raises if two tasks send at the same time."""
@@ -107,6 +109,14 @@
     """Whether the socket is open."""
     return self._udp is not None
 
+  def heard_s(self, member: members_lib.Member | None = None) -> float:
+    """Returns the seconds since a router was heard from; None: any router."""
+    if member is None:
+      heard_at = max(self._heard_at.values(), default=-float("inf"))
+    else:
+      heard_at = self._heard_at.get(host_of(member), -float("inf"))
+    return anyio.current_time() - heard_at
+
   def connect(self, kind: Kind, handler: Handler) -> None:
     """Registers the handler of a kind of datagram."""
     self.connect_with_sender(kind, lambda content, sender: handler(content))
@@ -177,6 +187,7 @@
           tasks.start_soon(self._send_queue)
           async for raw, sender in udp:
             self._note_port(*sender)
+            self._note_heard(sender[0])
             self._handle(raw, sender[0])
           tasks.cancel_scope.cancel()
       finally:
@@ -196,6 +207,10 @@
     elif len(self._ports) < _MAX_PORTS or host in self._ports:
       self._ports[host] = port
 
+  def _note_heard(self, host: str) -> None:
+    if len(self._heard_at) < _MAX_PORTS or host in self._heard_at:
+      self._heard_at[host] = anyio.current_time()
+
   def _handle(self, raw: bytes, sender: str) -> None:
     self._overhead.record("datagram heard", len(raw))
     handler = self._handlers.get(raw[:1])
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -4,7 +4,8 @@
 the parts of its prompt, by datagram, to the few routers that count crashes for
 each of these units. A router that has counted too many for a unit publishes a
 verdict to all others, and stores it in the KV for the case that all routers
-restart. Successes clear units in the same way.
+restart. Successes clear units in the same way. Routers from which no datagram
+arrives are called.
 """
 
 from collections.abc import Iterable, Sequence
@@ -21,6 +22,7 @@
 from mustardfall.membership import gossip as gossip_lib
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import notices as notices_lib
+from mustardfall.membership import peers
 from mustardfall.routing import quarantine
 from mustardfall.util import clock as clock_lib
 from mustardfall.util import names
@@ -28,6 +30,15 @@
 logger = logging.getLogger(__name__)
 
 PREFIX = "quarantine/"
+PATH = "/peer/blame"
+_SILENCE_S = 3.0
+"""Time without datagrams of a router after which it is called instead."""
+_CALL_DELAY_S = 0.01
+"""Time in which reports and verdicts are collected for one call."""
+_CALL_TIMEOUT_S = 0.2
+_MAX_CALLED_ROUTERS = 24
+"""Routers of a large fleet that are called with one verdict."""
+_MAX_ENTRIES_PER_CALL = 200
 _READ_INTERVAL_S = 1.0
 """Interval between two attempts to read the stored verdicts after the start."""
 _MAX_VERDICTS_PER_DATAGRAM = 12
@@ -55,6 +66,14 @@
   """When the last crash was, Unix seconds; 0: unknown."""
 
 
+class _Batch(NamedTuple):
+  """What is to be sent to one router by call."""
+
+  reports: list[list[Any]]
+  verdicts: dict[str, None]
+  """Keys of the units."""
+
+
 class Verdicts:
   """Sends and receives crash reports and verdicts.
 
@@ -67,6 +86,7 @@
     notices: determines whether this router is a reader of the KV.
     kv: stores verdicts for routers that start later.
     clock: the time source.
+    post: calls another router.
   """
 
   def __init__(
@@ -77,6 +97,7 @@
       notices: notices_lib.Notices,
       kv: protocol.Store,
       clock: clock_lib.Clock,
+      post: peers.Post,
   ) -> None:
     self._table = table
     self._members = members
@@ -99,6 +120,10 @@
     """Units of which another router does not know a success, and when it is to
     be published."""
     self._outdated_added = anyio.Event()
+    self._post = post
+    self._uncalled: dict[str, _Batch] = {}
+    """By the router's life."""
+    self._uncalled_added = anyio.Event()
     table.on_outdated = self._note_outdated
     datagrams.connect_with_sender(
         datagrams_lib.Kind.SUSPECT, self._handle_crash_report
@@ -120,9 +145,12 @@
       fields += [report.was_writing, suspects.unproven_count, *suspects.parts]
     content = json.dumps(fields).encode()
     keys = (report.fingerprint, *suspects.parts)
-    for router in self._counting_routers(keys):
+    counting = list(self._counting_routers(keys))
+    for router in counting:
       for _ in range(2):  # one datagram in some hundreds is lost
         self._datagrams.enqueue(datagrams_lib.Kind.SUSPECT, content, router)
+    for batch in self._batches(counting):
+      batch.reports.append(fields)
     self._count_crash(report, suspects, "")
 
   def note_success(self, *keys: str, age_s: float = 0.0) -> None:
@@ -147,11 +175,77 @@
     if before is quarantine.Standing.QUARANTINED:
       self._publish(quarantine.QuarantineUpdate(key, "", 0.0))
     elif before is quarantine.Standing.OPEN:
-      self._gossip.publish(key)
+      self._tell_all(key)
     else:
       # Not sent to all: an endpoint that crashes runs dozens of requests, most
       # of which succeed at the next one.
-      self._gossip.send_to(key, self._counting_routers((key,)))
+      counting = list(self._counting_routers((key,)))
+      self._gossip.send_to(key, counting)
+      for batch in self._batches(counting):
+        batch.verdicts[key] = None
+
+  def _tell_all(self, key: str) -> None:
+    """Sends what is known of a unit to all other routers."""
+    self._gossip.publish(key)
+    for batch in self._batches(self._members.others):
+      batch.verdicts[key] = None
+
+  def _batches(
+      self, receivers: Sequence[members_lib.Member]
+  ) -> Iterable[_Batch]:
+    """Yields the batches for those receivers that are to be called."""
+    datagrams = self._datagrams
+    if not self._members.is_large:
+      called = [m for m in receivers if datagrams.heard_s(m) > _SILENCE_S]
+    elif datagrams.heard_s() > _SILENCE_S:
+      count = min(_MAX_CALLED_ROUTERS, len(receivers))
+      called = random.sample(receivers, count)
+    else:
+      called = []
+    for member in called:
+      self._uncalled_added.set()
+      yield self._uncalled.setdefault(member.life, _Batch([], {}))
+
+  async def _call_silent(self) -> None:
+    """Calls routers from which no datagram arrives, until cancelled."""
+    while True:
+      await self._uncalled_added.wait()
+      await anyio.sleep(_CALL_DELAY_S)
+      self._uncalled_added = anyio.Event()
+      uncalled, self._uncalled = self._uncalled, {}
+      async with anyio.create_task_group() as tasks:
+        for life, batch in uncalled.items():
+          tasks.start_soon(self._call, life, batch)
+
+  async def _call(self, life: str, batch: _Batch) -> None:
+    member = self._members.lives.get(life)
+    if member is None:
+      return
+    keys = list(batch.verdicts)[-_MAX_ENTRIES_PER_CALL:]
+    body = {
+        "router": self._members.me.name,
+        "reports": batch.reports[-_MAX_ENTRIES_PER_CALL:],
+        "verdicts": [self._table.fact(key) for key in keys],
+    }
+    try:
+      await self._post(member.url + PATH, body, _CALL_TIMEOUT_S)
+    except errors.PeerUnavailableError as exc:
+      extra = {"peer": life, "call": PATH, "error": repr(exc)}
+      logger.info("peer call failed", extra=extra)
+
+  async def serve(self, body: dict[str, Any]) -> dict[str, Any]:
+    """Serves another router's call.
+
+    Args:
+      body: the `reports` and `verdicts` of a `router`, as in datagrams.
+    """
+    reporter = body.get("router", "")
+    names.check(reporter)
+    for report in body.get("reports", ())[:_MAX_ENTRIES_PER_CALL]:
+      self._handle_report(report, reporter)
+    for fact in body.get("verdicts", ())[:_MAX_ENTRIES_PER_CALL]:
+      self.apply(fact)
+    return {}
 
   def _counting_routers(
       self, keys: Sequence[str]
@@ -217,10 +311,10 @@
     extra = {"key": key, "standing": standing.value, "crashes": crashes}
     logger.info("blame changed", extra=extra)
     if standing is quarantine.Standing.OPEN and self._members.is_large:
-      self._gossip.publish(key)
+      self._tell_all(key)
 
   def _publish(self, verdict: quarantine.QuarantineUpdate) -> None:
-    self._gossip.publish(verdict.fingerprint)
+    self._tell_all(verdict.fingerprint)
     storing = self._members.candidates(verdict.fingerprint)
     if self._members.me.life in {member.life for member in storing}:
       self._unstored.append(verdict)
@@ -243,14 +337,17 @@
       for key, due_at in list(self._outdated.items()):
         if due_at <= now:
           del self._outdated[key]
-          self._gossip.publish(key)
+          self._tell_all(key)
       if self._outdated:
         due_at = min(self._outdated.values())
         with anyio.move_on_after(max(0.0, due_at - now)):
           await self._outdated_added.wait()
 
   def _handle_crash_report(self, raw: bytes, sender: str) -> None:
-    fingerprint, team, endpoint, ran_s, *more = json.loads(raw)
+    self._handle_report(json.loads(raw), sender)
+
+  def _handle_report(self, fields: list[Any], reporter: str) -> None:
+    fingerprint, team, endpoint, ran_s, *more = fields
     was_writing, unproven_count, *parts = more or (False, 0)
     names.check(fingerprint, team, endpoint, *parts)
     report = quarantine.CrashReport(
@@ -263,7 +360,7 @@
     suspects = quarantine.Suspects(
         parts[: quarantine.MAX_PARTS], int(unproven_count)
     )
-    self._count_crash(report, suspects, sender)
+    self._count_crash(report, suspects, reporter)
 
   def keys(self) -> list[str]:
     """Returns the units that others have to know of; see `gossip.Table`."""
@@ -303,6 +400,7 @@
       tasks.start_soon(self._gossip.run)
       tasks.start_soon(self._store_new)
       tasks.start_soon(self._publish_outdated)
+      tasks.start_soon(self._call_silent)
       tasks.start_soon(self._read_stored)
 
   async def _store_new(self) -> None:
--- a/tests/test_blame_fleet.py
+++ b/tests/test_blame_fleet.py
@@ -46,6 +46,12 @@
     for seed in range(5):
       self._check(self._play(seed, loss=0.2, late=0.3))
 
+  def test_routers_that_hear_no_datagram(self):
+    """Guards against blame that is known by datagram only."""
+    for seed in range(5):
+      for unheard in (0.33, 1.0):
+        self._check(self._play(seed, unheard=unheard))
+
   def test_killed_routers(self):
     """Guards against routers that forget blame with their process."""
     for seed in range(5):
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -107,8 +107,8 @@
       for _ in range(24):
         tg.start_soon(load.call, load._parts, [])
 
-  async def _check(self, env, parts, bad_parts, **more):
-    await env.add_routers(3)
+  async def _check(self, env, parts, bad_parts, port_range=(), **more):
+    await env.add_routers(3, port_range)
     load = _Load(env, parts, bad_parts, **more)
     await self._warm_up(load)
     await load.run(_CONTACT_S)
@@ -133,6 +133,11 @@
     """Guards against the same where the part begins the prompt."""
     await self._check(env, ("a0", "b0"), (_BAD, "b0"))
 
+  @test_gateway.in_environment(servers=_SERVERS, prepaid=10_000_000)
+  async def test_few_servers_crash_without_datagrams(self, env):
+    """Guards against blame that routers learn by datagram only."""
+    await self._check(env, ("a0", "b0"), ("a0", _BAD), port_range=(0,))
+
   @test_gateway.in_environment(
       servers=_SERVERS, prepaid=10_000_000, teams=("acme", "other")
   )
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -462,7 +462,10 @@
     bodies += [b'{"names": ["op/config"], "want": 3, "have": [1]}']
     bodies += [b'{"names": ["op/config"], "want": {"op/config": 3}}']
     bodies += [b'{"ended": 3}', b'{"ended": [{"part": 1}]}', b'{"names": 3}']
-    for path in ("reserve", "settle", "recall", "review", "documents", "clock"):
+    bodies += [b'{"reports": 3}', b'{"reports": [[1]], "router": []}']
+    bodies += [b'{"verdicts": [["p"], 3]}', b'{"verdicts": {"p": 1}}']
+    paths = ("reserve", "settle", "recall", "review", "documents", "clock")
+    for path in (*paths, "blame"):
       for body in bodies:
         async with await anyio.connect_tcp("127.0.0.1", int(control)) as stream:
           head = f"POST /peer/{path} HTTP/1.1\r\nhost: x\r\n"
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -55,6 +55,10 @@
   def connect_with_sender(self, kind, handler):
     self._handlers[kind] = handler
 
+  def heard_s(self, member=None):
+    del member
+    return 0.0
+
   def enqueue(self, kind, content, member):
     self.enqueue_to(kind, content, member.name)
 
@@ -98,6 +102,10 @@
     return 1, records
 
 
+async def _no_call(url, body, timeout_s):
+  raise AssertionError(f"call of {url} though datagrams arrive")
+
+
 class _Fleet:
   """The verdicts of all routers."""
 
@@ -122,7 +130,7 @@
     table = self.tables[number] = quarantine.Table(clock)
     notices = notices_lib.Notices(port, view, copies.Copies(clock), clock)
     self.verdicts[number] = verdicts_lib.Verdicts(
-        table, view, port, notices, self.store, clock
+        table, view, port, notices, self.store, clock, _no_call
     )
     self._scopes[number] = anyio.CancelScope()
     self._tasks.start_soon(self._run, number)
