Read and log what endpoints say of themselves; no decision follows yet

Logs could not tell whether an answer that says that its endpoint leaves, or that asks for rest, is read, undone or read too late.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -55,6 +55,11 @@
   encoded: bool = False
   rate_limit: str | None = None
   """Value of the `Server-Limit` header; None: the header is left out."""
+  leaving: str | None = None
+  """Value of the `Server-Leaving` header; None: the header is left out."""
+  retry_after: str | None = None
+  """Value of the `Retry-After` header of requests that are turned away; None: the
+  header is left out."""
   slots: int | None = None
   """Requests that it runs at a time; it turns others away. None: any number."""
   brittle: int | None = None
@@ -73,6 +78,8 @@
   cancelled: bool = False
   received_at: float = 0.0
   """When it was received, seconds of the event loop's clock."""
+  sender: str = ""
+  """The host from which it was received."""
 
 
 def make_registration(
@@ -110,6 +117,8 @@
     self.behaviour = Behaviour()
     self.received: list[ReceivedRequest] = []
     """Requests that the server accepted, in order."""
+    self.turned_away: list[ReceivedRequest] = []
+    """Requests that it turned away with 503, in order."""
     self.connections = 0
     self._running = 0
     self._turned_away_at: list[float] = []
@@ -192,16 +201,22 @@
       return False
     behaviour = dataclasses.replace(self.behaviour)
     if request.headers.get("expect-instance") != self.id:
-      await stream.send(_head(421, {"instance-id": self.id}) + b"\r\n")
+      headers = {"instance-id": self.id} | _statement_headers(behaviour)
+      await stream.send(_head(421, headers) + b"\r\n")
       return False
     is_full = behaviour.slots is not None and self._running >= behaviour.slots
     if behaviour.not_run or is_full:
       headers = {"not-executed": "1", **_request_id_header(request)}
-      headers |= _limit_headers(behaviour)
+      headers |= _statement_headers(behaviour)
+      if behaviour.retry_after is not None:
+        headers["retry-after"] = behaviour.retry_after
+      request.sender = _sender(stream)
+      self.turned_away.append(request)
       await stream.send(_head(503, headers) + b"\r\n")
       if is_full:
         await self._note_turned_away(behaviour)
       return False
+    request.sender = _sender(stream)
     self.received.append(request)
     self._running += 1
     try:
@@ -271,8 +286,15 @@
   return {"request-id": request.headers.get("request-id", "")}
 
 
-def _limit_headers(behaviour: Behaviour) -> dict[str, str]:
+def _sender(stream: abc.SocketStream) -> str:
+  return stream.extra(abc.SocketAttribute.remote_address)[0]
+
+
+def _statement_headers(behaviour: Behaviour) -> dict[str, str]:
+  """Returns the headers in which the server speaks of itself."""
   headers = {}
+  if behaviour.leaving is not None:
+    headers["server-leaving"] = behaviour.leaving
   if behaviour.rate_limit is not None:
     headers["server-limit"] = behaviour.rate_limit
   if behaviour.brittle is not None:
@@ -342,7 +364,7 @@
       headers["response-signature"] = f"signed-by-{self._id}"
     if self._behaviour.encoded:
       headers["content-encoding"] = "gzip"
-    return headers | _limit_headers(self._behaviour)
+    return headers | _statement_headers(self._behaviour)
 
   async def _send_plain(self) -> None:
     body = f"{self._id} {self._request.target}".encode() + bytes(
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -45,6 +45,7 @@
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
+from mustardfall.proxy import endpoint_statements as endpoint_statements_lib
 from mustardfall.proxy import forwarder as forwarder_lib
 from mustardfall.proxy import http_client
 from mustardfall.proxy import http_server
@@ -61,6 +62,7 @@
 from mustardfall.routing import quarantine
 from mustardfall.routing import rate_limits as rate_limits_lib
 from mustardfall.routing import reach as reach_lib
+from mustardfall.routing import statements as statements_lib
 from mustardfall.util import clock as clock_lib
 from mustardfall.util import sockets
 
@@ -203,6 +205,20 @@
         clock,
         rate_limits_lib.MAX_UPDATES_PER_DATAGRAM,
     )
+    self.statements = statements_lib.Table(
+        clock,
+        lambda life: self.directory.endpoints.find_life(life) is not None,
+        config.proxy.max_rest_s,
+        lambda: len(self.accounts.members.lives),
+    )
+    self._statement_gossip = gossip_lib.Gossip(
+        datagrams_lib.Kind.STATEMENT,
+        self.statements,
+        self.accounts.members,
+        self.datagrams,
+        clock,
+        statements_lib.MAX_FACTS_PER_DATAGRAM,
+    )
     self.brittle = rate_limits_lib.Table(
         clock, self.directory.endpoints.has_kind, "brittle endpoints"
     )
@@ -232,6 +248,13 @@
         self.permits,
         clock,
     )
+    self._endpoint_statements = endpoint_statements_lib.EndpointStatements(
+        self.statements,
+        self._statement_gossip,
+        self._endpoint_limiter,
+        self.directory,
+        self.instruments,
+    )
     self._cold_start_limiter = cold_start_limiter_lib.ColdStartLimiter(
         self.accounts.members, clock
     )
@@ -395,6 +418,7 @@
               self.clock,
           ),
           self._endpoint_limiter,
+          self._endpoint_statements,
           self.paths,
           self.reach,
           resumption_lib.Resumption(self.stream_keepers, self.directory),
@@ -497,6 +521,7 @@
       self.stream_keepers.prune()
       self._cold_start_limiter.prune()
       self._endpoint_limiter.prune()
+      self.statements.prune()
       await self.connection_pool.close_expired()
       last = now
 
--- a/mustardfall/membership/datagrams.py
+++ b/mustardfall/membership/datagrams.py
@@ -58,6 +58,7 @@
   STREAM_CONFIRM = b"c"
   STREAM_ASK = b"w"
   STREAM_ANSWER = b"z"
+  STATEMENT = b"d"
 
 
 Handler = Callable[[bytes], None]
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -1,5 +1,7 @@
 """Translates between the platform's headers and the types of the data path."""
 
+import datetime
+import email.utils
 import math
 import re
 import urllib.parse
@@ -7,6 +9,7 @@
 from mustardfall import errors
 from mustardfall.proxy import messages
 from mustardfall.routing import rate_limits
+from mustardfall.routing import statements
 
 _REQUEST_ID = b"request-id"
 _DEADLINE_MS = b"deadline-ms"
@@ -24,7 +27,10 @@
 _SERVER_LOAD = b"server-load"
 _SERVER_LIMIT = b"server-limit"
 _SERVER_BRITTLE = b"server-brittle"
+_SERVER_LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+_TURNED_AWAY = (429, 503)
+"""Statuses with which a server turns a request away and may ask for rest."""
 _MISDIRECTED_REQUEST = 421
 _LOAD_FIELDS = 3
 _DECIMAL_NUMBER = re.compile(
@@ -220,6 +226,8 @@
         idle_timeout_s=_parse_idle_timeout_s(by_name.get(b"keep-alive", b"")),
         closes_connection=b"close" in _connection_options(headers),
         headers=_forwardable(headers, frozenset((_SERVER_LOAD,))),
+        leaving=_is_leaving(headers),
+        rest=_parse_rest(headers) if status in _TURNED_AWAY else None,
     )
 
   def encode_refusal(
@@ -284,6 +292,58 @@
   return rate_limits.NamedRate(number if is_usable else None, shortened)
 
 
+def _values(headers: list[messages.Header], name: bytes) -> list[bytes]:
+  """Returns the values of a header that may be a list or repeated."""
+  joined = b",".join(value for header, value in headers if header == name)
+  return [value.strip() for value in joined.split(b",") if value.strip()]
+
+
+def _is_leaving(headers: list[messages.Header]) -> bool:
+  values = _values(headers, _SERVER_LEAVING)
+  return any(
+      value.lower() == b"true" or (value.isdigit() and value.strip(b"0"))
+      for value in values
+  )
+
+
+def _parse_rest(
+    headers: list[messages.Header],
+) -> statements.NamedRest | None:
+  """Returns the longest rest for which `retry-after` asks.
+
+  A date counts from the date of the answer, since the clocks of server and
+  router may differ.
+  """
+  raw = [value for name, value in headers if name == _RETRY_AFTER]
+  if not raw:
+    return None
+  answered_at = _parse_date(dict(headers).get(b"date", b""))
+  found = [_parse_rest_s(value.strip(), answered_at) for value in raw]
+  known = [seconds for seconds in found if seconds is not None]
+  text = b", ".join(raw).decode("latin-1")[:_MAX_LOGGED_CHARS]
+  return statements.NamedRest(max(known, default=None), text)
+
+
+def _parse_rest_s(
+    value: bytes, answered_at: datetime.datetime | None
+) -> float | None:
+  """Returns the seconds that one value of `retry-after` names."""
+  if _DECIMAL_NUMBER.fullmatch(value):
+    return float(value)
+  until = _parse_date(value)
+  if until is None or answered_at is None:
+    return None
+  return max(0.0, (until - answered_at).total_seconds())
+
+
+def _parse_date(value: bytes) -> datetime.datetime | None:
+  try:
+    found = email.utils.parsedate_to_datetime(value.decode("latin-1"))
+  except (TypeError, ValueError, OverflowError):
+    return None
+  return found if found.tzinfo else found.replace(tzinfo=datetime.UTC)
+
+
 def _parse_idle_timeout_s(value: bytes) -> float | None:
   for item in value.split(b","):
     name, _, number = item.strip().partition(b"=")
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -23,6 +23,7 @@
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
+from mustardfall.proxy import endpoint_statements as endpoint_statements_lib
 from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import http_server
 from mustardfall.proxy import messages
@@ -88,7 +89,8 @@
     instruments: counters and histograms.
     endpoint_selector: chooses the endpoint of each attempt.
     crash_guard: refuses requests that crash endpoints.
-    endpoint_limiter: learns the request rates that endpoints name.
+    endpoint_limiter: issues the permits that requests to some endpoints need.
+    endpoint_statements: learns what endpoints say of themselves.
     paths: connects to endpoints.
     reach: the endpoints that this router reaches directly.
     resumption: keeps streams at the version that began them.
@@ -107,6 +109,7 @@
       endpoint_selector: endpoint_selector_lib.EndpointSelector,
       crash_guard: crash_guard_lib.CrashGuard,
       endpoint_limiter: endpoint_limiter_lib.EndpointLimiter,
+      endpoint_statements: endpoint_statements_lib.EndpointStatements,
       paths: endpoint_paths_lib.EndpointPaths,
       reach: reach_lib.Reach,
       resumption: resumption_lib.Resumption,
@@ -119,6 +122,7 @@
     self._endpoint_selector = endpoint_selector
     self._crash_guard = crash_guard
     self._endpoint_limiter = endpoint_limiter
+    self._statements = endpoint_statements
     self._paths = paths
     self._reach = reach
     self._resumption = resumption
@@ -290,6 +294,7 @@
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     self._request_log.log_resumed_send(context, row)
+    self._statements.note_sent(row, context, connection.via)
     self._resumption.note_sent(context, row)
     failed = False
     context.direct_row = None if connection.via else row
@@ -390,7 +395,7 @@
     attempt.record_response_time(self._clock.monotonic() - sent_at)
     attempt.end_prefill()
     self._note_heard(context)
-    self._endpoint_limiter.note_answer(row, context, sent_at, head)
+    self._statements.note_answer(row, context, sent_at, head)
     if head.load is not None:
       row.running = head.load.running
       row.waiting = head.load.waiting
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple, Protocol
 
 from mustardfall.routing import rate_limits
+from mustardfall.routing import statements
 
 Header = tuple[bytes, bytes]
 """A header's lower-case name and its value."""
@@ -110,6 +111,11 @@
   """Whether the endpoint closes the connection after this response."""
   headers: tuple[Header, ...]
   """Headers that are passed on to the caller unchanged."""
+  leaving: bool = False
+  """Whether the endpoint says that it leaves."""
+  rest: statements.NamedRest | None = None
+  """How long the endpoint wants no requests of this router; None if it turned
+  none away or does not say so."""
 
 
 class Dialect(Protocol):
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -116,6 +116,11 @@
     self._list_as_of = max(self._list_as_of, as_of)
     return changed
 
+  @property
+  def list_age_s(self) -> float:
+    """Seconds since the newest list that was applied was the list."""
+    return self._clock.monotonic() - self._list_as_of
+
   def sole_version(self, kind: str, for_s: float) -> str | None:
     """Returns the only version that a kind's endpoints had for some time.
 
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -159,6 +159,9 @@
   leaving_use_s: float = pydantic.Field(default=0.0, ge=0)
   """How long streams are resumed at an endpoint that leaves, counted from when it
   was last listed as live; 0: not at all."""
+  max_rest_s: float = pydantic.Field(default=3600.0, ge=0)
+  """Longest rest that an endpoint is granted which turns a request away with a
+  `Retry-After`, seconds; 0: none. A longer one is asked for again after it."""
   metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port that serves the metrics in the Prometheus format; 0: none."""
 
