--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -78,8 +78,6 @@
   cancelled: bool = False
   received_at: float = 0.0
   """When it was received, seconds of the event loop's clock."""
-  sender: str = ""
-  """The host from which it was received."""
 
 
 def make_registration(
@@ -210,13 +208,11 @@
       headers |= _statement_headers(behaviour)
       if behaviour.retry_after is not None:
         headers["retry-after"] = behaviour.retry_after
-      request.sender = _sender(stream)
       self.turned_away.append(request)
       await stream.send(_head(503, headers) + b"\r\n")
       if is_full:
         await self._note_turned_away(behaviour)
       return False
-    request.sender = _sender(stream)
     self.received.append(request)
     self._running += 1
     try:
@@ -286,10 +282,6 @@
   return {"request-id": request.headers.get("request-id", "")}
 
 
-def _sender(stream: abc.SocketStream) -> str:
-  return stream.extra(abc.SocketAttribute.remote_address)[0]
-
-
 def _statement_headers(behaviour: Behaviour) -> dict[str, str]:
   """Returns the headers in which the server speaks of itself."""
   headers = {}
