What an endpoint says of itself in an answer binds the router that got it

Callers saw: requests reached endpoints that had said that they leave, seconds after that answer, and endpoints that had asked for rest got more. Cause: the state of an endpoint came from the list only, and a 503 was a failure forgotten after half a second. Now each answer (stream's head, 421, 503, error) is read for it into one table by endpoint's life, which is asked when an endpoint is chosen and once more just before each send: first attempts, retries, those that waited, resumptions, trials, permits, detours. A list never undoes it; a new life begins clean. A stream goes on at an endpoint that leaves as long as at one that is listed so. After a rest a router sends one request, then two for each answer, and routers begin spread over a part of the rest that grows with their number. Where all leave or rest, callers get 503 at once, with the end of the first rest.

Leaving is told to all routers; a rest to the router through which the request went. Exits open no tunnels to such endpoints and have open ones not reused. An endpoint that said that it leaves and ends is no crash of its requests.

--- a/mustardfall/bench/virtual/limits.py
+++ b/mustardfall/bench/virtual/limits.py
@@ -41,6 +41,7 @@
 from mustardfall.routing import issuing
 from mustardfall.routing import limited_endpoints
 from mustardfall.routing import rate_limits
+from mustardfall.routing import statements as statements_lib
 
 WARM_UP_S = 8.0
 """Time from the routers' start to the first request."""
@@ -487,6 +488,9 @@
         kv, self.members, self.permits, self.limits, self.rate_limits
     )
     self.limiter = fleet.policy(self)
+    statements = statements_lib.Table(
+        self.clock, lambda life: True, 0.0, lambda: 1
+    )
     self.selector = endpoint_selector.EndpointSelector(
         settings.Router(
             name=self.name,
@@ -501,6 +505,7 @@
         _NoTrackers(),
         _NotCold(),
         self.limiter,
+        statements,
         self.clock,
         random.Random(fleet.rng.random()),
     )
--- a/mustardfall/errors.py
+++ b/mustardfall/errors.py
@@ -70,6 +70,20 @@
     self.is_refused = is_refused
 
 
+class EndpointWithheldError(EndpointUnreachableError):
+  """Another router sends an endpoint nothing, since it leaves or wants rest.
+
+  Args:
+    reason: `leaving` or `resting`.
+    rest_s: seconds that are left of the rest; 0 if the endpoint leaves.
+  """
+
+  def __init__(self, reason: str, rest_s: float) -> None:
+    super().__init__(f"withheld by another router: {reason}")
+    self.is_leaving = reason == "leaving"
+    self.rest_s = rest_s
+
+
 class ExitUnavailableError(Error):
   """Another router opened no tunnel: the request was not sent."""
 
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -148,8 +148,17 @@
     self._peer_client = http_client.HttpClient(
         self.connection_pool, self.overhead
     )
+    self.statements = statements_lib.Table(
+        clock,
+        lambda life: self.directory.endpoints.find_life(life) is not None,
+        config.proxy.max_rest_s,
+        lambda: len(self.accounts.members.lives),
+    )
     self.directory = directory_lib.Directory(
-        config.scheduler, clock, config.first_start
+        config.scheduler,
+        clock,
+        config.first_start,
+        self.statements.is_withheld,
     )
     self.accounts = accounts_lib.Accounts(
         config,
@@ -183,6 +192,7 @@
         self.directory.endpoints.find_address,
         self.paths.acquire_for_other,
         self.reach.is_cut,
+        self.statements,
         self.connection_pool,
         self._resource_limiter,
         self.instruments,
@@ -205,12 +215,6 @@
         clock,
         rate_limits_lib.MAX_UPDATES_PER_DATAGRAM,
     )
-    self.statements = statements_lib.Table(
-        clock,
-        lambda life: self.directory.endpoints.find_life(life) is not None,
-        config.proxy.max_rest_s,
-        lambda: len(self.accounts.members.lives),
-    )
     self._statement_gossip = gossip_lib.Gossip(
         datagrams_lib.Kind.STATEMENT,
         self.statements,
@@ -253,6 +257,8 @@
         self._statement_gossip,
         self._endpoint_limiter,
         self.directory,
+        self.accounts.members,
+        self.tunnel_server,
         self.instruments,
     )
     self._cold_start_limiter = cold_start_limiter_lib.ColdStartLimiter(
@@ -265,6 +271,7 @@
         self.trackers,
         self._cold_start_limiter,
         self._endpoint_limiter,
+        self.statements,
         clock,
     )
     self.stream_keepers = stream_keepers_lib.StreamKeepers(
@@ -415,6 +422,7 @@
               self.verdicts,
               self.trials,
               self.paths,
+              self.statements,
               self.clock,
           ),
           self._endpoint_limiter,
@@ -443,6 +451,7 @@
           self.verdicts.run,
           self._limit_gossip.run,
           self._brittle_gossip.run,
+          self._statement_gossip.run,
           self.permits.run,
           self._limit_records.run,
           self.stream_keepers.run,
--- a/mustardfall/membership/gossip.py
+++ b/mustardfall/membership/gossip.py
@@ -97,6 +97,10 @@
     for member in receivers:
       self._datagrams.enqueue(self._kind, content, member)
 
+  def send_fact(self, fact: list[Any], receiver: members_lib.Member) -> None:
+    """Sends a fact that concerns only one router."""
+    self._datagrams.enqueue(self._kind, deltas.pack([fact]), receiver)
+
   async def run(self) -> None:
     """Publishes new facts and gossips until cancelled."""
     async with anyio.create_task_group() as tasks:
--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -10,6 +10,7 @@
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import endpoints
 from mustardfall.routing import quarantine
+from mustardfall.routing import statements as statements_lib
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -26,6 +27,7 @@
     verdicts: reports crashes and successes to the other routers.
     trials: admits requests with open units.
     paths: connects to endpoints.
+    statements: which endpoints have said that they leave.
     clock: the time source.
   """
 
@@ -35,12 +37,14 @@
       verdicts: verdicts_lib.Verdicts,
       trials: trials_lib.Trials,
       paths: endpoint_paths_lib.EndpointPaths,
+      statements: statements_lib.Table,
       clock: clock_lib.Clock,
   ) -> None:
     self._table = table
     self._verdicts = verdicts
     self._trials = trials
     self._paths = paths
+    self._statements = statements
     self._clock = clock
 
   def refuse_quarantined(
@@ -132,7 +136,7 @@
     was_writing = self._was_writing(context)
     if not await self._paths.has_ended(row, context.request.id):
       return
-    if row.state != "live":
+    if row.state != "live" or self._statements.is_leaving(row):
       extra = {"request": context.request.id, "endpoint": row.life}
       logger.info("endpoint that leaves has ended", extra=extra)
       return
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -14,6 +14,7 @@
 from mustardfall.routing import endpoints
 from mustardfall.routing import overload
 from mustardfall.routing import placement as placement_lib
+from mustardfall.routing import statements as statements_lib
 from mustardfall.util import clock as clock_lib
 
 _DRAWN_ENDPOINTS = 2
@@ -95,6 +96,7 @@
       each endpoint.
     cold_start_limiter: limits the requests to cold endpoints.
     limiter: limits the requests to endpoints that name a low rate.
+    statements: which endpoints have said that they leave or want rest.
     clock: the time source.
     rng: draws endpoints, and times at which refused callers may return.
   """
@@ -107,6 +109,7 @@
       trackers: trackers_lib.Trackers,
       cold_start_limiter: cold_start_limiter_lib.ColdStartLimiter,
       limiter: endpoint_limiter_lib.EndpointLimiter,
+      statements: statements_lib.Table,
       clock: clock_lib.Clock,
       rng: random.Random | None = None,
   ) -> None:
@@ -117,6 +120,7 @@
     self._trackers = trackers
     self._cold_start_limiter = cold_start_limiter
     self._limiter = limiter
+    self._statements = statements
     self._clock = clock
     self._detectors: dict[str, overload.Detector] = {}
     self._random = rng or random.Random()
@@ -235,11 +239,36 @@
 
   def _may_resume(self, row: endpoints.Row) -> bool:
     """Whether an endpoint takes requests that resume a stream."""
+    if self._statements.reason_against(row, self._leaving_use_s) is not None:
+      return False
     if row.state == "live":
       return True
     left_s = self._leaving_use_s + row.leaving_since - self._clock.monotonic()
     return row.state == "leaving" and left_s > 0
 
+  def reason_against(
+      self, context: request_context_lib.RequestContext, row: endpoints.Row
+  ) -> statements_lib.Withheld | None:
+    """Returns why a request must not be sent to an endpoint now.
+
+    Asked once more when the connection is there, since the endpoint may have
+    made a statement after it was chosen.
+    """
+    use_s = 0.0 if context.bound_version is None else self._leaving_use_s
+    return self._statements.reason_against(row, use_s)
+
+  def withheld(
+      self, context: request_context_lib.RequestContext
+  ) -> dict[str, statements_lib.Withheld]:
+    """Returns why endpoints that are listed do not take a request, by life."""
+    table, service = self._directory.endpoints, context.service.name
+    if context.bound_version is None:
+      rows = table.live(service, "")
+    else:
+      rows = table.of_version(service, context.bound_version)
+    found = {row.life: self.reason_against(context, row) for row in rows}
+    return {life: why for life, why in found.items() if why is not None}
+
   def has_candidate(self, context: request_context_lib.RequestContext) -> bool:
     """Whether any endpoint may run a request, be it one that was tried."""
     return bool(self._eligible(context))
@@ -270,7 +299,7 @@
   ) -> placement_lib.Placement | None:
     untried = [row for row in rows if row.name not in context.tried_endpoints]
     # An endpoint that leaves would soon break off the stream again.
-    staying = [row for row in untried if row.state == "live"]
+    staying = [row for row in untried if not self._statements.is_leaving(row)]
     preferred = staying or untried or rows
     prompt = request_context_lib.prompt_for_placement(context.request)
     if not self._trackers.is_used:
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -7,6 +7,7 @@
 
 from collections.abc import AsyncIterator, Iterator
 import contextlib
+import random
 
 import anyio
 from anyio import abc
@@ -38,6 +39,7 @@
 from mustardfall.routing import placement as placement_lib
 from mustardfall.routing import reach as reach_lib
 from mustardfall.routing import retries
+from mustardfall.routing import statements as statements_lib
 from mustardfall.util import clock as clock_lib
 
 _OK = 200
@@ -63,6 +65,10 @@
 pause for tens of ms; callers disconnect after two seconds or more."""
 _MIN_RETRY_S = 0.25
 """Shortest Retry-After, before jitter, of requests that found no endpoint."""
+_REPLACEMENT_RETRY_S = 1.0
+"""Longest Retry-After where all endpoints leave. Those that replace them take a
+second or two to start and to be listed."""
+_MAX_LOGGED_ENDPOINTS = 8
 _LIMITED_RETRY_FACTOR = 1.5
 """Factor on the time until a limited endpoint takes another request. With the
 jitter, Retry-After is 0.75 to 1.5 times that."""
@@ -133,6 +139,7 @@
     self._fleet_size = retries.FleetSize(clock, lambda: len(members.lives))
     self._request_log = request_log_lib.RequestLog(clock, instruments)
     self._attempt_timers = attempt_timers_lib.AttemptTimers(clock)
+    self._random = random.Random()
     self._retry_budgets: dict[str, retries.RetryBudget] = {}
 
   async def run(self) -> None:
@@ -244,6 +251,10 @@
       await self._respond(context, *context.error_response)
     elif context.may_have_run:
       raise refusals.response_lost()
+    elif not self._endpoint_selector.has_candidate(context) and (
+        withheld := self._endpoint_selector.withheld(context)
+    ):
+      raise self._withheld_refusal(withheld)
     elif context.permit_retry_s is not None:
       raise refusals.endpoints_limited(
           self._admission.jittered_retry_after(
@@ -261,6 +272,22 @@
         raise refusals.endpoints_unreached(retry_after_s, facts)
       raise refusals.no_endpoint(retry_after_s, facts)
 
+  def _withheld_refusal(
+      self, withheld: dict[str, statements_lib.Withheld]
+  ) -> refusals.RefusalError:
+    """Returns the refusal where all endpoints leave or rest."""
+    retry_after_s = statements_lib.retry_after_s(
+        withheld.values(), _REPLACEMENT_RETRY_S, self._random.random()
+    )
+    facts = {
+        "count": len(withheld),
+        "endpoints": {
+            life: [reason.reason, reason.left_s]
+            for life, reason in list(withheld.items())[:_MAX_LOGGED_ENDPOINTS]
+        },
+    }
+    return refusals.endpoints_withheld(round(retry_after_s, 3), facts)
+
   async def _attempt(
       self,
       context: request_context_lib.RequestContext,
@@ -277,6 +304,7 @@
     context.endpoint = row.name
     context.version = row.version
     connection = await self._connect(context, row)
+    await self._check_statement(context, row, connection)
     exchange = exchange_lib.Exchange(
         self._connection_pool,
         connection,
@@ -294,10 +322,11 @@
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     self._request_log.log_resumed_send(context, row)
-    self._statements.note_sent(row, context, connection.via)
+    context.via = connection.via
+    self._statements.note_sent(row, context)
     self._resumption.note_sent(context, row)
     failed = False
-    context.direct_row = None if connection.via else row
+    context.direct_row = None if context.via else row
     if context.direct_row is not None:
       self._paths.note_sent(row)
     try:
@@ -332,6 +361,10 @@
       return await self._paths.acquire(
           row, context.request.id, force_new=context.attempts_sent > 0
       )
+    except errors.EndpointWithheldError as exc:
+      context.failed_connects += 1
+      self._statements.note_withheld(row, context, exc)
+      raise _RetryableError(str(exc)) from exc
     except errors.EndpointUnreachableError as exc:
       context.is_cut_off = isinstance(exc, errors.NoExitError)
       if not await self._is_confirmed_end(context, row, exc):
@@ -341,6 +374,28 @@
         self._endpoint_selector.record_unreachable(row)
       raise _RetryableError(str(exc)) from exc
 
+  async def _check_statement(
+      self,
+      context: request_context_lib.RequestContext,
+      row: endpoints.Row,
+      connection: connection_pool_lib.Connection,
+  ) -> None:
+    """Checks that the endpoint has made no statement since it was chosen.
+
+    The request may have waited for a permit or the connection meanwhile. A retry
+    that is not sent stays available for another endpoint.
+
+    Raises:
+      _RetryableError: the request must not be sent to it now.
+    """
+    withheld = self._endpoint_selector.reason_against(context, row)
+    if withheld is None:
+      return
+    self._statements.log_withheld(row, context, withheld)
+    await self._connection_pool.discard(connection)
+    context.has_retry = context.attempts_sent > 0
+    raise _RetryableError(f"withheld: {withheld.reason}")
+
   async def _is_confirmed_end(
       self,
       context: request_context_lib.RequestContext,
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -103,6 +103,13 @@
   return RefusalError(503, "no endpoint reached", retry_after_s, facts)
 
 
+def endpoints_withheld(
+    retry_after_s: float, facts: Mapping[str, Any]
+) -> RefusalError:
+  """All endpoints have said that they leave, or want rest."""
+  return RefusalError(503, "all endpoints leave or rest", retry_after_s, facts)
+
+
 def endpoints_limited(
     retry_after_s: float, permit_retry_s: float
 ) -> RefusalError:
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -89,6 +89,8 @@
   """The record that was last sent to other routers for this request."""
   direct_row: endpoints.Row | None = None
   """The endpoint of the current attempt if its connection is direct."""
+  via: str = ""
+  """The router through which the current attempt is sent; empty: directly."""
   permit_use: PermitUse | None = None
   """The permit of the current attempt; None if its endpoint is not limited."""
   permit_retry_s: float | None = None
--- a/mustardfall/proxy/tunnel_server.py
+++ b/mustardfall/proxy/tunnel_server.py
@@ -19,6 +19,7 @@
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
 from mustardfall.proxy import tunnels
 from mustardfall.routing import endpoints
+from mustardfall.routing import statements as statements_lib
 from mustardfall.util import sockets
 
 logger = logging.getLogger(__name__)
@@ -36,7 +37,13 @@
 _MAX_LAG_S = 0.15
 """Mean delay of this router's own timers from which it opens no further tunnels:
 its processor is busy, and more work would make its own callers wait."""
-_STATUSES = {"unknown": 404, tunnels.REFUSED: 502, "unreached": 502}
+_STATUSES = {
+    "unknown": 404,
+    tunnels.REFUSED: tunnels.BAD_GATEWAY,
+    tunnels.LEAVING: tunnels.BAD_GATEWAY,
+    tunnels.RESTING: tunnels.BAD_GATEWAY,
+    "unreached": tunnels.BAD_GATEWAY,
+}
 """HTTP statuses by the reason of a refusal; of the others, 503."""
 
 
@@ -49,6 +56,7 @@
     connect: connects to an endpoint directly; raises
       `errors.EndpointUnreachableError`.
     is_cut: whether this router is cut off from a kind of endpoints.
+    statements: which endpoints have said that they leave or want rest.
     connection_pool: closes the connections to endpoints.
     resource_limiter: limits connections and memory.
     instruments: exports counters.
@@ -62,6 +70,7 @@
           [endpoints.Row], Awaitable[connection_pool_lib.Connection]
       ],
       is_cut: Callable[[str], bool],
+      statements: statements_lib.Table,
       connection_pool: connection_pool_lib.ConnectionPool,
       resource_limiter: resource_limiter_lib.ResourceLimiter,
       instruments: metrics.Instruments,
@@ -70,10 +79,12 @@
     self._find_endpoint = find_endpoint
     self._connect = connect
     self._is_cut = is_cut
+    self._statements = statements
     self._connection_pool = connection_pool
     self._resource_limiter = resource_limiter
     self._tunnels: set[_Tunnel] = set()
     self._is_closing = False
+    self._tasks: abc.TaskGroup | None = None
     self._lag_s = 0.0
     """How late timers of this process are, moving average."""
     self._counts: collections.Counter[str] = collections.Counter()
@@ -94,6 +105,7 @@
     host = self._config.peer_listen.host
     listeners = await sockets.listen("tunnels", host, port)
     async with anyio.create_task_group() as tasks:
+      self._tasks = tasks
       tasks.start_soon(self._measure_lag)
       for listener in listeners:
         tasks.start_soon(
@@ -118,6 +130,12 @@
     for tunnel in list(self._tunnels):
       await tunnel.announce_close()
 
+  def stop_reuse(self, address: str) -> None:
+    """Has open tunnels to an endpoint used for no further request."""
+    for tunnel in self._tunnels:
+      if tunnel.address == address and self._tasks is not None:
+        self._tasks.start_soon(tunnel.announce_close)
+
   async def _serve_connection(self, stream: abc.SocketStream) -> None:
     allocation = self._resource_limiter.new_allocation()
     try:
@@ -152,7 +170,9 @@
     row = self._find_endpoint(address)
     reason = self._reason_to_refuse(request, row, allocation)
     if reason or row is None:
-      await self._refuse(stream, parser, request, reason)
+      withheld = self._withheld(row) if row is not None else None
+      rest_s = (withheld.left_s or 0.0) if withheld is not None else 0.0
+      await self._refuse(stream, parser, request, reason, rest_s)
       return
     try:
       connection = await self._connect(row)
@@ -165,7 +185,8 @@
         "tunnel opened",
         extra={"request": _request_id(request), "endpoint": row.life},
     )
-    tunnel = _Tunnel(stream, connection.stream)
+    self._statements.note_sent(row)
+    tunnel = _Tunnel(row.url, stream, connection.stream)
     self._tunnels.add(tunnel)
     try:
       response = h11.Response(status_code=200, headers=[])
@@ -191,10 +212,21 @@
       return "cut"
     if self.is_busy:
       return "busy"
+    withheld = self._withheld(row)
+    if withheld is not None:
+      return tunnels.LEAVING if withheld.left_s is None else tunnels.RESTING
     if not self._allocate(allocation):
       return "full"
     return ""
 
+  def _withheld(self, row: endpoints.Row) -> statements_lib.Withheld | None:
+    """Returns why an endpoint must be sent no request through this router.
+
+    A tunnel may be meant for a stream that goes on at an endpoint that leaves.
+    """
+    use_s = self._config.proxy.leaving_use_s
+    return self._statements.reason_against(row, use_s)
+
   def _allocate(self, allocation: resource_limiter_lib.Allocation) -> bool:
     limiter = self._resource_limiter
     if limiter.connections >= limiter.max_connections * _ROOM_SHARE:
@@ -211,6 +243,7 @@
       parser: h11.Connection,
       request: h11.Request,
       reason: str,
+      rest_s: float = 0.0,
   ) -> None:
     self._counts[reason] += 1
     extra = {
@@ -221,12 +254,14 @@
         **self._resource_limiter.log_fields,
     }
     logger.info("tunnel refused", extra=extra)
+    headers = [
+        (tunnels.REASON_HEADER, reason.encode()),
+        (b"content-length", b"0"),
+    ]
+    if reason == tunnels.RESTING:
+      headers.append((tunnels.REST_HEADER, f"{rest_s:.3f}".encode()))
     response = h11.Response(
-        status_code=_STATUSES.get(reason, 503),
-        headers=[
-            (tunnels.REASON_HEADER, reason.encode()),
-            (b"content-length", b"0"),
-        ],
+        status_code=_STATUSES.get(reason, 503), headers=headers
     )
     data = parser.send(response) or b""
     await stream.send(data + (parser.send(h11.EndOfMessage()) or b""))
@@ -237,13 +272,15 @@
   """Passes bytes between another router and an endpoint.
 
   Args:
+    address: `HOST:PORT` of the endpoint.
     router: the connection of the other router.
     endpoint: the connection to the endpoint.
   """
 
   def __init__(
-      self, router: abc.SocketStream, endpoint: abc.ByteStream
+      self, address: str, router: abc.SocketStream, endpoint: abc.ByteStream
   ) -> None:
+    self.address = address
     self._router = router
     self._endpoint = endpoint
     self._send_lock = anyio.Lock()
--- a/mustardfall/proxy/tunnels.py
+++ b/mustardfall/proxy/tunnels.py
@@ -27,8 +27,15 @@
 REASON_HEADER = b"mustardfall-reason"
 REFUSED = "refused"
 """Reason of a 502: the endpoint refused the connection."""
+LEAVING = "leaving"
+"""Reason of a 502: the endpoint has said that it leaves."""
+RESTING = "resting"
+"""Reason of a 502: the endpoint has asked this exit for rest."""
+REST_HEADER = b"retry-after"
+"""Seconds that are left of the rest."""
 BAD_GATEWAY = 502
 _OK = 200
+_MAX_REST_S = 86_400.0
 _READ_BYTES = 65_536
 _MAX_HEAD_BYTES = 4_096
 
@@ -167,9 +174,20 @@
     if event.status_code == _OK:
       return TunnelStream(inner, parser.trailing_data[0])
     reason = dict(event.headers).get(REASON_HEADER, b"").decode("latin-1")
+    if event.status_code == BAD_GATEWAY and reason in (LEAVING, RESTING):
+      rest = dict(event.headers).get(REST_HEADER, b"")
+      raise errors.EndpointWithheldError(reason, _parse_rest_s(rest))
     if event.status_code == BAD_GATEWAY:
       raise errors.EndpointUnreachableError(
           f"{endpoint} through another router: {reason}", reason == REFUSED
       )
     raise errors.ExitUnavailableError(f"{event.status_code} {reason}")
   raise errors.ExitUnavailableError("connection ended")
+
+
+def _parse_rest_s(value: bytes) -> float:
+  try:
+    seconds = float(value)
+  except ValueError:
+    return 0.0
+  return seconds if 0.0 <= seconds <= _MAX_REST_S else 0.0
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -6,6 +6,7 @@
 after an outage of the store is kept until it has had time to register again.
 """
 
+from collections.abc import Callable
 import datetime
 import logging
 
@@ -32,6 +33,7 @@
     clock: the time source.
     cold: whether the endpoints listed first have empty caches because they
       start together with this router.
+    is_withheld: see `endpoints.Table`.
   """
 
   def __init__(
@@ -39,10 +41,11 @@
       config: settings.Scheduler,
       clock: clock_lib.Clock,
       cold: bool = False,
+      is_withheld: Callable[[endpoints.Row], bool] = lambda row: False,
   ) -> None:
     self._clock = clock
     self.configuration: configuration.Configuration | None = None
-    self.endpoints = endpoints.Table(config, cold)
+    self.endpoints = endpoints.Table(config, cold, is_withheld)
     self._hosts: dict[str, endpoints.EndpointEntry] = {}
     self._keep_missing_until = -float("inf")
     self._listed_at = -float("inf")
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -5,7 +5,7 @@
 load that endpoints report lags behind.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import dataclasses
 import logging
 from typing import Literal, NotRequired, TypedDict
@@ -149,10 +149,18 @@
   Args:
     config: settings of the concurrency limits.
     cold: whether endpoints of the first list have empty caches, too.
+    is_withheld: whether requests are withheld from an endpoint that is listed as
+      live, since it has said that it leaves or wants rest.
   """
 
-  def __init__(self, config: settings.Scheduler, cold: bool = False) -> None:
+  def __init__(
+      self,
+      config: settings.Scheduler,
+      cold: bool = False,
+      is_withheld: Callable[[Row], bool] = lambda row: False,
+  ) -> None:
     self._config = config
+    self._is_withheld = is_withheld
     self.rows: dict[str, Row] = {}
     self.evacuated: frozenset[str] = frozenset()
     """Data centres whose endpoints are sent no requests."""
@@ -258,7 +266,14 @@
   def eligible(
       self, kind: str, model: str, avoid: frozenset[str] = frozenset()
   ) -> list[Row]:
-    """Returns the live endpoints that can serve a request.
+    """Returns the endpoints that may be sent a request now; see `live`."""
+    rows = self.live(kind, model, avoid)
+    return [row for row in rows if not self._is_withheld(row)]
+
+  def live(
+      self, kind: str, model: str, avoid: frozenset[str] = frozenset()
+  ) -> list[Row]:
+    """Returns the endpoints that can serve a request and are listed as live.
 
     Endpoints of an evacuated data centre are left out.
 
@@ -447,7 +462,8 @@
     changed = (row.state, row.url) != (state, host["url"])
     row.state, row.url = state, host["url"]
     row.datacentre, row.kind = host["datacentre"], host["kind"]
-    row.started_ms = host.get("started_ms", row.started_ms)
+    if host.get("started_ms") is not None:
+      row.started_ms = host["started_ms"]
   if changed:
     _log("endpoint state", row)
   return changed
--- a/mustardfall/routing/statements.py
+++ b/mustardfall/routing/statements.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
 import logging
 import random
@@ -37,6 +37,9 @@
 """Assumed for endpoints whose slots are not known."""
 _FIRST_CREDIT_REQUESTS = 1
 _CREDIT_PER_ANSWER_REQUESTS = 2
+_MIN_RETURN_S = 0.25
+_RETURN_RATIO = 0.5
+"""Span in which refused callers return after a rest, relative to its rest."""
 _TRIAL_TIMEOUT_S = 1.0
 """How long the answer to the last request after a rest is awaited before another
 one is sent."""
@@ -118,6 +121,25 @@
   return Withheld("recovering", left_s) if left_s > 0 else None
 
 
+def retry_after_s(
+    reasons: Iterable[Withheld], max_unknown_s: float, draw: float
+) -> float:
+  """Returns when a caller may return that no endpoint takes now, seconds.
+
+  Callers return one by one, and not before the first rest ends.
+
+  Args:
+    reasons: why requests are withheld from each endpoint.
+    max_unknown_s: the longest time where no endpoint says when.
+    draw: a random number from 0 to 1.
+  """
+  lefts = [reason.left_s for reason in reasons if reason.left_s is not None]
+  if not lefts:
+    return max_unknown_s * (1 + draw) / 2
+  earliest_s = min(lefts)
+  return earliest_s + draw * max(_MIN_RETURN_S, _RETURN_RATIO * earliest_s)
+
+
 class Table:
   """Statements by endpoint.
 
@@ -181,6 +203,10 @@
       return None
     return find_reason(statement, self._clock.monotonic(), leaving_use_s)
 
+  def is_withheld(self, row: endpoints.Row) -> bool:
+    """Whether an endpoint must be sent no request now, by its statement."""
+    return bool(self._rows) and self.reason_against(row) is not None
+
   def note_leaving(
       self, row: endpoints.Row, request: str, status: int, list_age_s: float
   ) -> bool:
@@ -384,6 +410,13 @@
       extra = {"endpoint": endpoint, "rest_s": round(rest_s, 3)}
       logger.info("endpoint asked for rest through this router", extra=extra)
 
+  def note_told(
+      self, row: endpoints.Row, is_leaving: bool, rest_s: float
+  ) -> None:
+    """Records what another router says of an endpoint that is listed."""
+    age_s = 0.0 if is_leaving else -1.0
+    self.apply([row.life, row.version, age_s, min(rest_s, self._max_rest_s)])
+
   def prune(self) -> None:
     """Forgets statements that are over or of endpoints that have gone."""
     now = self._clock.monotonic()
--- a/tests/test_endpoint_statements.py
+++ b/tests/test_endpoint_statements.py
@@ -3,6 +3,8 @@
 The list of endpoints says otherwise: the store is away, or read late.
 """
 
+from unittest import mock
+
 import anyio
 import testtools
 
@@ -36,11 +38,12 @@
   ]
 
 
-async def _call_until(env, server, path="/look/a", **more) -> float:
-  """Makes requests until one reaches a server; returns when that was."""
+async def _call_until(env, *servers, path="/look/a", **more) -> float:
+  """Makes requests until one has reached each server; returns when that was."""
+  since = anyio.current_time()
   for number in range(100):
     await env.call(path, f"until{number}", **more)
-    if _arrivals(server):
+    if all(_arrivals(server, since) for server in servers):
       return anyio.current_time()
   raise AssertionError("no request reached the server")
 
@@ -71,7 +74,7 @@
   async def _check_left(self, env, path="/look/a", **more):
     """Checks that a server gets nothing once an answer said that it leaves."""
     server = env.servers["i-1"]
-    told_at = await _call_until(env, server, path, **more)
+    told_at = await _call_until(env, server, path=path, **more)
     statuses = await _call_for(env, 1.0, path, **more)
     self.assertEqual([], _arrivals(server, told_at))
     served = statuses.count(200) / len(statuses)
@@ -146,12 +149,10 @@
 
   @test_gateway.in_environment(servers=("i-1", "i-2"))
   async def test_callers_are_refused_at_once_where_all_leave(self, env):
-    """Guards against requests that wait, or come without an end, where all
-    endpoints leave."""
+    """Guards against requests that wait where all endpoints leave."""
     for server in env.servers.values():
       _let_leave(server)
-    for server in env.servers.values():
-      await _call_until(env, server)
+    await _call_until(env, *env.servers.values())
     told_at = anyio.current_time()
     response = await env.call("/look/a", "late")
     self.assertTrue(anyio.current_time() - told_at < _MAX_REFUSAL_S)
@@ -159,29 +160,33 @@
     self.assertTrue(float(response.headers["retry-after"]) > 0)
     self.assertEqual([], _arrivals(env.servers["i-1"], told_at))
 
-  @test_gateway.in_environment(servers=("i-1", "i-2"))
-  async def test_request_that_waits_for_a_permit_is_not_sent(self, env):
-    """Guards against requests that were chosen for an endpoint before it said
-    that it leaves."""
-    server = env.servers["i-1"]
-    server.behaviour.rate_limit = "4"
-    env.servers["i-2"].behaviour = server_lib.Behaviour(rate_limit="4")
-    for name in env.servers:
-      await _call_until(env, env.servers[name])
-    for one in env.servers.values():
-      _let_leave(one, rate_limit="4")
-    told: list[float] = []
+  @test_gateway.in_environment(servers=_SERVERS)
+  async def test_request_that_waits_for_its_connection_is_not_sent(self, env):
+    """Guards against sends that were decided before the endpoint's answer."""
+    acquire = env.gateway.paths.acquire
+
+    async def acquire_late(row, request_id, force_new=False):
+      if request_id.startswith("queued"):
+        chosen.append(row.name)
+        await anyio.sleep(0.5)
+      return await acquire(row, request_id, force_new)
+
+    chosen, statuses = [], []
 
     async def call(number):
       response = await env.call("/look/a", f"queued{number}")
-      if response.headers.get("server-leaving"):
-        told.append(anyio.current_time())
-
-    async with anyio.create_task_group() as tasks:
-      for number in range(12):
-        tasks.start_soon(call, number)
-    arrived = sum(len(_arrivals(s, min(told))) for s in env.servers.values())
-    self.assertTrue(arrived <= 1, arrived)
+      statuses.append(response.status)
+
+    with mock.patch.object(env.gateway.paths, "acquire", acquire_late):
+      async with anyio.create_task_group() as tasks:
+        for number in range(24):
+          tasks.start_soon(call, number)
+        await anyio.sleep(0.2)
+        server = env.servers[chosen[-1]]
+        _let_leave(server)
+        told_at = await _call_until(env, server)
+    self.assertEqual([], _arrivals(server, told_at))
+    self.assertEqual([200] * 24, statuses)
 
   @test_gateway.in_environment(servers=_SERVERS)
   async def test_new_life_begins_clean(self, env):
@@ -202,8 +207,7 @@
 
   @test_gateway.in_environment(servers=_SERVERS)
   async def test_all_routers_stay_away_from_an_endpoint_that_leaves(self, env):
-    """Guards against routers of which each has to find out by itself, and
-    against detours through routers that know."""
+    """Guards against detours to an endpoint that another router knows of."""
     routers = await env.add_routers(_ROUTERS)
     callers = platformcase.Callers(env, routers, _CALLS_PER_S)
     await callers.run(1.0)
@@ -270,8 +274,7 @@
     """Guards against a Retry-After that ends before the rest does."""
     for server in env.servers.values():
       _let_rest(server, "3")
-    for server in env.servers.values():
-      await _call_until(env, server)
+    await _call_until(env, *env.servers.values())
     sent_at = anyio.current_time()
     response = await env.call("/look/a", "late")
     self.assertTrue(anyio.current_time() - sent_at < _MAX_REFUSAL_S)
@@ -304,8 +307,8 @@
     for value in ("", "soon", "-3", "nan", "inf", "1e999x", "0"):
       for server in env.servers.values():
         _let_rest(server, value)
+      await _call_until(env, *env.servers.values())
       for server in env.servers.values():
-        await _call_until(env, server)
         server.behaviour = server_lib.Behaviour()
         server.turned_away.clear()
         server.received.clear()
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -121,3 +121,53 @@
   def test_any_value_is_decoded(self, value):
     found = self._decode(value)
     self.assertTrue(found.per_s is None or 0 < found.per_s <= 1e6)
+
+
+class StatementTest(testtools.TestCase):
+
+  def _decode(self, status, *fields):
+    return headers.Dialect().decode_response(status, list(fields))
+
+  def _rest_s(self, *values, date=None, status=503):
+    fields = [(b"retry-after", value) for value in values]
+    if date is not None:
+      fields.append((b"date", date))
+    rest = self._decode(status, *fields).rest
+    return rest.seconds if rest is not None else None
+
+  def test_server_that_leaves(self):
+    for status in (200, 421, 500, 503):
+      for value in (b"1", b" 1", b"1, 1", b"01", b"true"):
+        head = self._decode(status, (b"server-leaving", value))
+        self.assertTrue(head.leaving, (status, value))
+    for value in (b"", b"0", b"no", b"-1", b"\xb2", b"nan"):
+      self.assertFalse(self._decode(200, (b"server-leaving", value)).leaving)
+    self.assertFalse(self._decode(200).leaving)
+
+  def test_rest_of_a_server_that_turns_requests_away(self):
+    self.assertEqual(3.0, self._rest_s(b"3"))
+    self.assertEqual(0.25, self._rest_s(b" 0.25 "))
+    self.assertEqual(0.0, self._rest_s(b"0"))
+    self.assertEqual(5.0, self._rest_s(b"2", b"5", b"x"))
+    self.assertEqual(2.0, self._rest_s(b"2", status=429))
+    self.assertIsNone(self._decode(200, (b"retry-after", b"3")).rest)
+    self.assertIsNone(self._decode(503).rest)
+
+  def test_rest_until_a_date_counts_from_the_answer(self):
+    """Guards against a rest that hangs on the clocks of two hosts."""
+    date = b"Fri, 04 Dec 2026 10:00:00 GMT"
+    until = b"Fri, 04 Dec 2026 10:00:07 GMT"
+    self.assertEqual(7.0, self._rest_s(until, date=date))
+    self.assertEqual(0.0, self._rest_s(date, date=until))
+    self.assertIsNone(self._rest_s(until))
+
+  @given(st.binary(max_size=50))
+  def test_any_rest_is_decoded(self, value):
+    """Guards against an answer that is lost for its Retry-After."""
+    rest = self._decode(503, (b"retry-after", value), (b"date", value)).rest
+    self.assertTrue(rest.seconds is None or rest.seconds >= 0, rest)
+
+  def test_unusable_rests_are_recognised(self):
+    for value in (b"", b"soon", b"-3", b"nan", b"inf", b"0x3", b"3 s"):
+      self.assertIsNone(self._rest_s(value), value)
+    self.assertTrue(self._rest_s(b"1e999") > 1e300)
