Own interface: a rest that an engine or service asks for is kept, too

Chat and booking calls read the status of a 503 or 429 and not its Retry-After: the same cause as of the incident. The same table now withholds calls from such endpoints, and where all rest, callers are told when the first rest ends. Test on real processes; Retry-After is parsed in one place (fractions, dates relative to the answer's own date).

--- a/mustardfall/api/bookings.py
+++ b/mustardfall/api/bookings.py
@@ -110,6 +110,7 @@
     except (httpx.HTTPError, ValueError) as exc:
       return verdict.may_have_run(f"service {endpoint.name}: {exc!r}")
     if reply.is_success:
+      call.note_accepted()
       return reply
     if reply.is_client_error and reply.status_code != 429:
       return verdict.not_run(
@@ -122,7 +123,7 @@
       return verdict.may_have_run(
           f"service {endpoint.name}: {reply.status_code}"
       )
-    endpoint.failures += 1
+    call.note_turned_away(reply, idem_key)
     call.release()
   return verdict.not_run(
       "no service can take this call", router.config.retry_after_s, 503
--- a/mustardfall/api/calls.py
+++ b/mustardfall/api/calls.py
@@ -9,8 +9,11 @@
 from collections.abc import Iterator
 import contextlib
 import enum
+import random
 from typing import Any
 
+import httpx
+
 from mustardfall import errors
 from mustardfall import idempotency
 from mustardfall import router as router_lib
@@ -19,6 +22,11 @@
 from mustardfall.catalogue import table
 from mustardfall.routing import endpoints
 from mustardfall.routing import scheduler
+from mustardfall.routing import statements
+from mustardfall.util import retry_after
+
+_MAX_LOGGED_CHARS = 40
+"""Length to which a value is shortened for the log."""
 
 
 class CallResult(enum.StrEnum):
@@ -138,11 +146,52 @@
     slot_request = scheduler.SlotRequest(kind, model_name, self.entry.klass)
     acquired = await self.router.scheduler.acquire(slot_request, excluded)
     if isinstance(acquired, scheduler.NoSlot):
-      return acquired
+      return self._until_rest_ends(slot_request, acquired)
     self._slot_request, self.endpoint = slot_request, acquired
+    self.router.statements.note_sent(acquired)
     self._sent = self.router.clock.monotonic()
     return None
 
+  def _until_rest_ends(
+      self, slot_request: scheduler.SlotRequest, refusal: scheduler.NoSlot
+  ) -> scheduler.NoSlot:
+    """Returns the refusal with the end of the first rest if all rest."""
+    router = self.router
+    rows = router.endpoints.live(slot_request.kind, slot_request.model)
+    reasons = [router.statements.reason_against(row) for row in rows]
+    if not reasons or None in reasons:
+      return refusal
+    retry_after_s = statements.retry_after_s(
+        reasons, refusal.retry_after_s, random.random()
+    )
+    return refusal._replace(retry_after_s=round(retry_after_s, 3))
+
+  def note_turned_away(self, reply: httpx.Response, key: str) -> None:
+    """Records that the endpoint ran nothing, and any rest it asks for.
+
+    Args:
+      reply: the response of the endpoint.
+      key: the caller's Idempotency-Key, for the log; may be empty.
+    """
+    self.endpoint.failures += 1
+    values = [
+        value
+        for name, value in reply.headers.raw
+        if name.lower() == b"retry-after"
+    ]
+    if not values:
+      return
+    date = reply.headers.get("date", "").encode("latin-1", "replace")
+    text = b", ".join(values).decode("latin-1")[:_MAX_LOGGED_CHARS]
+    rest = statements.NamedRest(retry_after.parse(values, date), text)
+    self.router.statements.note_rest(
+        self.endpoint, key, reply.status_code, rest
+    )
+
+  def note_accepted(self) -> None:
+    """Records that the endpoint answered and did not turn the call away."""
+    self.router.statements.note_accepted(self.endpoint, self._sent)
+
   def expect_first_token(self) -> None:
     """Registers a pending first token, for the concurrency limits."""
     self.endpoint.awaiting_first_token[id(self)] = self._sent
--- a/mustardfall/api/chat.py
+++ b/mustardfall/api/chat.py
@@ -220,10 +220,11 @@
     call.settle(None, calls.CallResult.MAY_HAVE_RUN)
     return verdict.may_have_run(f"engine {endpoint.name}: {exc!r}")
   if reply.is_success:
+    call.note_accepted()
     return reply
   await reply.aclose()
   if reply.status_code in _NOT_RUN_STATUSES:
-    endpoint.failures += 1
+    call.note_turned_away(reply, chat_request.idem_key)
     return None
   if reply.is_client_error:
     call.settle(0, calls.CallResult.NOT_RUN)
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -1,15 +1,13 @@
 """Translates between the platform's headers and the types of the data path."""
 
-import datetime
-import email.utils
 import math
-import re
 import urllib.parse
 
 from mustardfall import errors
 from mustardfall.proxy import messages
 from mustardfall.routing import rate_limits
 from mustardfall.routing import statements
+from mustardfall.util import retry_after
 
 _REQUEST_ID = b"request-id"
 _DEADLINE_MS = b"deadline-ms"
@@ -33,9 +31,6 @@
 """Statuses with which a server turns a request away and may ask for rest."""
 _MISDIRECTED_REQUEST = 421
 _LOAD_FIELDS = 3
-_DECIMAL_NUMBER = re.compile(
-    rb"([0-9]{1,30}(\.[0-9]{0,30})?|\.[0-9]{1,30})([eE][+-]?[0-9]{1,3})?"
-)
 _MAX_LOGGED_CHARS = 40
 """Length to which an unusable value is shortened, characters."""
 
@@ -285,7 +280,7 @@
     return None
   text = b",".join(sorted(values))
   shortened = text.decode("latin-1")[:_MAX_LOGGED_CHARS]
-  if not _DECIMAL_NUMBER.fullmatch(text):
+  if not retry_after.DECIMAL_NUMBER.fullmatch(text):
     return rate_limits.NamedRate(None, shortened)
   number = float(text)
   is_usable = 0.0 <= number <= rate_limits.MAX_PER_S
@@ -309,39 +304,13 @@
 def _parse_rest(
     headers: list[messages.Header],
 ) -> statements.NamedRest | None:
-  """Returns the longest rest for which `retry-after` asks.
-
-  A date counts from the date of the answer, since the clocks of server and
-  router may differ.
-  """
+  """Returns the rest for which `retry-after` asks; None without the header."""
   raw = [value for name, value in headers if name == _RETRY_AFTER]
   if not raw:
     return None
-  answered_at = _parse_date(dict(headers).get(b"date", b""))
-  found = [_parse_rest_s(value.strip(), answered_at) for value in raw]
-  known = [seconds for seconds in found if seconds is not None]
+  date = dict(headers).get(b"date", b"")
   text = b", ".join(raw).decode("latin-1")[:_MAX_LOGGED_CHARS]
-  return statements.NamedRest(max(known, default=None), text)
-
-
-def _parse_rest_s(
-    value: bytes, answered_at: datetime.datetime | None
-) -> float | None:
-  """Returns the seconds that one value of `retry-after` names."""
-  if _DECIMAL_NUMBER.fullmatch(value):
-    return float(value)
-  until = _parse_date(value)
-  if until is None or answered_at is None:
-    return None
-  return max(0.0, (until - answered_at).total_seconds())
-
-
-def _parse_date(value: bytes) -> datetime.datetime | None:
-  try:
-    found = email.utils.parsedate_to_datetime(value.decode("latin-1"))
-  except (TypeError, ValueError, OverflowError):
-    return None
-  return found if found.tzinfo else found.replace(tzinfo=datetime.UTC)
+  return statements.NamedRest(retry_after.parse(raw, date), text)
 
 
 def _parse_idle_timeout_s(value: bytes) -> float | None:
--- a/mustardfall/router.py
+++ b/mustardfall/router.py
@@ -29,6 +29,7 @@
 from mustardfall.routing import orders
 from mustardfall.routing import retries
 from mustardfall.routing import scheduler
+from mustardfall.routing import statements as statements_lib
 from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -79,7 +80,15 @@
     self.members = self.accounts.members
     self.peers = self.accounts.peers
     self.pool = self.accounts.pool
-    self.endpoints = endpoints.Table(config.scheduler)
+    self.statements = statements_lib.Table(
+        self.clock,
+        lambda life: self.endpoints.find_life(life) is not None,
+        config.proxy.max_rest_s,
+        lambda: len(self.members.lives),
+    )
+    self.endpoints = endpoints.Table(
+        config.scheduler, is_withheld=self.statements.is_withheld
+    )
     self.evacuations = evacuations.Follower(
         self.kv, self._apply_evacuations, config.membership.watch_idle_s
     )
@@ -169,6 +178,7 @@
       now = self.clock.monotonic()
       self.pool.tick(now - last)
       self.endpoints.tick(now)
+      self.statements.prune()
       self.scheduler.tick(now - last)
       last = now
 
--- a/mustardfall/standins/engine.py
+++ b/mustardfall/standins/engine.py
@@ -13,6 +13,7 @@
 
 - `fail_next`: number of next requests to reject with 503 without running
   them.
+- `retry_after`: value of the `Retry-After` header of these; empty: none.
 - `fail_after_run`: number of next requests to run and then answer with 500.
 - `drop_after`: the next completion ends after that many tokens; a stream
   ends without `[DONE]`.
@@ -80,6 +81,7 @@
   slots = _Slots(config.slots)
   faults = {
       "fail_next": 0,
+      "retry_after": "",
       "fail_after_run": 0,
       "drop_after": 0,
       "cross_next": 0,
@@ -100,7 +102,9 @@
     body = await request.json()
     if faults["fail_next"] > 0:
       faults["fail_next"] -= 1
-      return responses.JSONResponse({"error": "injected"}, status_code=503)
+      retry_after = faults["retry_after"]
+      headers = {"retry-after": retry_after} if retry_after else None
+      return responses.JSONResponse({"error": "injected"}, 503, headers)
     messages = body.get("messages") or []
     last_message = str(messages[-1].get("content", "")) if messages else ""
     echoed_word = (last_message.split() or ["-"])[0]
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,5 +1,6 @@
 """Fault injection with real processes: kills, pauses, partitions, outages."""
 
+import contextlib
 import signal
 import time
 import uuid
@@ -350,3 +351,24 @@
     self.inject("kv", delay_s=3.0)
     time.sleep(1.2)
     self.assertEqual(0, self._new_work_at_leaving_engine())
+
+  def test_engine_that_asks_for_rest_gets_no_calls_until_it_ends(self):
+    """Guards against calls to an engine that turned one away for a while."""
+    self.start(dcs=("lier-a", "lier-b"))
+    router, names = self.routers[0], ("engine-lier-a", "engine-lier-b")
+    for name in names:
+      self.inject(name, fail_next=1, retry_after="30")
+    for _ in range(8):
+      with contextlib.suppress(openai.InternalServerError):
+        self.ask(router, 3)
+    failures = []
+    for _ in range(3):
+      began_at = time.monotonic()
+      failures.append(
+          self.assertRaises(openai.InternalServerError, self.ask, router, 3)
+      )
+      self.assertTrue(time.monotonic() - began_at < 1.0)
+    for failure in failures:
+      retry_after_s = float(failure.response.headers["retry-after"])
+      self.assertTrue(20 <= retry_after_s <= 45, retry_after_s)
+    self.assertEqual([0, 0], [self.standin_stats(n)["requests"] for n in names])
