--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -7,7 +7,7 @@
 import dataclasses
 import socket
 import struct
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 from anyio import abc
@@ -55,6 +55,10 @@
   encoded: bool = False
   rate_limit: str | None = None
   """Value of the `Server-Limit` header; None: the header is left out."""
+  endless: str = ""
+  """If set, sends bytes without end, of this kind of `endless_bytes`."""
+  endless_interval_s: float = 0.0
+  """Pause between these."""
   leaving: str | None = None
   """Value of the `Server-Leaving` header; None: the header is left out."""
   retry_after: str | None = None
@@ -80,6 +84,61 @@
   """When it was received, seconds of the event loop's clock."""
 
 
+class EndlessAnswer(NamedTuple):
+  """An answer without end, until its connection was closed."""
+
+  took_s: float
+  sent: int
+  """Bytes sent."""
+
+
+def endless_bytes(kind: str, request: ReceivedRequest) -> tuple[bytes, bytes]:
+  """Returns the first bytes of an answer without end, and those after them.
+
+  Args:
+    kind: what the bytes are: `garbage`, or where an answer has no end.
+    request: the request that is answered.
+  """
+  id_ = request.headers.get("request-id", "")
+  named = f"request-id: {id_}\r\nresponse-signature: s\r\n".encode()
+  start = b"HTTP/1.1 200 X\r\n"
+  chunked = named + b"transfer-encoding: chunked\r\n"
+  events = chunked + b"content-type: text/event-stream\r\n\r\n"
+  refusal = b"HTTP/1.1 503 X\r\nnot-executed: 1\r\n" + chunked + b"\r\n"
+  other = start + b"request-id: other\r\ntransfer-encoding: chunked\r\n\r\n"
+  letters = b"a" * 50
+  return {
+      "garbage": (b"", letters),
+      "blank": (b"\r\n", b"\r\n" * 20),
+      "header": (start + b"x-a: ", letters),
+      "headers": (start + named, b"x-a: b\r\n" * 5),
+      "informational": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+      "informational-headers": (
+          b"HTTP/1.1 103 Early Hints\r\n",
+          b"x-a: b\r\n" * 5,
+      ),
+      "other": (other, _chunk(letters)),
+      "body": (start + chunked + b"\r\n", _chunk(letters)),
+      "small-chunks": (start + chunked + b"\r\n", _chunk(b"a") * 10),
+      "close": (start + named + b"\r\n", letters),
+      "length": (
+          start + named + b"content-length: 999999999999\r\n\r\n",
+          letters,
+      ),
+      "extension": (start + chunked + b"\r\n1;", letters),
+      "trailers": (start + chunked + b"\r\n0\r\n", b"x-a: b\r\n" * 5),
+      "refusal": (refusal, _chunk(letters)),
+      "refusal-close": (
+          b"HTTP/1.1 503 X\r\nnot-executed: 1\r\n" + named + b"\r\n",
+          letters,
+      ),
+      "event": (start + events, _chunk(letters)),
+      "event-small-chunks": (start + events, _chunk(b"a") * 10),
+      "comments": (start + events, _chunk(b":" + letters + b"\n\n")),
+      "repeated": (start + events, _chunk(b"id: 1\ndata: x\n\n")),
+  }[kind]
+
+
 def make_registration(
     address: str,
     started_ms: int = 0,
@@ -117,6 +176,8 @@
     """Requests that the server accepted, in order."""
     self.turned_away: list[ReceivedRequest] = []
     """Requests that it turned away with 503, in order."""
+    self.endless_answers: list[EndlessAnswer] = []
+    """Answers without end that the router has closed."""
     self.connections = 0
     self._running = 0
     self._turned_away_at: list[float] = []
@@ -203,6 +264,10 @@
       await stream.send(_head(421, headers) + b"\r\n")
       return False
     is_full = behaviour.slots is not None and self._running >= behaviour.slots
+    if behaviour.endless:
+      self.received.append(request)
+      await self._send_without_end(stream, request, behaviour)
+      return False
     if behaviour.not_run or is_full:
       headers = {"not-executed": "1", **_request_id_header(request)}
       headers |= _statement_headers(behaviour)
@@ -228,6 +293,26 @@
     )
     return keep and not request.cancelled
 
+  async def _send_without_end(
+      self,
+      stream: abc.SocketStream,
+      request: ReceivedRequest,
+      behaviour: Behaviour,
+  ) -> None:
+    """Sends bytes until the router closes the connection."""
+    began_at = anyio.current_time()
+    sent = 0
+    first, again = endless_bytes(behaviour.endless, request)
+    try:
+      await stream.send(first)
+      while True:
+        await stream.send(again)
+        sent += len(again)
+        await anyio.sleep(behaviour.endless_interval_s)
+    finally:
+      took_s = anyio.current_time() - began_at
+      self.endless_answers.append(EndlessAnswer(took_s, sent))
+
   async def _note_turned_away(self, behaviour: Behaviour) -> None:
     now = anyio.current_time()
     recent = [at for at in self._turned_away_at if now - at < 1.0]
