Bytes without end are closed soon, and the request is served elsewhere

Callers saw: requests that waited until their deadline for the end of a body, of an answer that had turned them away, or of a stream without events; and a router kept busy by chunks of one byte. Now: bytes that cannot begin an answer are closed at once; a head, trailers or a chunk's length has 2 s from its first byte; 16 informational answers are skipped; the rest of a refusal is read only if it comes at once (64 kB, 50 ms); a body's size is known from its length before it is read, one in thousands of tiny chunks is broken off, and other tasks run amid it; where another endpoint may be tried, a body has a time limit, and a stream counts as stalled by its events instead of its bytes. An incomplete event is limited to 256 kB and searched once.

The own interface had no limit at all on what engines and services send; it has the same kinds now.

--- a/mustardfall/api/bookings.py
+++ b/mustardfall/api/bookings.py
@@ -11,6 +11,7 @@
 from mustardfall import idempotency
 from mustardfall import router as router_lib
 from mustardfall import verdict
+from mustardfall.api import bodies
 from mustardfall.api import calls
 from mustardfall.api import replies
 
@@ -18,6 +19,8 @@
 """Most services tried for one call, as long as none may have run it."""
 _TOKENS_PER_BOOKING = 1
 """Tokens billed for one booking."""
+_BODY_HEADERS = (b"content-encoding", b"content-length", b"transfer-encoding")
+"""Headers that describe the body as it was sent, and not as it was decoded."""
 _NOT_RUN_STATUSES = frozenset({429, 503})
 """Statuses by which a service reports that it did not run the call."""
 
@@ -81,6 +84,37 @@
   )
 
 
+async def _post(
+    http: httpx.AsyncClient, url: str, idem_key: str, body: dict
+) -> httpx.Response:
+  """Sends the call to one service; returns the response with its body.
+
+  Raises:
+    httpx.HTTPError: there is no response, or its body is not whole.
+    ValueError: the response is a success and not JSON.
+  """
+  request = http.build_request(
+      "POST",
+      url + "/v1/bookings",
+      json=body,
+      headers={
+          replies.IDEMPOTENCY_HEADER: idem_key,
+          "accept-encoding": "identity",
+      },
+  )
+  opened = await bodies.send(http, request)
+  content = await bodies.read(opened)
+  headers = [
+      (name, value)
+      for name, value in opened.headers.raw
+      if name.lower() not in _BODY_HEADERS
+  ]
+  reply = httpx.Response(opened.status_code, headers=headers, content=content)
+  if reply.is_success:
+    reply.json()
+  return reply
+
+
 async def _send(
     call: calls.Call, idem_key: str, body: dict
 ) -> httpx.Response | verdict.Verdict:
@@ -96,13 +130,7 @@
     endpoint = call.endpoint
     excluded.add(endpoint.name)
     try:
-      reply = await router.http.post(
-          endpoint.url + "/v1/bookings",
-          json=body,
-          headers={replies.IDEMPOTENCY_HEADER: idem_key},
-      )
-      if reply.is_success:
-        reply.json()  # a 2xx response that is not JSON counts as a failure
+      reply = await _post(router.http, endpoint.url, idem_key, body)
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
       endpoint.failures += 2
       call.release()
--- a/mustardfall/api/chat.py
+++ b/mustardfall/api/chat.py
@@ -18,6 +18,7 @@
 from mustardfall import idempotency
 from mustardfall import router as router_lib
 from mustardfall import verdict
+from mustardfall.api import bodies
 from mustardfall.api import calls
 from mustardfall.api import relay
 from mustardfall.api import replies
@@ -211,7 +212,7 @@
       headers={"accept-encoding": "identity"},
   )
   try:
-    reply = await http.send(request, stream=True)
+    reply = await bodies.send(http, request)
   except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
     endpoint.failures += 2
     return None  # not connected: nothing was sent
@@ -245,7 +246,7 @@
 ) -> responses.Response:
   endpoint = call.endpoint
   try:
-    data = json.loads(await reply.aread())
+    data = json.loads(await bodies.read(reply))
     used = int(data["usage"]["total_tokens"])
   except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
     endpoint.failures += 2
@@ -253,9 +254,6 @@
     return replies.to_response(
         verdict.may_have_run(f"engine {endpoint.name} broke off: {exc!r}")
     )
-  finally:
-    with anyio.CancelScope(shield=True):
-      await reply.aclose()
   call.record_first_token(update_limit=False)
   billed = call.settle(used, calls.CallResult.COMPLETED)
   await call.record(idempotency.State.RAN)
--- a/mustardfall/api/relay.py
+++ b/mustardfall/api/relay.py
@@ -9,6 +9,7 @@
 import json
 import re
 
+import anyio
 import httpx
 
 from mustardfall import errors
@@ -17,6 +18,9 @@
 """Matches a usage object; quotes in generated text would be escaped."""
 _DONE_PATTERN = re.compile(rb"^data: ?\[DONE\]", re.MULTILINE)
 _ID_PATTERN = re.compile(rb'"id"\s*:\s*("[^"\\]+")')
+_MAX_EVENT_BYTES = 262_144
+_MAX_GAP_S = 60.0
+"""Time without a complete event after which a stream is broken off."""
 _EVENT_PREFIX = b"data: {"
 DONE_EVENT = b"data: [DONE]\n\n"
 """The event that ends a complete stream."""
@@ -49,13 +53,18 @@
     Raises:
       errors.MismatchedResponseError: an event has another response's id.
       httpx.HTTPError: the connection failed.
-      ValueError: an event with usage is not JSON, or its usage not a number.
+      ValueError: an event with usage is not JSON, or its usage not a number;
+        or an event is too long, or does not end.
     """
     incomplete = b""
+    ends_at = anyio.current_time() + _MAX_GAP_S
     async for data in self._reply.aiter_raw():
       block, incomplete = _split(incomplete + data)
+      if len(incomplete) > _MAX_EVENT_BYTES or anyio.current_time() > ends_at:
+        raise ValueError(f"{len(incomplete)} bytes that are no event")
       if not block:
         continue
+      ends_at = anyio.current_time() + _MAX_GAP_S
       self._check_id(block)
       if _USAGE_PATTERN.search(block) or _DONE_PATTERN.search(block):
         block = self._parse_block(block)
--- a/mustardfall/proxy/exchange.py
+++ b/mustardfall/proxy/exchange.py
@@ -5,17 +5,40 @@
 """
 
 from collections.abc import AsyncIterator, Callable
+import logging
+import math
 from typing import Protocol
 
 import anyio
+from anyio import lowlevel
 import h11
 
 from mustardfall import errors
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import messages
 
+logger = logging.getLogger(__name__)
+
 _READ_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
+_MAX_HEAD_S = 2.0
+"""Longest time from the first byte of a head, or of trailers, to the last. They
+fit into a few packets, and lost ones arrive within about a second."""
+_RESPONSE_START = b"HTTP/1."
+_MAX_INFORMATIONAL_RESPONSES = 16
+"""Informational (1xx) responses that are skipped before the final one."""
+_MAX_SKIPPED_BYTES = 1_048_576
+"""Bytes of a body that is not used: of a response to another request."""
+_MAX_DRAINED_BYTES = 65_536
+_MAX_DRAIN_S = 0.05
+"""Bytes and time for the rest of a response that is not used, in order to keep
+the connection."""
+_MIN_CHUNK_BYTES = 8
+_MIN_COUNTED_CHUNKS = 4_096
+"""A body of so many chunks must hold `_MIN_CHUNK_BYTES` in each on average: each
+costs some 20 us of processor time."""
+_YIELD_EVENTS = 64
+"""Parts of a response after which other tasks run, also if more were received."""
 _MAX_FOREIGN_RESPONSES = 4
 """Responses to other requests that are skipped on one connection. More of them
 are not late responses: the server's responses no longer match its requests."""
@@ -77,6 +100,10 @@
     self._closes_connection = False
     self._content_length = 0
     """Content-Length of the response; 0 if there is none."""
+    self._events = 0
+    """Parts of the response that were parsed."""
+    self._body_bytes = 0
+    self._body_chunks = 0
     self.received = False
     """Whether any byte was received."""
     self.ends_with_connection = False
@@ -153,9 +180,7 @@
     if rest:
       self._parser.receive_data(rest)
     for _ in range(_MAX_FOREIGN_RESPONSES):
-      event = await self._next_event()
-      while isinstance(event, h11.InformationalResponse):
-        event = await self._next_event()
+      event = await self._final_head()
       if not isinstance(event, h11.Response):
         raise errors.InvalidResponseError("connection ended before a response")
       head = decode(event.status_code, list(event.headers))
@@ -166,14 +191,27 @@
       await self._skip_response(event)
     raise errors.InvalidResponseError("responses to other requests only")
 
+  async def _final_head(self) -> h11.Event:
+    """Returns the first event that is no informational response."""
+    for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
+      event = await self._next_event(is_head=True)
+      if not isinstance(event, h11.InformationalResponse):
+        return event
+    raise errors.InvalidResponseError("informational responses only")
+
   async def _skip_response(self, head: h11.Response) -> None:
     """Reads the response to another request to its end."""
     if not _has_framing(head):
       raise errors.InvalidResponseError(
           "response to another request, without length"
       )
-    while not isinstance(await self._next_event(), h11.EndOfMessage):
-      pass
+    skipped = 0
+    while not isinstance(event := await self._next_event(), h11.EndOfMessage):
+      skipped += len(event.data) if isinstance(event, h11.Data) else 0
+      if skipped > _MAX_SKIPPED_BYTES:
+        raise errors.InvalidResponseError(
+            "response to another request, endless"
+        )
     rest, ended = self._parser.trailing_data
     self._parser = self._new_parser()
     if rest:
@@ -181,22 +219,54 @@
     if ended:
       self._parser.receive_data(b"")
 
-  async def _next_event(self) -> h11.Event:
+  async def _next_event(self, is_head: bool = False) -> h11.Event:
+    """Returns the next part of the response.
+
+    Raises:
+      errors.InvalidResponseError: the connection ended, or what arrives is no
+        response, or its head or trailers do not end.
+    """
+    self._events += 1
+    if self._events % _YIELD_EVENTS == 0:
+      await lowlevel.checkpoint()
+    due_at = math.inf
     try:
-      while True:
-        event = self._parser.next_event()
-        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-          raise errors.InvalidResponseError("connection ended")
-        if event is not h11.NEED_DATA:
-          return event
-        try:
-          data = await self._connection.stream.receive(_READ_BYTES)
-        except anyio.EndOfStream:
-          data = b""
+      while (event := self._parser.next_event()) is h11.NEED_DATA:
+        if self._has_begun(is_head):
+          due_at = min(due_at, anyio.current_time() + _MAX_HEAD_S)
+        data = await self._receive(due_at)
         self.received = self.received or bool(data)
         self._parser.receive_data(data)
     except _CONNECTION_ERRORS as exc:
       raise errors.InvalidResponseError(repr(exc)) from exc
+    if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+      raise errors.InvalidResponseError("connection ended")
+    return event
+
+  def _has_begun(self, is_head: bool) -> bool:
+    """Whether a head, trailers or a chunk's length has begun and not ended.
+
+    Raises:
+      errors.InvalidResponseError: the bytes are not the begin of a response.
+    """
+    begun = self._parser.trailing_data[0]
+    size = min(len(begun), len(_RESPONSE_START))
+    if is_head and begun[:size] != _RESPONSE_START[:size]:
+      raise errors.InvalidResponseError("bytes that are no response")
+    return bool(begun)
+
+  async def _receive(self, due_at: float) -> bytes:
+    """Returns the next bytes; none if the server has closed the connection.
+
+    Raises:
+      errors.InvalidResponseError: none arrive until `due_at`.
+    """
+    with anyio.CancelScope(deadline=due_at):
+      try:
+        return await self._connection.stream.receive(_READ_BYTES)
+      except anyio.EndOfStream:
+        return b""
+    raise errors.InvalidResponseError(f"head not whole in {_MAX_HEAD_S} s")
 
   async def body(self) -> AsyncIterator[bytes]:
     """Yields the response body; returns only after the complete body.
@@ -207,11 +277,42 @@
     while True:
       event = await self._next_event()
       if isinstance(event, h11.Data):
+        self._count_chunk(len(event.data))
         yield bytes(event.data)
       elif isinstance(event, h11.EndOfMessage):
         self._is_complete = True
         return
 
+  def _count_chunk(self, size: int) -> None:
+    """Counts a part of the body.
+
+    Raises:
+      errors.InvalidResponseError: the body consists of too many small chunks.
+    """
+    self._body_bytes += size
+    self._body_chunks += 1
+    if self._body_chunks < _MIN_COUNTED_CHUNKS:
+      return
+    if self._body_bytes < self._body_chunks * _MIN_CHUNK_BYTES:
+      raise errors.InvalidResponseError(
+          f"{self._body_bytes} bytes in {self._body_chunks} chunks"
+      )
+
+  async def drain(self) -> None:
+    """Reads the rest of a response that is not used, if it arrives at once.
+
+    Otherwise the connection is not reused.
+    """
+    drained = 0
+    with anyio.move_on_after(_MAX_DRAIN_S):
+      try:
+        async for data in self.body():
+          drained += len(data)
+          if drained > _MAX_DRAINED_BYTES:
+            return
+      except errors.InvalidResponseError as exc:
+        logger.info("rest of a response not read", extra={"why": str(exc)})
+
   async def read_body(
       self, max_bytes: int, memory: MemoryLimiter | None = None
   ) -> bytes:
@@ -226,6 +327,10 @@
         `max_bytes`, or does not fit into `memory`.
     """
     out = bytearray()
+    if self._content_length > max_bytes:
+      raise errors.InvalidResponseError(
+          f"response body of {self._content_length} bytes"
+      )
     length = min(self._content_length, max_bytes)
     if memory is not None and length and not await memory.hold_whole(length):
       raise errors.InvalidResponseError(
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -61,8 +61,11 @@
 another endpoint has to process the prompt again, and callers wait for four
 times the objective."""
 _STREAM_STALL_S = 1.0
-"""Pause in a stream after which it is resumed at another endpoint. Engines
-pause for tens of ms; callers disconnect after two seconds or more."""
+"""Time without an event after which a stream is resumed at another endpoint.
+Engines pause for tens of ms; callers disconnect after two seconds or more."""
+_BODY_TIMEOUT_S = 1.0
+"""Least time for the body of a response after its head, before another endpoint
+is tried. Endpoints send both at once."""
 _MIN_RETRY_S = 0.25
 """Shortest Retry-After, before jitter, of requests that found no endpoint."""
 _REPLACEMENT_RETRY_S = 1.0
@@ -461,7 +464,7 @@
         self._directory.drop(row.name)
       else:
         row.failures += 1
-      await exchange.read_body(_MAX_BODY_BYTES)
+      await exchange.drain()
       raise _RetryableError(f"not run: {head.status}")
     if head.has_content_encoding or not head.signed or not head.request_id:
       raise errors.InvalidResponseError("not the endpoint's own answer")
@@ -477,7 +480,9 @@
       exchange: exchange_lib.Exchange,
       head: messages.ResponseHead,
   ) -> None:
-    body = await exchange.read_body(_MAX_BODY_BYTES, context.responder)
+    limit_s = max(_BODY_TIMEOUT_S, self._head_timeout_s(context))
+    with self._attempt_timeout(context, limit_s):
+      body = await exchange.read_body(_MAX_BODY_BYTES, context.responder)
     await self._crash_guard.record_success(context, row, exchange)
     if head.status >= _SERVER_ERROR:
       row.failures += 1
@@ -508,17 +513,21 @@
       head: messages.ResponseHead,
   ) -> None:
     parser = streams.EventParser()
+    context.progress_at = self._clock.monotonic()
     try:
       async for data in self._stream_chunks(context, exchange):
         events = parser.feed(data)
         if events and not context.attempt_events:
           context.attempt_began_at = self._clock.monotonic()
         context.attempt_events += len(events)
-        accepted = [e.raw for e in events if context.sequencer.accept(e)]
+        accepted = [e for e in events if context.sequencer.accept(e)]
+        if not all(event.is_comment for event in accepted):
+          context.progress_at = self._clock.monotonic()
         if accepted:
           await self._resumption.begin(context)
           context.note_events()
-          await self._write(context, head, b"".join(accepted))
+          raw = b"".join(event.raw for event in accepted)
+          await self._write(context, head, raw)
     except ValueError as exc:
       raise errors.InvalidResponseError(str(exc)) from exc
     if parser.incomplete:
@@ -535,10 +544,12 @@
       context: request_context_lib.RequestContext,
       exchange: exchange_lib.Exchange,
   ) -> AsyncIterator[bytes]:
-    """Yields the bytes of a stream; raises if the stream stalls."""
+    """Yields the bytes of a stream; raises if it brings no events for a while."""
     chunks = aiter(exchange.body())
     while True:
-      with self._attempt_timeout(context, _STREAM_STALL_S):
+      due_at = context.progress_at + _STREAM_STALL_S
+      left_s = max(0.0, due_at - self._clock.monotonic())
+      with self._attempt_timeout(context, left_s):
         data = await anext(chunks, None)
       if data is None:
         return
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -59,6 +59,9 @@
   """Events that the endpoint of the current attempt has sent."""
   attempt_began_at: float | None = None
   """When that endpoint sent the first event, monotonic seconds."""
+  progress_at: float = -float("inf")
+  """When the current attempt last brought an event that the caller lacks,
+  monotonic seconds."""
   endpoint_crashed: bool = False
   """Whether the endpoint of the current attempt crashed while it ran it."""
   crashed_writing: bool = False
--- a/mustardfall/proxy/streams.py
+++ b/mustardfall/proxy/streams.py
@@ -2,8 +2,9 @@
 
 from typing import NamedTuple
 
-_MAX_EVENT_BYTES = 1_048_576
+_MAX_EVENT_BYTES = 262_144
 """Largest event accepted; endpoints send much smaller ones."""
+_EVENT_END = b"\n\n"
 
 
 class Event(NamedTuple):
@@ -12,12 +13,17 @@
   id: int | None
   raw: bytes
 
+  @property
+  def is_comment(self) -> bool:
+    """Whether it only keeps the connection open."""
+    return all(line.startswith(b":") for line in self.raw.split(b"\n") if line)
+
 
 class EventParser:
   """Splits the bytes of a stream into complete events."""
 
   def __init__(self) -> None:
-    self._incomplete = b""
+    self._incomplete = bytearray()
 
   def feed(self, data: bytes) -> list[Event]:
     """Returns the events that `data` completes.
@@ -25,15 +31,24 @@
     Raises:
       ValueError: an event is longer than `_MAX_EVENT_BYTES`.
     """
-    *complete, self._incomplete = (self._incomplete + data).split(b"\n\n")
+    start = max(0, len(self._incomplete) - len(_EVENT_END) + 1)
+    self._incomplete += data
+    if self._incomplete.find(_EVENT_END, start) < 0:
+      complete = []
+    else:
+      *complete, self._incomplete = self._incomplete.split(_EVENT_END)
     if len(self._incomplete) > _MAX_EVENT_BYTES:
       raise ValueError("event too long")
-    return [Event(_id_of(raw), raw + b"\n\n") for raw in complete]
+    return [_to_event(bytes(raw)) for raw in complete]
 
   @property
   def incomplete(self) -> bytes:
     """The bytes of an event that is not complete yet."""
-    return self._incomplete
+    return bytes(self._incomplete)
+
+
+def _to_event(raw: bytes) -> Event:
+  return Event(_id_of(raw), raw + _EVENT_END)
 
 
 def _id_of(raw: bytes) -> int | None:
