Model of statements in fleets of any size; callers return over the whole rest

Hypothesis: where all endpoints rest, callers that return within half of the rest overload what comes back.

--- a/mustardfall/routing/statements.py
+++ b/mustardfall/routing/statements.py
@@ -38,7 +38,7 @@
 _FIRST_CREDIT_REQUESTS = 1
 _CREDIT_PER_ANSWER_REQUESTS = 2
 _MIN_RETURN_S = 0.25
-_RETURN_RATIO = 0.5
+_RETURN_RATIO = 1.0
 """Span in which refused callers return after a rest, relative to its rest."""
 _TRIAL_TIMEOUT_S = 1.0
 """How long the answer to the last request after a rest is awaited before another
