--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -249,11 +249,21 @@
   def reason_against(
       self, context: request_context_lib.RequestContext, row: endpoints.Row
   ) -> statements_lib.Withheld | None:
-    """Returns why a request must not be sent to an endpoint now.
+    """Returns why a request must not be sent to the endpoint chosen for it.
 
     Asked once more when the connection is there, since the endpoint may have
-    made a statement after it was chosen.
+    made a statement after it was chosen: that it leaves, wants rest, or bears so
+    few requests that each needs a permit.
     """
+    withheld = self._statement_against(context, row)
+    if withheld is None and context.permit_use is None:
+      if self._limiter.is_limited(row):
+        return statements_lib.Withheld("limited", 0.0)
+    return withheld
+
+  def _statement_against(
+      self, context: request_context_lib.RequestContext, row: endpoints.Row
+  ) -> statements_lib.Withheld | None:
     use_s = 0.0 if context.bound_version is None else self._leaving_use_s
     return self._statements.reason_against(row, use_s)
 
@@ -266,7 +276,7 @@
       rows = table.live(service, "")
     else:
       rows = table.of_version(service, context.bound_version)
-    found = {row.life: self.reason_against(context, row) for row in rows}
+    found = {row.life: self._statement_against(context, row) for row in rows}
     return {life: why for life, why in found.items() if why is not None}
 
   def has_candidate(self, context: request_context_lib.RequestContext) -> bool:
--- a/mustardfall/proxy/endpoint_statements.py
+++ b/mustardfall/proxy/endpoint_statements.py
@@ -137,7 +137,7 @@
       withheld: statements_lib.Withheld,
   ) -> None:
     """Records that a request is not sent to the endpoint chosen for it."""
-    self._table.counts[withheld.reason] += 1
+    self._table.counts[f"withheld {withheld.reason}"] += 1
     self._log("request withheld from endpoint", row, context, withheld.reason)
 
   def _log(
--- a/mustardfall/routing/statements.py
+++ b/mustardfall/routing/statements.py
@@ -219,7 +219,7 @@
     if statement.leaving_at is not None:
       return False
     statement.leaving_at = self._clock.monotonic()
-    self.counts["leaving"] += 1
+    self.counts["said leaving"] += 1
     extra = {
         "endpoint": row.life,
         "address": row.url,
@@ -251,7 +251,7 @@
       return False
     statement = self._statement_of(row, request)
     extended = self._extend_rest(statement, rest_s, row.slots)
-    self.counts["rest"] += 1
+    self.counts["asked for rest"] += 1
     now = self._clock.monotonic()
     extra = {
         "endpoint": row.life,
