--- a/tests/test_endpoint_statements.py
+++ b/tests/test_endpoint_statements.py
@@ -8,8 +8,12 @@
 import anyio
 import testtools
 
+from mustardfall import errors
 from mustardfall.emulator import network
 from mustardfall.emulator import server as server_lib
+from mustardfall.proxy import tunnels
+from mustardfall.routing import statements
+from mustardfall.util import sockets
 from tests import platformcase
 from tests import test_gateway
 
@@ -314,3 +318,77 @@
         server.received.clear()
       response = await env.call("/look/a", f"after-{value}")
       self.assertEqual(200, response.status, value)
+
+
+class ExitTest(testtools.TestCase):
+
+  async def _open(self, router, server):
+    config = router.config
+    return await tunnels.connect(
+        f"{config.peer_listen.host}:{config.tunnel_port}",
+        f"127.0.0.1:{server.port}",
+        "r1",
+        1.0,
+    )
+
+  @test_gateway.in_environment(servers=_SERVERS)
+  async def test_exit_opens_no_tunnel_to_an_endpoint_that_leaves(self, env):
+    """Guards against detours through a router that was told."""
+    exit_router, *_ = await env.add_routers(_ROUTERS)
+    row = exit_router.directory.endpoints.rows["i-1"]
+    exit_router.statements.note_leaving(row, "r0", 200, 0.0)
+    tunnel = await self._open(exit_router, env.servers["i-1"])
+    await tunnel.aclose()
+    await anyio.sleep(exit_router.config.proxy.leaving_use_s)
+    with self.assertRaises(errors.EndpointWithheldError) as caught:
+      await self._open(exit_router, env.servers["i-1"])
+    self.assertTrue(caught.exception.is_leaving)
+
+  @test_gateway.in_environment(servers=_SERVERS)
+  async def test_exit_opens_no_tunnel_to_an_endpoint_at_rest(self, env):
+    """Guards against the same during a rest that the exit was asked for."""
+    exit_router, *_ = await env.add_routers(_ROUTERS)
+    row = exit_router.directory.endpoints.rows["i-1"]
+    rest = statements.NamedRest(5.0, "5")
+    exit_router.statements.note_rest(row, "r0", 503, rest)
+    with self.assertRaises(errors.EndpointWithheldError) as caught:
+      await self._open(exit_router, env.servers["i-1"])
+    self.assertFalse(caught.exception.is_leaving)
+    self.assertTrue(4.0 < caught.exception.rest_s < 8.0)
+
+  @test_gateway.in_environment(servers=_SERVERS)
+  async def test_open_tunnel_is_not_used_again_once_the_exit_is_told(self, env):
+    """Guards against requests on a tunnel that was opened before."""
+    exit_router, *_ = await env.add_routers(_ROUTERS)
+    tunnel = await self._open(exit_router, env.servers["i-1"])
+    self.assertFalse(sockets.is_readable(tunnel))
+    _let_leave(env.servers["i-1"])
+    env.gateway = exit_router
+    listen = exit_router.config.listen
+    for number in range(20):
+      async with await anyio.connect_tcp(listen.host, listen.port) as stream:
+        caller = platformcase.Caller(stream)
+        await caller.send("/look/a", f"told{number}")
+        await caller.receive()
+    with anyio.fail_after(1):
+      while not sockets.is_readable(tunnel):
+        await anyio.sleep(0.01)
+    await tunnel.aclose()
+
+  @test_gateway.in_environment(servers=_SERVERS)
+  async def test_exit_is_told_of_a_rest_that_it_did_not_read(self, env):
+    """Guards against an exit that sends more to an endpoint that asked it."""
+    routers = await env.add_routers(_ROUTERS)
+    callers = platformcase.Callers(env, routers, _CALLS_PER_S)
+    await callers.run(0.5)
+    env.network.cut(routers[0].config.name, network.Cut.RESET)
+    await callers.run(3.0)
+    _let_rest(env.servers["i-1"], "5")
+    await platformcase.Callers(env, routers[:1], 4 * _CALLS_PER_S).run(1.0)
+    self.assertNotEqual([], env.servers["i-1"].turned_away)
+    exits = [
+        router
+        for router in routers[1:]
+        if router.statements.is_withheld(router.directory.endpoints.rows["i-1"])
+    ]
+    self.assertNotEqual([], exits)
