Blame a part that crashes endpoints amid their answer, and now and then does not

Change: from the fifth endpoint on each crash counts whole, and a part that was quarantined before it last succeeded is quarantined again at the second crash.

--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -42,6 +42,9 @@
 _WRITING_WEIGHT = 0.5
 """Weight of a crash against a part if the endpoint had been writing the answer:
 it had processed the prompt."""
+_MAX_WEAK_ENDPOINTS = 4
+"""Crashes of so many endpoints weigh less for that. Further ones count whole: that
+a unit recurs says more than when the endpoints crashed."""
 WRITING_S = 0.25
 """How long it must have been writing for that."""
 _MAX_ROWS = 4_096
@@ -79,6 +82,9 @@
   """A unit that never succeeded is quarantined from so many on."""
   proven_trial_crashes: int = 3
   """The same as `trial_crashes` for units that succeeded before."""
+  relapse_limit: int = 2
+  """The same as `crash_limit` for parts that were quarantined before they last
+  succeeded."""
   proven_crash_limit: int = 5
   """The same as `crash_limit` for these, and for parts that did not run without
   another suspected part."""
@@ -102,6 +108,9 @@
   """Whether an endpoint recently completed a request with it."""
   was_isolated: bool
   """Whether one of the requests had no other suspected part."""
+  has_relapsed: bool = False
+  """Whether it was quarantined before it last succeeded: a part that crashes most
+  endpoints, and not all, succeeds now and then."""
 
 
 def judge(record: Record, policy: Policy = DEFAULT_POLICY) -> Standing:
@@ -115,6 +124,8 @@
   limit = policy.crash_limit
   if record.is_proven or not record.was_isolated:
     limit = policy.proven_crash_limit
+  if record.has_relapsed:
+    limit = policy.relapse_limit
   if record.crashes >= limit:
     return Standing.QUARANTINED
   first = policy.trial_crashes
@@ -246,6 +257,7 @@
   is_part: bool = False
   is_proven: bool = False
   was_isolated: bool = False
+  has_relapsed: bool = False
   told_open: bool = False
   """Whether another router found it open."""
 
@@ -280,6 +292,7 @@
         self.is_part,
         self.is_proven,
         self.was_isolated,
+        self.has_relapsed,
     )
 
 
@@ -303,6 +316,9 @@
     """Units that were open or quarantined when last judged, oldest first."""
     self._succeeded_at: collections.OrderedDict[str, float]
     self._succeeded_at = collections.OrderedDict()
+    self._cleared_at: collections.OrderedDict[str, float]
+    self._cleared_at = collections.OrderedDict()
+    """When parts succeeded that had been quarantined."""
     self.on_outdated: Callable[[str], None] = lambda key: None
     """Called with a unit whose standing another router has sent if this router
     knows a success that the other does not."""
@@ -393,6 +409,8 @@
     # sent after that crash, so this one has a cause of its own.
     if since_last_s > min(_SAME_CAUSE_S, report.ran_s):
       is_weak = row.is_part and report.was_writing
+      is_weak = is_weak and len(row.endpoints) <= _MAX_WEAK_ENDPOINTS
+      is_weak = is_weak and not row.has_relapsed
       row.log_crash(now, _WRITING_WEIGHT if is_weak else 1.0)
       row.was_isolated = row.was_isolated or report.is_isolated
     if len(row.requests) < _MAX_REQUESTS_PER_ROW:
@@ -451,6 +469,7 @@
     crash_count = len(row.crash_log)
     row.crash_log = [crash for crash in row.crash_log if crash.at > at]
     if not row.crash_log:
+      self._note_cleared(fingerprint_, row)
       return self._drop(fingerprint_)
     row.told_open = False
     if not row.is_proven:
@@ -461,6 +480,19 @@
     self._note_change()
     return len(row.crash_log) < crash_count
 
+  def _note_cleared(self, key: str, row: _Row) -> None:
+    """Remembers that a part succeeded that had been quarantined."""
+    if not row.is_part or not row.was_quarantined:
+      return
+    self._cleared_at.pop(key, None)
+    self._cleared_at[key] = self._clock.monotonic()
+    if len(self._cleared_at) > _MAX_ROWS:
+      self._cleared_at.popitem(last=False)
+
+  def _has_relapsed(self, key: str) -> bool:
+    cleared_at = self._cleared_at.get(key, -float("inf"))
+    return self._clock.monotonic() - cleared_at < _RETENTION_S
+
   def apply_update(self, update: QuarantineUpdate) -> bool:
     """Applies an update from another router.
 
@@ -528,6 +560,7 @@
       self._make_room(team)
       row = self._rows[fingerprint_] = _Row(team)
       row.is_proven = self.is_proven(fingerprint_)
+      row.has_relapsed = self._has_relapsed(fingerprint_)
     self._rows.move_to_end(fingerprint_)
     keys = self._keys_by_team.setdefault(row.team, {})
     keys.pop(fingerprint_, None)
--- a/tests/test_blame_fleet.py
+++ b/tests/test_blame_fleet.py
@@ -76,7 +76,7 @@
 
   def test_rare_requests_whose_part_crashes_endpoints_amid_their_answer(self):
     """Guards against a part that is found too late as its crashes count half."""
-    for seed in (3, 13):
+    for seed in (3, 6, 7, 13):
       figures = self._play(seed, bad_writes_s=0.3, bad_per_s=0.5, seconds=40.0)
       self.assertTrue(figures["late"] <= _MAX_LATE, figures)
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -218,6 +218,25 @@
     self.assertEqual(1.5, self.table.crash_count("p"))
     self.assertEqual("clear", self._standing("p"))
 
+  def test_crashes_amid_an_answer_count_whole_once_they_recur(self):
+    """Guards against a part that crashes ten endpoints as each counts half."""
+    for number in range(5):
+      self._crash_part("p", number, was_writing=True)
+    self.assertEqual(3.0, self.table.crash_count("p"))
+    self.assertEqual("quarantined", self._standing("p"))
+
+  def test_part_that_succeeds_now_and_then_is_quarantined_again_soon(self):
+    """Guards against one success that makes a bad part look sound."""
+    for number in range(3):
+      self._crash_part("p", number)
+    self.assertEqual("quarantined", self._standing("p"))
+    self.table.note_success("p")
+    self.assertEqual("clear", self._standing("p"))
+    self._crash_part("p", 3, was_writing=True)
+    self.assertEqual("clear", self._standing("p"))
+    self._crash_part("p", 4, was_writing=True)
+    self.assertEqual("quarantined", self._standing("p"))
+
   def test_culprit_explains_the_crashes_of_others(self):
     """Guards against blame for the parts that always came with the culprit."""
     for number in range(3):
