A request's fingerprint has its model and the parts of its prompt

Callers saw: one request that crashed three endpoints blocked its whole path for 600 s where bodies are alike, since the prompt stands in headers. New test fails before (503 for a sound prompt) and passes.

--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -181,6 +181,7 @@
         last_event=None if last_event is None else int(last_event),
         headers=_forwardable(headers, _NOT_FORWARDED),
         resumes=by_name.get(_RESUMES, b"").decode("latin-1"),
+        model=by_name.get(_MODEL, b"").decode("latin-1"),
     )
 
   def encode_request(
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -99,7 +99,11 @@
         deadline=arrived_at + timeout_s,
         sequencer=streams.EventSequencer(request.last_event),
         fingerprint=quarantine.fingerprint(
-            team_name, request.method, request.target, body
+            team_name,
+            request.method,
+            request.target,
+            body,
+            [request.model, *(part.id for part in request.parts)],
         ),
         parts=quarantine.part_keys(
             team_name, [part.id for part in request.parts]
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -63,6 +63,8 @@
   resumes: str = ""
   """Id of the request that brought the first event of the stream that the
   caller resumes; empty if it named none."""
+  model: str = ""
+  """The requested model; empty if the request is not a generation."""
 
 
 class ForwardingInfo(NamedTuple):
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -211,10 +211,26 @@
   )
 
 
-def fingerprint(team: str, method: bytes, target: bytes, body: bytes) -> str:
-  """Returns a hash that is equal for repetitions of a team's request."""
+def fingerprint(
+    team: str,
+    method: bytes,
+    target: bytes,
+    body: bytes,
+    prompt: Sequence[str] = (),
+) -> str:
+  """Returns a hash that is equal for repetitions of a team's request.
+
+  Args:
+    team: the team's name.
+    method: the HTTP method.
+    target: path and query.
+    body: the body.
+    prompt: what else the endpoint's work depends on: the model, and the ids of
+      all parts of the prompt.
+  """
   digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-  for part in (team.encode(), method, target):
+  encoded = [part.encode() for part in prompt]
+  for part in (team.encode(), method, target, *encoded):
     digest.update(b"%d:%b" % (len(part), part))
   digest.update(body)
   return digest.hexdigest()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -87,3 +87,29 @@
       server.behaviour.reset_after_events = None
     response = await self._send(env, "after")
     self.assertEqual(200, response.status)
+
+  @test_gateway.in_environment(servers=tuple(f"i-{n}" for n in range(8)))
+  async def test_request_with_another_prompt_is_not_quarantined(self, env):
+    """Guards against a path whose bodies are alike that one prompt blocks."""
+
+    def let_crash(server):
+      server.behaviour.crash_on_part = "bad0"
+
+    for server in env.servers.values():
+      let_crash(server)
+    async with env.caller() as caller:
+      await caller.send("/look/a", "sound-before", prompt_prefix="s0:9,e0:1")
+      self.assertEqual(200, (await caller.receive()).status)
+    for number in range(6):
+      async with env.caller() as caller:
+        await caller.send(
+            "/look/a", f"bad-{number}", prompt_prefix="bad0:90,e1:10"
+        )
+        last = await caller.receive()
+    self.assertEqual(503, last.status)
+    for number, more in enumerate(
+        ({"prompt_prefix": "s0:90,e2:10"}, {"prompt_prefix": "s1:90,e1:10"})
+    ):
+      async with env.caller() as caller:
+        await caller.send("/look/a", f"sound-{number}", **more)
+        self.assertEqual(200, (await caller.receive()).status, more)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -100,7 +100,9 @@
     found = {quarantine.fingerprint(*given)}
     for n, other in enumerate(("b", b"PUT", b"/b", b"bod")):
       found.add(quarantine.fingerprint(*given[:n], other, *given[n + 1 :]))
-    self.assertEqual(5, len(found))
+    for prompt in (["m"], ["m", "a"], ["n", "a"], ["m", "a", "b"], ["m", "ab"]):
+      found.add(quarantine.fingerprint(*given, prompt))
+    self.assertEqual(10, len(found))
     self.assertIn(quarantine.fingerprint(*given), found)
 
   def test_update_from_another_router_is_applied(self):
