A stream whose caller reads slowly does not count as stalled

Found on the last read of the change: the time without an event ran while events were being written to the caller. It counts from the end of the write now. The line on a withheld send names the path of this attempt.

--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -307,6 +307,7 @@
     context.endpoint = row.name
     context.version = row.version
     connection = await self._connect(context, row)
+    context.via = connection.via
     await self._check_statement(context, row, connection)
     exchange = exchange_lib.Exchange(
         self._connection_pool,
@@ -325,7 +326,6 @@
     sent_at = self._clock.monotonic()
     self._request_log.log_permitted_send(context, row)
     self._request_log.log_resumed_send(context, row)
-    context.via = connection.via
     self._statements.note_sent(row, context)
     self._resumption.note_sent(context, row)
     failed = False
@@ -521,13 +521,14 @@
           context.attempt_began_at = self._clock.monotonic()
         context.attempt_events += len(events)
         accepted = [e for e in events if context.sequencer.accept(e)]
-        if not all(event.is_comment for event in accepted):
-          context.progress_at = self._clock.monotonic()
         if accepted:
           await self._resumption.begin(context)
           context.note_events()
           raw = b"".join(event.raw for event in accepted)
           await self._write(context, head, raw)
+        if not all(event.is_comment for event in accepted):
+          # Only now: the caller may have read slowly.
+          context.progress_at = self._clock.monotonic()
     except ValueError as exc:
       raise errors.InvalidResponseError(str(exc)) from exc
     if parser.incomplete:
