--- a/mustardfall/proxy/exchange.py
+++ b/mustardfall/proxy/exchange.py
@@ -34,9 +34,11 @@
 """Bytes and time for the rest of a response that is not used, in order to keep
 the connection."""
 _MIN_CHUNK_BYTES = 8
+_MIN_WHOLE_BODY_CHUNK_BYTES = 512
+"""Bytes that the chunks of a stream, or of another body, hold on average at
+least: each costs some 20 us of processor time."""
 _MIN_COUNTED_CHUNKS = 4_096
-"""A body of so many chunks must hold `_MIN_CHUNK_BYTES` in each on average: each
-costs some 20 us of processor time."""
+"""Chunks from which that is checked."""
 _YIELD_EVENTS = 64
 """Parts of a response after which other tasks run, also if more were received."""
 _MAX_FOREIGN_RESPONSES = 4
@@ -104,6 +106,7 @@
     """Parts of the response that were parsed."""
     self._body_bytes = 0
     self._body_chunks = 0
+    self._min_chunk_bytes = _MIN_CHUNK_BYTES
     self.received = False
     """Whether any byte was received."""
     self.ends_with_connection = False
@@ -293,7 +296,7 @@
     self._body_chunks += 1
     if self._body_chunks < _MIN_COUNTED_CHUNKS:
       return
-    if self._body_bytes < self._body_chunks * _MIN_CHUNK_BYTES:
+    if self._body_bytes < self._body_chunks * self._min_chunk_bytes:
       raise errors.InvalidResponseError(
           f"{self._body_bytes} bytes in {self._body_chunks} chunks"
       )
@@ -327,6 +330,7 @@
         `max_bytes`, or does not fit into `memory`.
     """
     out = bytearray()
+    self._min_chunk_bytes = _MIN_WHOLE_BODY_CHUNK_BYTES
     if self._content_length > max_bytes:
       raise errors.InvalidResponseError(
           f"response body of {self._content_length} bytes"
