Endpoints are chosen by the speed that was learned of each

Cause: placement assumes 55 prompt tokens per ms of every endpoint, and its measure of slowness follows the last second. Endpoints of 0.6 to 1.6 times the nominal speed get large prompts that they cannot prefill within the objective. A Server-Load with a fourth figure was dropped altogether.

Change: trackers, and each router for itself, keep the ratio of actual to nominal time of first tokens, less the slowdown that the answer states. Cost functions weight wait and prefill by it. More endpoints are compared where no candidate has a long prefix cached, or where the answer would probably be late.

--- a/mustardfall/bench/virtual/engines.py
+++ b/mustardfall/bench/virtual/engines.py
@@ -22,12 +22,14 @@
 from mustardfall.routing import loads
 from mustardfall.routing import overload
 from mustardfall.routing import placement
+from mustardfall.routing import server_speed
 from mustardfall.routing import tracking
 
-_PREFILL_TOKENS_PER_S = 64_200.0
 _ATTENTION_S_PER_TOKEN_PAIR = 0.647e-9
 _FIRST_TOKEN_OVERHEAD_S = 0.005
 """Duration of one engine step and of the network round trip."""
+_MOMENT_S = 0.2
+"""Duration of a momentary slowdown by other work on an engine's machine."""
 _DECODE_S = 0.5
 """Duration of a stream after its first token."""
 _REPORT_FANOUT = 8
@@ -72,6 +74,13 @@
   slow: int = 0
   """Number of engines that become slow after a third of the day."""
   slow_x: float = 3.5
+  prefill_tokens_per_s: float = 64_200.0
+  """Prefill rate of an engine of nominal speed."""
+  speeds: tuple[float, ...] = (1.0,)
+  """Speeds of the engines relative to the nominal one, in turn."""
+  shared_x: float = 1.0
+  """Largest momentary slowdown of an engine by other work on its machine, in a
+  fifth of all moments of `_MOMENT_S`; engines state it in their answers."""
   limited: int = 0
   """Number of engines that name a limit after a third of the day."""
   limited_per_s: float = 1.0
@@ -110,10 +119,12 @@
 class _Engine:
   """An engine that prefills prompts one after the other."""
 
-  def __init__(self) -> None:
+  def __init__(self, number: int, day: Day) -> None:
+    self._day = day
+    self._number = number
     self.idle_at = 0.0
     self.cached: set[str] = set()
-    self.slow_x = 1.0
+    self.slow_x = 1 / day.speeds[number % len(day.speeds)]
     self.bucket: issuing.Bucket | None = None
     """The permits of an engine that names a limit."""
 
@@ -125,12 +136,19 @@
     before = prompt.shared_tokens - shared
     pairs = tokens * (before + tokens / 2)
     seconds = (
-        tokens / _PREFILL_TOKENS_PER_S + pairs * _ATTENTION_S_PER_TOKEN_PAIR
+        tokens / self._day.prefill_tokens_per_s
+        + pairs * _ATTENTION_S_PER_TOKEN_PAIR
     )
-    self.idle_at = max(now, self.idle_at) + seconds * self.slow_x
+    begin = max(now, self.idle_at)
+    self.idle_at = begin + seconds * self.slow_x * self.moment(begin)
     self.cached.add(prompt.prefix)
     return self.idle_at + _FIRST_TOKEN_OVERHEAD_S, shared
 
+  def moment(self, now: float) -> float:
+    """Returns the slowdown by other work on the engine's machine."""
+    period = int(now / _MOMENT_S) + 7 * self._number
+    return self._day.shared_x if period % 5 == 0 else 1.0
+
 
 class _Router:
   """One router's knowledge of the engines."""
@@ -182,8 +200,11 @@
     self._day = day
     self._random = random.Random(f"engines {seed}")
     self._choose, self._report = POLICIES[policy]
+    self.learns_speeds = policy in LEARNING_POLICIES
+    self.objective_s = math.inf
+    """Objective of the request that is being placed."""
     self.routers = [_Router(n, day) for n in range(day.routers)]
-    self.engines = {f"i-{n}": _Engine() for n in range(day.engines)}
+    self.engines = {f"i-{n}": _Engine(n, day) for n in range(day.engines)}
     self.tracker = tracking.Tracker()
     """Tracks all engines. In a real fleet each engine is tracked by some
     router, which others ask by message."""
@@ -227,7 +248,7 @@
       self.schedule(
           self._day.seconds / 3,
           lambda now, engine=engine: setattr(
-              engine, "slow_x", self._day.slow_x
+              engine, "slow_x", engine.slow_x * self._day.slow_x
           ),
       )
     for number in range(self._day.limited):
@@ -300,6 +321,7 @@
   def _place_request(self, kind: Kind, now: float) -> None:
     router = self._random.choice(self.routers)
     prompt = self._draw_prompt(kind)
+    self.objective_s = kind.objective_s
     self._requests += 1
     place, send_at = self._choose_permitted(router, prompt, now)
     if self._is_refused(router, kind, place, now):
@@ -452,7 +474,12 @@
         for one in asked
     }
     place = placement.choose_tracked(asked, statuses, prompt, router.datacentre)
-    if not placement.is_busy(place, prompt):
+    is_enough = not placement.is_busy(place, prompt)
+    if simulation.learns_speeds:
+      is_enough = not placement.should_widen(
+          place, prompt, simulation.objective_s
+      )
+    if is_enough:
       break
   return place
 
@@ -511,15 +538,25 @@
     )
   elif step == "first":
     took_s = now - sent.sent_at
-    simulation.tracker.note_first_token(life, sent.place.answer_s, took_s, now)
+    measured = None
+    if simulation.learns_speeds:
+      moment = simulation.engines[sent.place.row.name].moment(now)
+      measured = server_speed.Measurement(sent.place.nominal_s, took_s, moment)
+    simulation.tracker.note_first_token(
+        life, sent.place.answer_s, took_s, now, measured
+    )
   else:
     simulation.tracker.note_end(life, sent.name, False, now)
 
 
+LEARNING_POLICIES = frozenset(("learned",))
+"""Policies whose routers learn the engines' speeds."""
+
 POLICIES = {
     "hashed": (_choose_by_hash, _record_locally),
     "two": (_choose_of_two, _report_to_sample),
     "sampled": (_choose_least_loaded, _report_to_sample),
     "tracked": (_choose_tracked, _report_to_tracker),
+    "learned": (_choose_tracked, _report_to_tracker),
 }
 """For each policy, how a router chooses an endpoint and what it reports."""
--- a/mustardfall/bench/virtual/limits.py
+++ b/mustardfall/bench/virtual/limits.py
@@ -507,7 +507,7 @@
         self.limiter,
         statements,
         self.clock,
-        random.Random(fleet.rng.random()),
+        rng=random.Random(fleet.rng.random()),
     )
     self.told_at: dict[str, float] = {}
     """When an endpoint's answer first named a limit to this router."""
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -273,6 +273,7 @@
         self._endpoint_limiter,
         self.statements,
         clock,
+        self.instruments,
     )
     self.stream_keepers = stream_keepers_lib.StreamKeepers(
         self.accounts.members, self.datagrams, self._call_peer, clock
--- a/mustardfall/membership/trackers.py
+++ b/mustardfall/membership/trackers.py
@@ -9,20 +9,32 @@
 from collections.abc import Iterable
 import itertools
 import json
+import logging
 from typing import NamedTuple
 
 import anyio
 
 from mustardfall.membership import datagrams as datagrams_lib
 from mustardfall.membership import members as members_lib
+from mustardfall.routing import server_speed
 from mustardfall.routing import tracking
 from mustardfall.util import clock as clock_lib
 
+logger = logging.getLogger(__name__)
+
 _TRACKER_COUNT = 2
 """Routers that track an endpoint; the first of them is queried."""
 _ANSWER_TIMEOUT_S = 0.025
 """How long to wait for answers. One usually takes 1 to 5 ms; on a host of half
 a core that is parsing a request it takes 15."""
+_MEASURED_FIELDS = 4
+"""Fields of a report of a first token that says something of the speed."""
+_SPEED_FIELDS = 2
+"""Fields of a status that say what was learned of the speed."""
+_LOGGED_WEIGHT_S = 1.0
+"""Nominal seconds of measured work from which a learned speed is logged."""
+_LOGGED_CHANGE = 0.25
+"""Change of a learned speed, relative to the one before, that is logged."""
 _AVOID_S = 1.0
 """How long a router that gave no answer is queried only as a last resort."""
 
@@ -77,6 +89,8 @@
     self._ids = itertools.count()
     self._surveys: dict[int, _Survey] = {}
     self._avoided_until: dict[str, float] = {}
+    self._logged_ratios: dict[str, float] = {}
+    """The learned speed that was last logged, by endpoint."""
     datagrams.connect_with_sender(datagrams_lib.Kind.SURVEY, self._handle_query)
     datagrams.connect(datagrams_lib.Kind.STANDING, self._handle_answer)
     datagrams.connect(datagrams_lib.Kind.TRACK, self._handle_update)
@@ -142,7 +156,12 @@
     query_id, prefix, endpoints = json.loads(raw)
     now = self._clock.monotonic()
     standings = [
-        [endpoint, *self._tracker.status_of(str(endpoint), str(prefix), now)]
+        [
+            endpoint,
+            *encode_status(
+                self._tracker.status_of(str(endpoint), str(prefix), now)
+            ),
+        ]
         for endpoint in endpoints
     ]
     content = _encode([int(query_id), standings])
@@ -153,15 +172,8 @@
     survey = self._surveys.get(query_id)
     if survey is None:
       return  # the answer is late: the query has timed out
-    for endpoint, in_flight, prefill_s, held, slowness, failures in standings:
-      standing = tracking.EndpointStatus(
-          int(in_flight),
-          float(prefill_s),
-          bool(held),
-          float(slowness),
-          float(failures),
-      )
-      survey.add(endpoint, standing)
+    for endpoint, *fields in standings:
+      survey.add(endpoint, decode_status(fields))
 
   def note_sent(
       self, endpoint: str, prefix: str, prefill_s: float
@@ -172,11 +184,24 @@
     return TrackedRequest(endpoint, request)
 
   def note_first_token(
-      self, sent: TrackedRequest, expected_s: float, took_s: float
+      self,
+      sent: TrackedRequest,
+      expected_s: float,
+      took_s: float,
+      measured: server_speed.Measurement | None = None,
   ) -> None:
-    """Reports the expected and actual time to the first token."""
-    times = [round(expected_s, 4), round(took_s, 4)]
-    self._send_update(["first", sent.endpoint, *times])
+    """Reports the expected and actual time to the first token.
+
+    Args:
+      sent: the request.
+      expected_s: the time that was expected.
+      took_s: the actual time.
+      measured: what the time says of the endpoint's speed; None: nothing.
+    """
+    update = ["first", sent.endpoint, round(expected_s, 4), round(took_s, 4)]
+    if measured is not None:
+      update += [round(measured.nominal_s, 4), round(measured.moment, 2)]
+    self._send_update(update)
 
   def note_end(self, sent: TrackedRequest, failed: bool) -> None:
     """Reports that a request has ended at an endpoint."""
@@ -197,9 +222,14 @@
       request, prefix, prefill_s = facts
       self._tracker.note_sent(endpoint, request, prefix, float(prefill_s), now)
     elif step == "first":
-      expected_s, took_s = facts
+      expected_s, took_s = float(facts[0]), float(facts[1])
+      measured = None
+      if len(facts) >= _MEASURED_FIELDS:
+        measured = server_speed.Measurement(
+            float(facts[2]), took_s, float(facts[3])
+        )
       self._tracker.note_first_token(
-          endpoint, float(expected_s), float(took_s), now
+          endpoint, expected_s, took_s, now, measured
       )
     elif step == "end":
       request, failed = facts
@@ -213,6 +243,55 @@
     for life, until in list(self._avoided_until.items()):
       if until <= now:
         del self._avoided_until[life]
+    self._log_speeds(now)
+
+  def _log_speeds(self, now: float) -> None:
+    """Logs the learned speeds that have changed much."""
+    speeds = self._tracker.speeds(now)
+    for endpoint in self._logged_ratios.keys() - speeds.keys():
+      del self._logged_ratios[endpoint]
+    for endpoint, speed in speeds.items():
+      before = self._logged_ratios.get(endpoint)
+      if speed.weight_s < _LOGGED_WEIGHT_S:
+        continue
+      if before and abs(speed.ratio - before) <= _LOGGED_CHANGE * before:
+        continue
+      self._logged_ratios[endpoint] = speed.ratio
+      extra = {
+          "endpoint": endpoint,
+          "time_ratio": round(speed.ratio, 2),
+          "measured_s": round(speed.weight_s, 2),
+          "before": before and round(before, 2),
+      }
+      logger.info("endpoint speed learned", extra=extra)
+
+
+def encode_status(status: tracking.EndpointStatus) -> list:
+  """Returns the fields of a status; those of its speed only if it is known."""
+  *fields, speed = status
+  if speed.weight_s > 0.0:
+    fields += [round(speed.ratio, 3), round(speed.weight_s, 3)]
+  return fields
+
+
+def decode_status(fields: list) -> tracking.EndpointStatus:
+  """Decodes the fields of a status.
+
+  Raises:
+    TypeError, ValueError: they are not those of a status.
+  """
+  in_flight, prefill_s, cached, slowness, failures, *more = fields
+  speed = server_speed.UNKNOWN_SPEED
+  if len(more) >= _SPEED_FIELDS:
+    speed = server_speed.decode(float(more[0]), float(more[1]))
+  return tracking.EndpointStatus(
+      int(in_flight),
+      float(prefill_s),
+      bool(cached),
+      float(slowness),
+      float(failures),
+      speed,
+  )
 
 
 def _encode(value: list) -> bytes:
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -1,6 +1,7 @@
 """Translates between the platform's headers and the types of the data path."""
 
 import math
+import re
 import urllib.parse
 
 from mustardfall import errors
@@ -30,7 +31,10 @@
 _TURNED_AWAY = (429, 503)
 """Statuses with which a server turns a request away and may ask for rest."""
 _MISDIRECTED_REQUEST = 421
-_LOAD_FIELDS = 3
+_LOAD_COUNTS = 3
+"""Fields of a load that count requests and slots."""
+_LOAD_COUNT = re.compile(rb"[0-9]{1,9}")
+"""More digits are no load of a server, and would exceed any memory."""
 _MAX_LOGGED_CHARS = 40
 """Length to which an unusable value is shortened, characters."""
 
@@ -246,12 +250,22 @@
 def _parse_load(value: bytes | None) -> messages.Load | None:
   if value is None:
     return None
-  fields = value.split(b",")
-  if len(fields) != _LOAD_FIELDS or not all(
-      f.strip().isdigit() for f in fields
+  """Returns the load that a server reports; None if it is unusable.
+
+  Fields after the known ones are ignored. An unusable fourth field leaves the
+  others as they are.
+  """
+  counts, rest = value.split(b",")[:_LOAD_COUNTS], value.split(b",")
+  if len(counts) < _LOAD_COUNTS or not all(
+      _LOAD_COUNT.fullmatch(field.strip()) for field in counts
   ):
     return None
-  return messages.Load(*(int(field) for field in fields))
+  moment = None
+  if len(rest) > _LOAD_COUNTS:
+    text = rest[_LOAD_COUNTS].strip()
+    if retry_after.DECIMAL_NUMBER.fullmatch(text):
+      moment = float(text)
+  return messages.Load(*(int(field) for field in counts), moment)
 
 
 def _parse_rate_limit(
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -1,8 +1,10 @@
 """Chooses a request's endpoint and reports its load to other routers."""
 
+import collections
 import itertools
 import random
 
+from mustardfall import metrics
 from mustardfall import settings
 from mustardfall.membership import loadshare as loadshare_lib
 from mustardfall.membership import trackers as trackers_lib
@@ -14,7 +16,9 @@
 from mustardfall.routing import endpoints
 from mustardfall.routing import overload
 from mustardfall.routing import placement as placement_lib
+from mustardfall.routing import server_speed
 from mustardfall.routing import statements as statements_lib
+from mustardfall.routing import work_times as work_times_lib
 from mustardfall.util import clock as clock_lib
 
 _DRAWN_ENDPOINTS = 2
@@ -30,6 +34,9 @@
     context: the request.
     placement: the chosen endpoint and the expected times.
     directory: learns the endpoint's speed.
+    work_times: learns how long plain requests take; None: speeds are not
+      learned.
+    clock: the time source.
     load_share: reports load to all routers of a small fleet.
     trackers: reports load to the endpoint's trackers in a large fleet.
   """
@@ -39,10 +46,15 @@
       context: request_context_lib.RequestContext,
       placement: placement_lib.Placement,
       directory: directory_lib.Directory,
+      work_times: work_times_lib.WorkTimes | None,
+      clock: clock_lib.Clock,
       load_share: loadshare_lib.LoadShare,
       trackers: trackers_lib.Trackers,
   ) -> None:
     self._is_generation = bool(context.request.parts)
+    self._route = context.route.name
+    self._work_times = work_times
+    self._clock = clock
     self._placement = placement
     self._directory = directory
     self._load_share = load_share
@@ -59,19 +71,49 @@
           placement.row.life, prefix, placement.prefill_s
       )
 
-  def record_response_time(self, took_s: float) -> None:
-    """Records how long the response took to begin, or was waited for."""
-    if not self._is_generation:
-      return
+  def record_response_time(
+      self, took_s: float, stated_moment: float | None = None
+  ) -> None:
+    """Records how long the response took to begin, or was waited for.
+
+    Args:
+      took_s: the time.
+      stated_moment: the slowdown that the endpoint stated, see
+        `server_speed.moment_of`.
+    """
+    measured = self._measure(took_s, stated_moment)
     placement = self._placement
-    self._directory.endpoints.update_slowness(
-        placement.row, placement.answer_s, took_s
-    )
+    if self._is_generation:
+      self._directory.endpoints.update_slowness(
+          placement.row, placement.answer_s, took_s
+      )
+    elif measured is None:
+      return
     if self._tracked_send is not None:
       self._trackers.note_first_token(
-          self._tracked_send, placement.answer_s, took_s
+          self._tracked_send, placement.answer_s, took_s, measured
       )
 
+  def _measure(
+      self, took_s: float, stated_moment: float | None
+  ) -> server_speed.Measurement | None:
+    """Records what a response time says of the endpoint's speed."""
+    if self._work_times is None:
+      return None
+    placement = self._placement
+    moment = server_speed.moment_of(stated_moment)
+    if not self._is_generation:
+      known_s = self._work_times.work_s(self._route)
+      wait_s = placement.nominal_s - known_s
+      self._work_times.note(self._route, max(0.0, took_s / moment - wait_s))
+      if not known_s:
+        return None
+    measured = server_speed.Measurement(placement.nominal_s, took_s, moment)
+    self._directory.endpoints.measure_speed(
+        placement.row, measured, self._clock.monotonic()
+    )
+    return measured
+
   def end_prefill(self) -> None:
     """Records that the endpoint has processed the prompt."""
     self._pending_prefill.end()
@@ -98,6 +140,7 @@
     limiter: limits the requests to endpoints that name a low rate.
     statements: which endpoints have said that they leave or want rest.
     clock: the time source.
+    instruments: counts the placements; None: they are not counted.
     rng: draws endpoints, and times at which refused callers may return.
   """
 
@@ -111,9 +154,21 @@
       limiter: endpoint_limiter_lib.EndpointLimiter,
       statements: statements_lib.Table,
       clock: clock_lib.Clock,
+      instruments: metrics.Instruments | None = None,
       rng: random.Random | None = None,
   ) -> None:
+    self._placements: collections.Counter[str] = collections.Counter()
+    if instruments is not None:
+      instruments.observe_totals(
+          "mustardfall.placements",
+          "",
+          "choices of an endpoint",
+          self._placements,
+      )
     self._datacentre = config.datacentre
+    self._work_times = (
+        work_times_lib.WorkTimes() if config.proxy.learned_speeds else None
+    )
     self._leaving_use_s = config.proxy.leaving_use_s
     self._directory = directory
     self._load_share = load_share
@@ -312,19 +367,39 @@
     staying = [row for row in untried if not self._statements.is_leaving(row)]
     preferred = staying or untried or rows
     prompt = request_context_lib.prompt_for_placement(context.request)
+    if self._work_times is not None and not prompt.prefix:
+      work_s = self._work_times.work_s(context.route.name)
+      prompt = prompt._replace(work_s=work_s)
     if not self._trackers.is_used:
       return placement_lib.choose(preferred, prompt, self._datacentre)
-    return await self._select_tracked(preferred, prompt)
+    objective_s = context.route.objective.total_seconds()
+    return await self._select_tracked(preferred, prompt, objective_s)
+
+  def _is_enough(
+      self,
+      chosen: placement_lib.Placement,
+      prompt: placement_lib.Prompt,
+      objective_s: float,
+  ) -> bool:
+    """Whether no more endpoints need to be compared."""
+    if self._work_times is None:
+      return not placement_lib.is_busy(chosen, prompt)
+    return not placement_lib.should_widen(chosen, prompt, objective_s)
 
   async def _select_tracked(
-      self, rows: list[endpoints.Row], prompt: placement_lib.Prompt
+      self,
+      rows: list[endpoints.Row],
+      prompt: placement_lib.Prompt,
+      objective_s: float,
   ) -> placement_lib.Placement | None:
-    """Queries the load of a few endpoints, and of more while those are busy."""
+    """Queries the load of a few endpoints, and of more while that may help."""
     placement, asked, statuses = None, [], {}
+    self._placements["tracked"] += 1
     rounds = placement_lib.candidates(
         rows, prompt, self._datacentre, self._random
     )
     for found in rounds:
+      self._placements["widened"] += bool(asked)
       asked += found
       lives = [one.row.life for one in found]
       if len(rows) > 1:
@@ -332,7 +407,7 @@
       placement = placement_lib.choose_tracked(
           asked, statuses, prompt, self._datacentre
       )
-      if placement is None or not placement_lib.is_busy(placement, prompt):
+      if placement is None or self._is_enough(placement, prompt, objective_s):
         break
     return placement
 
@@ -350,5 +425,11 @@
   ) -> EndpointAttempt:
     """Counts a request as sent; the caller ends the returned attempt."""
     return EndpointAttempt(
-        context, placement, self._directory, self._load_share, self._trackers
+        context,
+        placement,
+        self._directory,
+        self._work_times,
+        self._clock,
+        self._load_share,
+        self._trackers,
     )
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -305,6 +305,7 @@
     row = placement.row
     context.tried_endpoints.add(row.name)
     context.endpoint = row.name
+    context.expected_s = placement.answer_s
     context.version = row.version
     connection = await self._connect(context, row)
     context.via = connection.via
@@ -450,7 +451,10 @@
       if waited_s > placement.answer_s:
         attempt.record_response_time(waited_s)
       raise
-    attempt.record_response_time(self._clock.monotonic() - sent_at)
+    attempt.record_response_time(
+        self._clock.monotonic() - sent_at,
+        head.load.moment if head.load is not None else None,
+    )
     attempt.end_prefill()
     self._note_heard(context)
     self._statements.note_answer(row, context, sent_at, head)
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -84,6 +84,9 @@
   running: int
   waiting: int
   slots: int
+  moment: float | None = None
+  """How long work takes on its machine at this moment, 100 meaning as usual; None
+  if it does not say."""
 
 
 class ResponseHead(NamedTuple):
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -80,6 +80,8 @@
   """How long the request waited for its reservation of tokens."""
   tried_endpoints: set[str] = dataclasses.field(default_factory=set)
   endpoint: str = ""
+  expected_s: float | None = None
+  """Time until that endpoint's answer begins, as expected when it was chosen."""
   version: str = ""
   """The software version of that endpoint, as listed."""
   event_versions: list[str] = dataclasses.field(default_factory=list)
--- a/mustardfall/proxy/request_log.py
+++ b/mustardfall/proxy/request_log.py
@@ -149,6 +149,9 @@
             "outcome": outcome,
             "status": status,
             "endpoint": context.endpoint,
+            "expected_ms": None
+            if context.expected_s is None
+            else round(context.expected_s * 1000),
             "versions": context.event_versions,
             "resumes": context.request.resumes,
             "resumed_at": context.request.last_event,
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -11,6 +11,7 @@
 from typing import Literal, NotRequired, TypedDict
 
 from mustardfall import settings
+from mustardfall.routing import server_speed
 
 logger = logging.getLogger(__name__)
 
@@ -98,6 +99,10 @@
   cache then holds only prefixes that were sent since."""
   slowness: float = 1.0
   """Moving average of the time to first token, relative to the expected one."""
+  speed: server_speed.Speed = server_speed.UNKNOWN_SPEED
+  """How fast it works, learned over a longer time than `slowness`."""
+  speed_estimate: server_speed.Estimate = server_speed.UNMEASURED
+  """The measured times from which its speed is estimated."""
   failures: float = 0.0
   """Recent failures; decreases by one each `_FAILURE_MEMORY_S`."""
   limit_decreased_at: float = -float("inf")
@@ -409,6 +414,13 @@
     ratio = min(max(ratio, 1 / _MAX_RATIO), _MAX_RATIO)
     row.slowness += _SLOWNESS_WEIGHT * (ratio - row.slowness)
 
+  def measure_speed(
+      self, row: Row, measured: server_speed.Measurement, now: float
+  ) -> None:
+    """Updates what is known of an endpoint's speed with one answer."""
+    row.speed_estimate = server_speed.add(row.speed_estimate, measured, now)
+    row.speed = server_speed.speed_of(row.speed_estimate, now)
+
   def tick(self, now: float) -> None:
     """Ages what is known of the endpoints; call once per tick.
 
@@ -422,6 +434,7 @@
       row.running *= _LOAD_DECAY
       row.waiting *= _LOAD_DECAY
       row.slowness += _SLOWNESS_DECAY * (1.0 - row.slowness)
+      row.speed = server_speed.speed_of(row.speed_estimate, now)
       while row.prefixes:
         oldest = next(iter(row.prefixes))
         if now - row.prefixes[oldest] < _CACHE_LIFETIME_S:
--- a/mustardfall/routing/placement.py
+++ b/mustardfall/routing/placement.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from mustardfall.routing import endpoints
+from mustardfall.routing import server_speed
 from mustardfall.routing import tracking
 
 _WAIT_S_PER_RUNNING = 0.01
@@ -56,6 +57,9 @@
 """Candidates that are compared in each round."""
 _BUSY_WAIT_S = 0.1
 """Expected wait above which another round of candidates is compared."""
+_LATE_RATIO = 0.7
+"""Expected time to the answer, relative to the objective, from which an answer is
+probably late: other prompts arrive meanwhile and are prefilled in between."""
 _AFFINITY_TOKENS = 1_000
 """Shortest prefix for which requests are kept at the same endpoint, 16 ms of
 prefill. Prefilling a shorter one anywhere is quicker than waiting there."""
@@ -68,6 +72,9 @@
   """Identifies the prefix shared with other prompts; empty: there is none."""
   shared_tokens: int
   own_tokens: int
+  work_s: float = 0.0
+  """Time that a plain request takes at an endpoint of nominal speed, as far as
+  known."""
 
 
 NO_PROMPT = Prompt("", 0, 0)
@@ -80,13 +87,20 @@
   prefill_s: float
   """Time to prefill this prompt."""
   answer_s: float
-  """Time until the answer begins, at an endpoint of average speed."""
+  """Time until the answer begins, at the speed learned of the endpoint."""
   saved_s: float = 0.0
   """Time that the prefix in its cache saves."""
+  nominal_s: float = 0.0
+  """Time until the answer begins at an endpoint of nominal speed."""
+  is_cached: bool = True
+  """Whether the prompt's prefix is assumed to be in its cache."""
 
 
 def wait_s(row: endpoints.Row, prompt: Prompt) -> float:
-  """Returns the seconds that a new request would wait at `row`."""
+  """Returns the seconds that a new request would wait at `row`.
+
+  At nominal speed: the caller weights them by the endpoint's speed.
+  """
   # The sums of others' loads are negative, until the next tick, where a row was
   # replaced after a report was added and the report is then subtracted.
   in_flight = row.in_flight + max(0, row.others_in_flight)
@@ -111,6 +125,7 @@
     cached_anywhere: bool,
     prompt: Prompt,
     datacentre: str,
+    mean_ratio: float = 1.0,
 ) -> float:
   """Returns the estimated cost of choosing `row`, seconds.
 
@@ -120,6 +135,7 @@
     cached_anywhere: whether any endpoint has the prefix cached.
     prompt: the request's prompt.
     datacentre: the router's own.
+    mean_ratio: ratio of the average endpoint, see `server_speed`.
   """
   is_cached = likely_cached(row, rank, prompt)
   cost = _fixed_cost_s(row, is_cached, prompt, datacentre)
@@ -129,7 +145,9 @@
     cost += min(rank, _MAX_RANK) * _COST_S_PER_RANK
   elif not is_cached:
     own_prefill_s *= _CACHE_MISS_WEIGHT
-  return row.slowness * (wait_s(row, prompt) + own_prefill_s) + cost + failure_s
+  ratio = row.slowness * server_speed.ratio_of(row.speed, mean_ratio)
+  work_s = wait_s(row, prompt) + own_prefill_s + prompt.work_s
+  return ratio * work_s + cost + failure_s
 
 
 def _fixed_cost_s(
@@ -219,10 +237,18 @@
   cached_anywhere = any(
       _is_cached(candidate, statuses, prompt) for candidate in compared
   )
+  mean_ratio = server_speed.mean_ratio(
+      _speed(candidate, statuses) for candidate in compared
+  )
   costs = [
       (
           _tracked_cost_s(
-              candidate, statuses, cached_anywhere, prompt, datacentre
+              candidate,
+              statuses,
+              cached_anywhere,
+              prompt,
+              datacentre,
+              mean_ratio,
           ),
           number,
       )
@@ -231,15 +257,46 @@
   if not costs:
     return None
   best = compared[min(costs)[1]]
-  own_prefill_s = prefill_s(_is_cached(best, statuses, prompt), prompt)
+  is_cached = _is_cached(best, statuses, prompt)
+  ratio = server_speed.ratio_of(_speed(best, statuses), mean_ratio)
+  wait = tracked_wait_s(best, statuses, prompt, ratio)
+  return _placement(best.row, prompt, is_cached, wait, ratio)
+
+
+def _placement(
+    row: endpoints.Row,
+    prompt: Prompt,
+    is_cached: bool,
+    wait: float,
+    ratio: float,
+) -> Placement:
+  """Returns the placement at an endpoint.
+
+  Args:
+    row: the endpoint.
+    prompt: the request's prompt.
+    is_cached: whether its prefix is in the endpoint's cache.
+    wait: expected wait there, seconds.
+    ratio: the endpoint's ratio of actual to nominal time.
+  """
+  nominal_s = prefill_s(is_cached, prompt)
   return Placement(
-      best.row,
-      own_prefill_s,
-      tracked_wait_s(best, statuses, prompt) + own_prefill_s,
-      _saved_s(own_prefill_s, prompt),
+      row,
+      nominal_s,
+      wait + ratio * (nominal_s + prompt.work_s),
+      _saved_s(nominal_s, prompt),
+      wait / ratio + nominal_s + prompt.work_s,
+      is_cached,
   )
 
 
+def _speed(
+    candidate: Candidate, statuses: Mapping[str, tracking.EndpointStatus]
+) -> server_speed.Speed:
+  status = statuses.get(candidate.row.life)
+  return candidate.row.speed if status is None else status.speed
+
+
 def _is_cached(
     candidate: Candidate,
     statuses: Mapping[str, tracking.EndpointStatus],
@@ -255,13 +312,22 @@
     candidate: Candidate,
     statuses: Mapping[str, tracking.EndpointStatus],
     prompt: Prompt,
+    ratio: float = 1.0,
 ) -> float:
-  """Returns the seconds that a new request would wait at a candidate."""
+  """Returns the seconds that a new request would wait at a candidate.
+
+  Args:
+    candidate: the endpoint.
+    statuses: see `choose_tracked`. Trackers weight the pending prefill by the
+      endpoint's speed.
+    prompt: the request's prompt.
+    ratio: the endpoint's ratio of actual to nominal time.
+  """
   status = statuses.get(candidate.row.life)
   if status is None:
-    return wait_s(candidate.row, prompt)
+    return ratio * wait_s(candidate.row, prompt)
   per_request_s = _WAIT_S_PER_DECODING if prompt.prefix else _WAIT_S_PER_RUNNING
-  return status.in_flight * per_request_s + status.prefill_s
+  return ratio * status.in_flight * per_request_s + status.prefill_s
 
 
 def _tracked_cost_s(
@@ -270,12 +336,18 @@
     cached_anywhere: bool,
     prompt: Prompt,
     datacentre: str,
+    mean_ratio: float,
 ) -> float:
   """Returns the estimated cost of choosing a candidate, see `cost_s`."""
   status = statuses.get(candidate.row.life)
   if status is None:
     return cost_s(
-        candidate.row, candidate.rank, cached_anywhere, prompt, datacentre
+        candidate.row,
+        candidate.rank,
+        cached_anywhere,
+        prompt,
+        datacentre,
+        mean_ratio,
     )
   cached_here = _is_cached(candidate, statuses, prompt)
   own_prefill_s = prefill_s(cached_here, prompt)
@@ -284,11 +356,12 @@
     cost += min(candidate.rank, _MAX_RANK) * _COST_S_PER_RANK
   elif not cached_here:
     own_prefill_s *= _CACHE_MISS_WEIGHT
-  wait = tracked_wait_s(candidate, statuses, prompt)
+  ratio = server_speed.ratio_of(status.speed, mean_ratio)
+  wait = tracked_wait_s(candidate, statuses, prompt, ratio)
   return (
       cost
       + wait
-      + status.slowness * own_prefill_s
+      + ratio * (status.slowness * own_prefill_s + prompt.work_s)
       + status.failures * _COST_S_PER_FAILURE
   )
 
@@ -300,6 +373,26 @@
   )
 
 
+def should_widen(chosen: Placement, prompt: Prompt, objective_s: float) -> bool:
+  """Whether comparing more candidates is worthwhile for a generation.
+
+  It is where the endpoint is busy, where none of the candidates is known to
+  have a long prefix cached (an endpoint further down its order may have it, and
+  prefilling it once more takes longer than asking), and where the answer would
+  probably be late: a faster endpoint may be further down.
+
+  Args:
+    chosen: the best candidate so far.
+    prompt: the request's prompt.
+    objective_s: the latency objective.
+  """
+  if is_busy(chosen, prompt):
+    return True
+  if prompt.shared_tokens >= _AFFINITY_TOKENS and not chosen.is_cached:
+    return True
+  return bool(prompt.prefix) and chosen.answer_s > _LATE_RATIO * objective_s
+
+
 def choose(
     rows: list[endpoints.Row], prompt: Prompt, datacentre: str
 ) -> Placement | None:
@@ -308,23 +401,21 @@
   cached_anywhere = any(
       likely_cached(row, rank, prompt) for rank, row in enumerate(ordered)
   )
+  mean_ratio = server_speed.mean_ratio(row.speed for row in rows)
   best = min(
       enumerate(ordered),
       key=lambda ranked: cost_s(
-          ranked[1], ranked[0], cached_anywhere, prompt, datacentre
+          ranked[1], ranked[0], cached_anywhere, prompt, datacentre, mean_ratio
       ),
       default=None,
   )
   if best is None:
     return None
   rank, row = best
-  own_prefill_s = prefill_s(likely_cached(row, rank, prompt), prompt)
-  return Placement(
-      row,
-      own_prefill_s,
-      wait_s(row, prompt) + own_prefill_s,
-      _saved_s(own_prefill_s, prompt),
-  )
+  ratio = server_speed.ratio_of(row.speed, mean_ratio)
+  is_cached = likely_cached(row, rank, prompt)
+  wait = ratio * wait_s(row, prompt)
+  return _placement(row, prompt, is_cached, wait, ratio)
 
 
 def _rank_key(prefix: str, name: str) -> bytes:
--- a/mustardfall/routing/tracking.py
+++ b/mustardfall/routing/tracking.py
@@ -9,6 +9,8 @@
 import dataclasses
 from typing import NamedTuple
 
+from mustardfall.routing import server_speed
+
 _CACHE_LIFETIME_S = 15.0
 """How long an unused prefix is assumed to stay in an endpoint's cache."""
 _MAX_PREFILL_S = 10.0
@@ -47,6 +49,8 @@
   """Moving average of the time to first token, relative to the expected one."""
   failures: float
   """Recently failed attempts; decays."""
+  speed: server_speed.Speed = server_speed.UNKNOWN_SPEED
+  """How fast it works, learned over a longer time than `slowness`."""
 
 
 UNKNOWN = EndpointStatus(0, 0.0, False, 1.0, 0.0)
@@ -66,6 +70,8 @@
   prefixes: dict[str, float] = dataclasses.field(default_factory=dict)
   """Prefixes that it was sent, and when each was last sent."""
   slowness: float = 1.0
+  estimate: server_speed.Estimate = server_speed.UNMEASURED
+  """The measured times from which its speed is estimated."""
   failures: float = 0.0
   decayed_at: float = 0.0
   """When the decay was last applied to slowness and failures."""
@@ -92,8 +98,17 @@
         and now - sent_at <= _CACHE_LIFETIME_S,
         slowness=state.slowness,
         failures=state.failures,
+        speed=server_speed.speed_of(state.estimate, now),
     )
 
+  def speeds(self, now: float) -> dict[str, server_speed.Speed]:
+    """Returns what was learned of the speed of each endpoint."""
+    return {
+        endpoint: server_speed.speed_of(state.estimate, now)
+        for endpoint, state in self._states.items()
+        if state.estimate.nominal_s
+    }
+
   def note_sent(
       self,
       endpoint: str,
@@ -115,17 +130,34 @@
     state.requests[request] = now
     begin = max(now, state.prefill_done_at)
     bounded_s = min(max(0.0, prefill_s), _MAX_PREFILL_S)
-    state.prefill_done_at = begin + bounded_s * state.slowness
+    speed = server_speed.speed_of(state.estimate, now)
+    ratio = state.slowness * server_speed.ratio_of(speed, 1.0)
+    state.prefill_done_at = begin + bounded_s * ratio
     if prefix:
       state.prefixes.pop(prefix, None)
       state.prefixes[prefix] = now
 
   def note_first_token(
-      self, endpoint: str, expected_s: float, took_s: float, now: float
+      self,
+      endpoint: str,
+      expected_s: float,
+      took_s: float,
+      now: float,
+      measured: server_speed.Measurement | None = None,
   ) -> None:
-    """Records how long a first token took, or has taken so far."""
+    """Records how long a first token took, or has taken so far.
+
+    Args:
+      endpoint: the endpoint's life (one run of its process).
+      expected_s: the time that was expected.
+      took_s: the actual time.
+      now: the current time.
+      measured: what the time says of the endpoint's speed; None: nothing.
+    """
     state = self._state_of(endpoint, now)
     self._decay(state, now)
+    if measured is not None:
+      state.estimate = server_speed.add(state.estimate, measured, now)
     ratio = took_s / max(expected_s, _MIN_EXPECTED_S)
     ratio = min(max(ratio, 1 / _MAX_RATIO), _MAX_RATIO)
     state.slowness += _SLOWNESS_WEIGHT * (ratio - state.slowness)
