--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -53,6 +53,7 @@
 from mustardfall.proxy import messages
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
 from mustardfall.proxy import resumption as resumption_lib
+from mustardfall.proxy import saturation_limiter as saturation_limiter_lib
 from mustardfall.proxy import tunnel_server as tunnel_server_lib
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
@@ -431,6 +432,14 @@
           self.paths,
           self.reach,
           resumption_lib.Resumption(self.stream_keepers, self.directory),
+          saturation_limiter_lib.SaturationLimiter(
+              self.config,
+              self.clock,
+              lambda: self.tunnel_server.lag_s,
+              lambda: len(self.accounts.members.lives) > 1,
+              lambda: self.directory.configuration,
+              self.instruments,
+          ),
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -32,6 +32,7 @@
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.proxy import request_log as request_log_lib
 from mustardfall.proxy import resumption as resumption_lib
+from mustardfall.proxy import saturation_limiter as saturation_limiter_lib
 from mustardfall.proxy import streams
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
@@ -103,6 +104,7 @@
     paths: connects to endpoints.
     reach: the endpoints that this router reaches directly.
     resumption: keeps streams at the version that began them.
+    saturation_limiter: rejects requests while this router is saturated.
   """
 
   def __init__(
@@ -122,6 +124,7 @@
       paths: endpoint_paths_lib.EndpointPaths,
       reach: reach_lib.Reach,
       resumption: resumption_lib.Resumption,
+      saturation_limiter: saturation_limiter_lib.SaturationLimiter,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -135,6 +138,7 @@
     self._paths = paths
     self._reach = reach
     self._resumption = resumption
+    self._saturation_limiter = saturation_limiter
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -158,6 +162,7 @@
     """Responds to one request; cancelled when its caller disconnects."""
     try:
       context = self._admission.admit(request, body, responder)
+      self._saturation_limiter.refuse_if_saturated(context)
       await self._resumption.bind(context, self._admission.jittered_retry_after)
       self._retry_budget(context.service.name).deposit()
     except refusals.RefusalError as refusal:
@@ -419,14 +424,11 @@
       self, context: request_context_lib.RequestContext, row: endpoints.Row
   ) -> messages.ForwardingInfo:
     team = context.team
-    priority = context.route.priority
-    if team is not None and team.priority is not None:
-      priority = team.priority
     return messages.ForwardingInfo(
         endpoint=row.name,
         team=team.name if team else "",
         time_left_s=context.deadline - self._clock.monotonic(),
-        priority=priority,
+        priority=context.priority,
         last_event=context.sequencer.last_event_id,
     )
 
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -106,6 +106,13 @@
   error_response: tuple[messages.ResponseHead, bytes] | None = None
   """A 5xx response of an endpoint, passed on if no other attempt succeeds."""
 
+  @property
+  def priority(self) -> int:
+    """The request's priority, its team's first; 0 is the most urgent."""
+    if self.team is not None and self.team.priority is not None:
+      return self.team.priority
+    return self.route.priority
+
   @property
   def units(self) -> tuple[str, ...]:
     """The keys of what may crash endpoints: the request and its parts."""
--- a/mustardfall/proxy/tunnel_server.py
+++ b/mustardfall/proxy/tunnel_server.py
@@ -119,6 +119,11 @@
       late_s = anyio.current_time() - due_at
       self._lag_s = smooth_lag_s(self._lag_s, late_s)
 
+  @property
+  def lag_s(self) -> float:
+    """Mean delay of this process's timers, seconds."""
+    return self._lag_s
+
   @property
   def is_busy(self) -> bool:
     """Whether this router's processor is too busy for further tunnels."""
