Reject requests at once while the router's processor is saturated

Cause: callers keep their connections at one router, and a few send much of all requests.

Change: new requests are rejected with 503 and a Retry-After of 0.02 to 0.08 s, by the mean delay of the router's timers and by rank; callers repeat them at another router. Setting proxy.sheds_saturated.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -434,7 +434,6 @@
           resumption_lib.Resumption(self.stream_keepers, self.directory),
           saturation_limiter_lib.SaturationLimiter(
               self.config,
-              self.clock,
               lambda: self.tunnel_server.lag_s,
               lambda: len(self.accounts.members.lives) > 1,
               lambda: self.directory.configuration,
--- a/mustardfall/proxy/saturation_limiter.py
+++ b/mustardfall/proxy/saturation_limiter.py
@@ -12,7 +12,6 @@
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import configuration
 from mustardfall.routing import router_saturation
-from mustardfall.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
 
@@ -22,7 +21,6 @@
 
   Args:
     config: all of the router's settings.
-    clock: the time source.
     lag_s: returns the mean delay of this process's timers, seconds.
     has_others: whether other routers are up.
     ranks: returns the configuration, whose priorities rank the requests.
@@ -33,7 +31,6 @@
   def __init__(
       self,
       config: settings.Router,
-      clock: clock_lib.Clock,
       lag_s: Callable[[], float],
       has_others: Callable[[], bool],
       ranks: Callable[[], configuration.Configuration | None],
@@ -41,12 +38,11 @@
       rng: random.Random | None = None,
   ) -> None:
     self._is_enabled = config.proxy.sheds_saturated
-    self._clock = clock
     self._lag_s = lag_s
     self._has_others = has_others
     self._ranks = ranks
     self._random = rng or random.Random()
-    self._state = router_saturation.State()
+    self._is_saturated = False
     self._counts: collections.Counter[str] = collections.Counter()
     instruments.observe_totals(
         "mustardfall.saturation",
@@ -68,33 +64,35 @@
     """
     if not self._is_enabled:
       return
-    self._update()
-    if not self._state.share or context.sequencer.last_event_id is not None:
+    lag_s = self._lag_s()
+    self._log_change(lag_s)
+    if not self._is_saturated or context.sequencer.last_event_id is not None:
       return
     rank = self._rank(context)
-    share = router_saturation.rejected_share(self._state.share, rank)
+    share = router_saturation.rejected_share(lag_s, rank)
     if self._random.random() >= share or not self._has_others():
       return
     self._counts[f"rank {rank:.1f}"] += 1
     facts = {
-        "lag_s": round(self._lag_s(), 3),
+        "lag_s": round(lag_s, 3),
         "rejected_share": round(share, 3),
         "rank": round(rank, 3),
     }
     retry_s = router_saturation.retry_after_s(self._random.random())
     raise refusals.router_saturated(round(retry_s, 3), facts)
 
-  def _update(self) -> None:
-    before, lag_s = self._state, self._lag_s()
-    now = self._clock.monotonic()
-    self._state = router_saturation.update(before, lag_s, now)
-    if bool(before.share) != bool(self._state.share):
-      extra = {
-          "is_saturated": bool(self._state.share),
-          "lag_s": round(lag_s, 3),
-          "rejected": dict(self._counts),
-      }
-      logger.info("router saturation changed", extra=extra)
+  def _log_change(self, lag_s: float) -> None:
+    """Logs that the router begins or ends to reject requests."""
+    is_saturated = router_saturation.rejected_share(lag_s, 1.0) > 0.0
+    if is_saturated == self._is_saturated:
+      return
+    self._is_saturated = is_saturated
+    extra = {
+        "is_saturated": is_saturated,
+        "lag_s": round(lag_s, 3),
+        "rejected": dict(self._counts),
+    }
+    logger.info("router saturation changed", extra=extra)
 
   def _rank(self, context: request_context_lib.RequestContext) -> float:
     """Returns 0 for the most urgent requests, up to 1 for the least urgent."""
