Tokens through routers that reach the store while others are cut off

Cause: with 55 of 58 routers cut off from the store, budgets' owners may draw up to their last ceiling only and deputies are mostly cut off, so that requests get 429 although three routers could take a grant.

Change: a router asks any router that says that it reaches the store, found as exits to endpoints are. Setting allotment.relayed.

--- a/mustardfall/accounts.py
+++ b/mustardfall/accounts.py
@@ -14,6 +14,7 @@
 from mustardfall import errors
 from mustardfall import events
 from mustardfall import settings
+from mustardfall.budget import acquiring
 from mustardfall.budget import ledger
 from mustardfall.budget import policy
 from mustardfall.budget import pool as pool_lib
@@ -42,6 +43,7 @@
     get_lease: returns the lease to attach to a key (0: none).
     epoch: distinguishes this life from others; random if empty.
     budgets: returns the budgets that the configuration sets.
+    relays: finds routers that reach the store; None: none are known.
   """
 
   def __init__(
@@ -56,6 +58,7 @@
       get_lease: Callable[[str], int] = lambda key: 0,
       epoch: str = "",
       budgets: Callable[[], Iterable[str]] = tuple,
+      relays: acquiring.StoreRelays | None = None,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -90,6 +93,7 @@
         limit_of,
         self.clock_check,
         budgets,
+        relays,
     )
     bus.connect(
         events.Name.LEDGER_READ, lambda e: self.pool.update_from_ledger(*e)
--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -16,6 +16,7 @@
 from mustardfall.budget import policy
 from mustardfall.budget import reserving
 from mustardfall.membership import clockcheck
+from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers
 
 _HAND_BACK_TIMEOUT_S = 0.7
@@ -32,6 +33,8 @@
 _ENDPOINTS = "endpoints/"
 """Prefix of the keys that a router polls for the list of endpoints."""
 _POLL_S = 1.0
+_FIND_RELAYS_S = 0.005
+"""Time to ask other routers by datagram whether they reach the store."""
 _POLL_RETRY_S = 0.3
 """Pauses between polls after a success and after a failure. Polling also
 detects that the store is reachable again."""
@@ -99,6 +102,41 @@
   return {}
 
 
+class _Relays:
+  """Routers that reach the store, as found by asking them.
+
+  Args:
+    fleet: all hosts.
+    name: the host that asks.
+  """
+
+  def __init__(self, fleet: Fleet, name: str) -> None:
+    self._fleet = fleet
+    self._name = name
+    self._dropped: set[str] = set()
+
+  async def find(self) -> list[members_lib.Member]:
+    """Returns routers whose client reaches the store, in random order."""
+    await anyio.sleep(_FIND_RELAYS_S)
+    found = [
+        host.accounts.members.me
+        for host in self._fleet.hosts.values()
+        if host.accounts is not None
+        and host.name != self._name
+        and host.serving
+        and host.reaches_store
+        and host.accounts.members.me.life not in self._dropped
+    ]
+    self._dropped.clear()
+    self._fleet.rng.shuffle(found)
+    return found
+
+  def drop(self, life: str, reason: str) -> None:
+    """Leaves a router out of the next list."""
+    del reason
+    self._dropped.add(life)
+
+
 class Host:
   """A host and, while its router runs, that router's accounts.
 
@@ -120,6 +158,11 @@
     self._scope: anyio.CancelScope | None = None
     self._client: store_lib.Client | None = None
 
+  @property
+  def reaches_store(self) -> bool:
+    """Whether the router takes the store for reachable."""
+    return self._client is not None and self._client.reachable
+
   def start(self) -> None:
     """Starts a new router process."""
     self._fleet.tasks.start_soon(self._run)
@@ -149,6 +192,7 @@
         self._limits.get,
         epoch=f"{fleet.rng.getrandbits(32):08x}",
         budgets=self._limits.keys,
+        relays=_Relays(fleet, self.name),
     )
     async with anyio.create_task_group() as tasks:
       self._scope = tasks.cancel_scope
--- a/mustardfall/budget/acquiring.py
+++ b/mustardfall/budget/acquiring.py
@@ -7,7 +7,8 @@
 """
 
 import collections
-from typing import NamedTuple
+import logging
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -22,6 +23,8 @@
 from mustardfall.membership import peers as peers_lib
 from mustardfall.util import clock as clock_lib
 
+logger = logging.getLogger(__name__)
+
 _OWNER_REFUSAL_TTL_S = 0.05
 """How long an owner's refusal is cached."""
 _POLL_INTERVAL_S = 0.05
@@ -40,6 +43,36 @@
 routers have returned idle tokens, which takes about 20 ms."""
 
 
+_MAX_RELAYS = 2
+"""Relays that are asked for one request. Each takes some ms, and a request waits
+for its tokens a tenth of a second."""
+_RELAYED_HORIZON_S = 0.4
+"""Draw that a relayed part covers, and that a relay's grant covers beyond what
+is asked: without it, each request of a long partition would cost a call to a
+relay and a transaction there."""
+
+
+class StoreRelays(Protocol):
+  """Finds routers that reach the store while this router does not."""
+
+  async def find(self) -> list[members_lib.Member]:
+    """Returns such routers in the order to try them; waits briefly for them."""
+
+  def drop(self, life: str, reason: str) -> None:
+    """Stops naming a router for a while: it did not reach the store."""
+
+
+class NoRelays:
+  """Names no routers."""
+
+  async def find(self) -> list[members_lib.Member]:
+    """Returns no routers."""
+    return []
+
+  def drop(self, life: str, reason: str) -> None:
+    """Does nothing."""
+
+
 class _GrantRequest(NamedTuple):
   """A grant to be requested from the KV in the background."""
 
@@ -86,6 +119,7 @@
     recaller: asks other holders to return idle tokens.
     settler: settles parts whose delivery is uncertain.
     counts: event counters.
+    relays: finds routers that reach the store.
   """
 
   def __init__(
@@ -101,7 +135,9 @@
       recaller: recalling.Recaller,
       settler: settling.Settler,
       counts: collections.Counter[str],
+      relays: StoreRelays,
   ) -> None:
+    self._relays = relays
     self._config = config
     self._clock = clock
     self._members = members
@@ -225,11 +261,39 @@
         continue
       if await self._request_part(deputy, budget, tokens, part, customer):
         return
+    if await self._request_relayed(budget, tokens, part, customer):
+      return
     # No other router has tokens either; a slow store may still answer.
     pending = self._pending_grants.get(budget)
     if pending is not None:
       await pending.done.wait()
 
+  async def _request_relayed(
+      self, budget: str, least: int, part: int, customer: str
+  ) -> bool:
+    """Asks routers that reach the store; returns whether an answer is final."""
+    if not self._config.relayed:
+      return False
+    drawn = self._table.rate.get(budget, 0.0) * _RELAYED_HORIZON_S
+    want = max(part, int(drawn))
+    for relay in (await self._relays.find())[:_MAX_RELAYS]:
+      if self._can_reserve(budget, least):
+        return True
+      is_final = await self._request_part(relay, budget, least, want, customer)
+      self._counts["relayed" if is_final else "relay_failures"] += 1
+      extra = {
+          "budget": budget,
+          "relay": relay.life,
+          "least": least,
+          "want": want,
+          "is_final": is_final,
+      }
+      logger.info("tokens requested from a relay", extra=extra)
+      if is_final:
+        return True
+      self._relays.drop(relay.life, "does not reach the store")
+    return False
+
   def _can_reserve(self, budget: str, tokens: int) -> bool:
     self._table.update_ceiling(budget, self._clock.monotonic())
     return self._table.can_reserve(budget, tokens)
@@ -355,6 +419,9 @@
     # reserve would be idle once the owner answers again.
     demand = max(least, self._demand.get(budget, 0))
     want = self._table.grant_size(budget, demand) if as_owner else demand
+    if self._config.relayed and not as_owner:
+      drawn = self._table.rate.get(budget, 0.0) * _RELAYED_HORIZON_S
+      want = max(want, int(drawn))
     state = await self._granter.grant(budget, least, want, margin, as_owner)
     if state is None:
       return
--- a/mustardfall/budget/pool.py
+++ b/mustardfall/budget/pool.py
@@ -51,6 +51,7 @@
       ledger has its own.
     clock_check: compares the wall clock with other routers' clocks, if given.
     budgets: returns the budgets that the configuration sets.
+    relays: finds routers that reach the store; None: none are known.
   """
 
   def __init__(
@@ -64,6 +65,7 @@
       limit_of: Callable[[str], ledger.Limit | None] = lambda budget: None,
       clock_check: clockcheck.ClockCheck | None = None,
       budgets: Callable[[], Iterable[str]] = tuple,
+      relays: acquiring.StoreRelays | None = None,
   ) -> None:
     self._config = config.allotment
     self._clock = clock
@@ -137,6 +139,7 @@
         self.recaller,
         self._settler,
         self._counts,
+        relays or acquiring.NoRelays(),
     )
     self.owner = ownership.Owner(
         self._config,
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -35,6 +35,7 @@
 from mustardfall.membership import notices as notices_lib
 from mustardfall.membership import permits as permits_lib
 from mustardfall.membership import relay as relay_lib
+from mustardfall.membership import store_relays as store_relays_lib
 from mustardfall.membership import stream_keepers as stream_keepers_lib
 from mustardfall.membership import trackers as trackers_lib
 from mustardfall.membership import trials as trials_lib
@@ -169,6 +170,9 @@
         lambda customer: policy.CONFIGURED_BUDGETS,
         self._limit_of,
         budgets=self._budgets,
+        relays=store_relays_lib.StoreRelays(
+            lambda: self.exits, config.datacentre
+        ),
     )
     self.reach = reach_lib.Reach(self.directory.endpoints, clock)
     self.loads = loads_lib.Loads(
@@ -303,7 +307,9 @@
     self.http_server: http_server.HttpServer | None = None
 
   def _reaches(self, kind: str) -> bool:
-    """Whether this router opens tunnels to a kind of endpoints."""
+    """Whether this router opens tunnels to a kind, or reaches the store."""
+    if kind == store_relays_lib.QUESTION:
+      return self.kv.reachable and not self.stopping
     is_closed = self.stopping or self.tunnel_server.is_busy
     return not (is_closed or self.reach.is_cut(kind))
 
--- a/mustardfall/membership/exits.py
+++ b/mustardfall/membership/exits.py
@@ -137,6 +137,16 @@
     self._dropped_until[life] = self._clock.monotonic() + _DROPPED_S
     logger.info("exit not used", extra={"exit": life, "reason": reason})
 
+  def known(self, kind: str) -> list[str]:
+    """Returns the lives of the routers that answered that they reach a kind."""
+    return list(self._known.get(kind, {}))
+
+  def forget(self, kind: str, life: str, reason: str) -> None:
+    """Stops using an exit to one kind until it answers a later question."""
+    if self._known.get(kind, {}).pop(life, None) is not None:
+      extra = {"exit": life, "kind": kind, "reason": reason}
+      logger.info("exit not used", extra=extra)
+
   def note_opened(self, kind: str, life: str) -> None:
     """Records that an exit has opened a tunnel, which answers for it, too."""
     known = self._known.get(kind, {}).get(life)
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -91,6 +91,9 @@
   of benchmarks."""
   recall_s: float = pydantic.Field(default=0.3, gt=0)
   """Minimum time between two recalls of a budget's idle tokens."""
+  relayed: bool = False
+  """Whether tokens are requested from any router that reaches the store when
+  this router, the budget's owner and its deputies do not reach it."""
 
 
 class Writer(_SettingsModel):
