Saturated routers close connections unread instead of rejecting requests

Cause: a request that was read counts as one that this router has to serve. Where most new connections go to one router, its rejections would be most of what callers get there; reading and rejecting also costs its processor more.

Change: by the mean delay of the router's timers, new connections are closed unread, and open ones after the request that is served.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -438,13 +438,6 @@
           self.paths,
           self.reach,
           resumption_lib.Resumption(self.stream_keepers, self.directory),
-          saturation_limiter_lib.SaturationLimiter(
-              self.config,
-              lambda: self.tunnel_server.lag_s,
-              lambda: len(self.accounts.members.lives) > 1,
-              lambda: self.directory.configuration,
-              self.instruments,
-          ),
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
@@ -453,6 +446,12 @@
           self.clock,
           resource_limiter=self._resource_limiter,
           sheds_connections=True,
+          saturation=saturation_limiter_lib.SaturationLimiter(
+              self.config,
+              lambda: self.tunnel_server.lag_s,
+              lambda: len(self.accounts.members.lives) > 1,
+              self.instruments,
+          ),
       )
       # The callers' port is opened before the loops start: the router reports
       # readiness as soon as the loops have read the configuration.
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -32,7 +32,6 @@
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.proxy import request_log as request_log_lib
 from mustardfall.proxy import resumption as resumption_lib
-from mustardfall.proxy import saturation_limiter as saturation_limiter_lib
 from mustardfall.proxy import streams
 from mustardfall.routing import configuration
 from mustardfall.routing import directory as directory_lib
@@ -104,7 +103,6 @@
     paths: connects to endpoints.
     reach: the endpoints that this router reaches directly.
     resumption: keeps streams at the version that began them.
-    saturation_limiter: rejects requests while this router is saturated.
   """
 
   def __init__(
@@ -124,7 +122,6 @@
       paths: endpoint_paths_lib.EndpointPaths,
       reach: reach_lib.Reach,
       resumption: resumption_lib.Resumption,
-      saturation_limiter: saturation_limiter_lib.SaturationLimiter,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -138,7 +135,6 @@
     self._paths = paths
     self._reach = reach
     self._resumption = resumption
-    self._saturation_limiter = saturation_limiter
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -162,7 +158,6 @@
     """Responds to one request; cancelled when its caller disconnects."""
     try:
       context = self._admission.admit(request, body, responder)
-      self._saturation_limiter.refuse_if_saturated(context)
       await self._resumption.bind(context, self._admission.jittered_retry_after)
       self._retry_budget(context.service.name).deposit()
     except refusals.RefusalError as refusal:
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -19,6 +19,7 @@
 from mustardfall import settings
 from mustardfall.proxy import messages
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
+from mustardfall.proxy import saturation_limiter as saturation_limiter_lib
 from mustardfall.routing import configuration
 from mustardfall.util import accept_queue
 from mustardfall.util import clock as clock_lib
@@ -139,6 +140,7 @@
     resource_limiter: limits connections and memory; by default, only the
       process's descriptors limit the connections.
     sheds_connections: whether to close waiting connections when overloaded.
+    saturation: turns callers to other routers while the processor is saturated.
   """
 
   def __init__(
@@ -150,7 +152,9 @@
       name: str = "callers",
       resource_limiter: resource_limiter_lib.ResourceLimiter | None = None,
       sheds_connections: bool = False,
+      saturation: saturation_limiter_lib.SaturationLimiter | None = None,
   ) -> None:
+    self._saturation = saturation
     self._name = name
     self.resource_limiter = (
         resource_limiter
@@ -191,7 +195,16 @@
             queue,
         )
 
+  @property
+  def is_leaving_connections(self) -> bool:
+    """Whether connections are closed after the request that is served."""
+    saturation = self._saturation
+    return self.draining or (saturation is not None and saturation.is_saturated)
+
   async def _serve_connection(self, stream: abc.SocketStream) -> None:
+    if self._saturation is not None and self._saturation.closes_unread():
+      await anyio.aclose_forcefully(stream)
+      return
     allocation = self.resource_limiter.new_allocation()
     allocation.add_connection()
     try:
@@ -329,7 +342,9 @@
     self._allocate(resource_limiter_lib.REQUEST_OVERHEAD_BYTES)
     request = self._decode(head)
     body = await self._read_body(head)
-    self.closes_after_response = self._server.draining or _requests_close(head)
+    self.closes_after_response = (
+        self._server.is_leaving_connections or _requests_close(head)
+    )
     self._server.in_flight += 1
     try:
       await self._handle(request, body, responder)
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -124,13 +124,6 @@
   return RefusalError(503, "all endpoints are busy", retry_after_s, facts)
 
 
-def router_saturated(
-    retry_after_s: float, facts: Mapping[str, Any]
-) -> RefusalError:
-  """This router has no processor time left; another one serves it sooner."""
-  return RefusalError(503, "router is saturated", retry_after_s, facts)
-
-
 def not_sent_in_time(retry_after_s: float) -> RefusalError:
   """The deadline passed before the request was sent to an endpoint."""
   return RefusalError(503, "not sent in time", retry_after_s)
--- a/mustardfall/routing/configuration.py
+++ b/mustardfall/routing/configuration.py
@@ -136,10 +136,6 @@
     self._routes: dict[str, dict[str, Route]] = {}
     for route in routes:
       self._routes.setdefault(route.authority, {})[route.prefix] = route
-    found = {route.priority for route in routes}
-    found |= {team.priority for team in teams if team.priority is not None}
-    self.priorities = tuple(sorted(found))
-    """The priorities that requests may have, the most urgent first."""
 
   def match(self, authority: str, path: str) -> Route | None:
     """Returns the route with the longest matching prefix, if any.
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -166,8 +166,8 @@
   """Longest rest that an endpoint is granted which turns a request away with a
   `Retry-After`, seconds; 0: none. A longer one is asked for again after it."""
   sheds_saturated: bool = False
-  """Whether new requests are rejected at once while this router's processor is
-  saturated and other routers are up."""
+  """Whether connections of callers are closed, new ones unread, while this
+  router's processor is saturated and other routers are up."""
   learned_speeds: bool = False
   """Whether endpoints are chosen by the speed that was learned of each, and more
   of them are compared for long prompts."""
