Engines are chosen by the room that runs leave in their memory

Cause: placement knows the queues of engines but not what running requests hold of their KV memory. Where memory is short, engines preempt runs in the middle of their streams and prefill them again.

Change: routing/engine_memory.py computes what the runs at an engine hold and will hold, by rank, and the time until a run fits. Where memory is short, a prefix that no run holds counts as evicted.

--- a/mustardfall/bench/virtual/engines.py
+++ b/mustardfall/bench/virtual/engines.py
@@ -326,11 +326,18 @@
     place, send_at = self._choose_permitted(router, prompt, now)
     if self._is_refused(router, kind, place, now):
       self._refused += 1
-      self._refused_tokens.setdefault(kind.name, []).append(sum(prompt[1:]))
+      self._refused_tokens.setdefault(kind.name, []).append(
+          prompt.shared_tokens + prompt.own_tokens
+      )
       return
     name = f"{now:.6f}"
     sent = _PlacedRequest(
-        kind, sum(prompt[1:]), prompt, place, name, sent_at=now
+        kind,
+        prompt.shared_tokens + prompt.own_tokens,
+        prompt,
+        place,
+        name,
+        sent_at=now,
     )
     place.row.in_flight += 1
     place.row.prefill_s += place.prefill_s
--- a/mustardfall/membership/loadshare.py
+++ b/mustardfall/membership/loadshare.py
@@ -3,12 +3,14 @@
 They are sent as datagrams, since a report is outdated after some ms.
 """
 
+from collections.abc import Iterable
 import itertools
 
 import anyio
 
 from mustardfall.membership import datagrams as datagrams_lib
 from mustardfall.membership import members as members_lib
+from mustardfall.routing import endpoints as endpoints_lib
 from mustardfall.routing import loads as loads_lib
 from mustardfall.util import clock as clock_lib
 
@@ -66,6 +68,10 @@
     self._loads.note_sent(endpoint, prefix, self._clock.monotonic())
     self._changed.set()
 
+  def update_usage(self, rows: Iterable[endpoints_lib.Row]) -> None:
+    """Computes what the runs of all routers hold at `rows`."""
+    self._loads.update_usage(rows, self._clock.monotonic())
+
   async def run(self) -> None:
     """Sends reports until cancelled."""
     while True:
@@ -79,9 +85,11 @@
 
   async def _send_report(self) -> int:
     """Sends a report; returns the bytes that count towards the limit."""
-    raw = loads_lib.encode(self._loads.report())
+    is_large = self._members.is_large
+    now = None if is_large else self._clock.monotonic()
+    raw = loads_lib.encode(self._loads.report(now))
     others = self._members.others
-    if not self._members.is_large:
+    if not is_large:
       await self._datagrams.send(datagrams_lib.Kind.LOADS, raw, others)
       return 0
     receivers = self._next_receivers(others)
--- a/mustardfall/membership/trackers.py
+++ b/mustardfall/membership/trackers.py
@@ -16,6 +16,7 @@
 
 from mustardfall.membership import datagrams as datagrams_lib
 from mustardfall.membership import members as members_lib
+from mustardfall.routing import engine_memory
 from mustardfall.routing import server_speed
 from mustardfall.routing import tracking
 from mustardfall.util import clock as clock_lib
@@ -31,6 +32,11 @@
 """Fields of a report of a first token that says something of the speed."""
 _SPEED_FIELDS = 2
 """Fields of a status that say what was learned of the speed."""
+_MEMORY_FIELDS = 4
+"""The same, and those that say what runs hold of the endpoint's memory."""
+_RUN_FIELDS = 4
+"""Fields of a report of a sent request that say what it needs of the endpoint's
+memory: shared and own tokens, expected output tokens, rank."""
 _LOGGED_WEIGHT_S = 1.0
 """Nominal seconds of measured work from which a learned speed is logged."""
 _LOGGED_CHANGE = 0.25
@@ -176,11 +182,25 @@
       survey.add(endpoint, decode_status(fields))
 
   def note_sent(
-      self, endpoint: str, prefix: str, prefill_s: float
+      self,
+      endpoint: str,
+      prefix: str,
+      prefill_s: float,
+      run: engine_memory.Run | None = None,
   ) -> TrackedRequest:
-    """Reports to the trackers that a request is being sent to an endpoint."""
+    """Reports to the trackers that a request is being sent to an endpoint.
+
+    Args:
+      endpoint: the endpoint's life (one run of its process).
+      prefix: the prompt's prefix; empty: none.
+      prefill_s: expected time to prefill its prompt there.
+      run: what it needs of the endpoint's memory; None: that is not counted.
+    """
     request = f"{next(self._ids):x}.{self._members.me.name}"
-    self._send_update(["sent", endpoint, request, prefix, round(prefill_s, 4)])
+    update = ["sent", endpoint, request, prefix, round(prefill_s, 4)]
+    if run is not None:
+      update += [run.shared_tokens, run.own_tokens, run.output_tokens, run.rank]
+    self._send_update(update)
     return TrackedRequest(endpoint, request)
 
   def note_first_token(
@@ -219,8 +239,13 @@
     step, endpoint, *facts = json.loads(raw)
     now = self._clock.monotonic()
     if step == "sent":
-      request, prefix, prefill_s = facts
-      self._tracker.note_sent(endpoint, request, prefix, float(prefill_s), now)
+      request, prefix, prefill_s, *need = facts
+      run = None
+      if len(need) >= _RUN_FIELDS:
+        run = engine_memory.make_run(prefix, *need[:_RUN_FIELDS], prefill_s)
+      self._tracker.note_sent(
+          endpoint, request, prefix, float(prefill_s), now, run
+      )
     elif step == "first":
       expected_s, took_s = float(facts[0]), float(facts[1])
       measured = None
@@ -267,10 +292,16 @@
 
 
 def encode_status(status: tracking.EndpointStatus) -> list:
-  """Returns the fields of a status; those of its speed only if it is known."""
-  *fields, speed = status
-  if speed.weight_s > 0.0:
+  """Returns the fields of a status.
+
+  Those of its speed are left out if it is not known and none follow, those of
+  its memory if no run there is known.
+  """
+  *fields, speed, usage, holds_prefix = status
+  if speed.weight_s > 0.0 or usage.ranks:
     fields += [round(speed.ratio, 3), round(speed.weight_s, 3)]
+  if usage.ranks:
+    fields += [engine_memory.encode(usage, with_parts=False), int(holds_prefix)]
   return fields
 
 
@@ -284,6 +315,9 @@
   speed = server_speed.UNKNOWN_SPEED
   if len(more) >= _SPEED_FIELDS:
     speed = server_speed.decode(float(more[0]), float(more[1]))
+  usage, holds_prefix = engine_memory.EMPTY, False
+  if len(more) >= _MEMORY_FIELDS:
+    usage, holds_prefix = engine_memory.decode(more[2]), bool(more[3])
   return tracking.EndpointStatus(
       int(in_flight),
       float(prefill_s),
@@ -291,6 +325,8 @@
       float(slowness),
       float(failures),
       speed,
+      usage,
+      holds_prefix,
   )
 
 
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -16,6 +16,7 @@
 _TOKEN_USAGE = b"token-usage"
 _PROMPT_PREFIX = b"prompt-prefix"
 _MODEL = b"model"
+_LENGTH_HINT = b"length-hint"
 _LAST_EVENT_ID = b"last-event-id"
 _RESUMES = b"resumes"
 _TENANT = b"tenant"
@@ -129,6 +130,13 @@
   return number
 
 
+def _parse_hint(value: bytes | None) -> float | None:
+  """Returns an estimate of tokens; None if it is unusable."""
+  if value is None or not retry_after.DECIMAL_NUMBER.fullmatch(value.strip()):
+    return None
+  return float(value)
+
+
 def _parse_usage(value: bytes | None) -> messages.Usage | None:
   if value is None:
     return None
@@ -186,6 +194,7 @@
         headers=_forwardable(headers, _NOT_FORWARDED),
         resumes=by_name.get(_RESUMES, b"").decode("latin-1"),
         model=by_name.get(_MODEL, b"").decode("latin-1"),
+        output_hint=_parse_hint(by_name.get(_LENGTH_HINT)),
     )
 
   def encode_request(
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -10,6 +10,7 @@
 from mustardfall.membership import trackers as trackers_lib
 from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
+from mustardfall.proxy import engine_room
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import directory as directory_lib
@@ -18,6 +19,7 @@
 from mustardfall.routing import placement as placement_lib
 from mustardfall.routing import server_speed
 from mustardfall.routing import statements as statements_lib
+from mustardfall.routing import tracking
 from mustardfall.routing import work_times as work_times_lib
 from mustardfall.util import clock as clock_lib
 
@@ -66,9 +68,17 @@
     prefix = request_context_lib.prompt_for_placement(context.request).prefix
     load_share.note_sent(placement.row.life, prefix)
     self._tracked_send: trackers_lib.TrackedRequest | None = None
+    need = placement.need
+    run = need.run if need is not None and need.ever_fits else None
+    self._run_name = f"{id(self):x}"
+    if run is not None:
+      run = run._replace(
+          prefill_s=placement.answer_s, sent_at=clock.monotonic()
+      )
+      placement.row.runs.add(self._run_name, run)
     if trackers.is_used:
       self._tracked_send = trackers.note_sent(
-          placement.row.life, prefix, placement.prefill_s
+          placement.row.life, prefix, placement.prefill_s, run
       )
 
   def record_response_time(
@@ -122,6 +132,8 @@
   def end(self, failed: bool) -> None:
     """Records that the endpoint no longer works on the request."""
     self._placement.row.in_flight -= 1
+    now = self._clock.monotonic()
+    self._placement.row.runs.remove(self._run_name, failed, now)
     self.end_prefill()
     if self._tracked_send is not None:
       self._trackers.note_end(self._tracked_send, failed)
@@ -169,6 +181,8 @@
     self._work_times = (
         work_times_lib.WorkTimes() if config.proxy.learned_speeds else None
     )
+    self._counts_memory = config.proxy.engine_memory
+    self._room_log = engine_room.RoomLog(self._placements)
     self._leaving_use_s = config.proxy.leaving_use_s
     self._directory = directory
     self._load_share = load_share
@@ -263,6 +277,7 @@
     retry_s = detector.retry_after_s(forecast, self._clock.monotonic())
     if retry_s is not None:
       facts = {"endpoint": placement.row.name, **forecast._asdict()}
+      facts["memory"] = engine_room.facts_of(placement)
       raise refusals.overloaded(self._jitter(retry_s), facts)
 
   def _jitter(self, seconds: float) -> float:
@@ -370,10 +385,33 @@
     if self._work_times is not None and not prompt.prefix:
       work_s = self._work_times.work_s(context.route.name)
       prompt = prompt._replace(work_s=work_s)
-    if not self._trackers.is_used:
-      return placement_lib.choose(preferred, prompt, self._datacentre)
-    objective_s = context.route.objective.total_seconds()
-    return await self._select_tracked(preferred, prompt, objective_s)
+    if self._counts_memory:
+      prompt = prompt._replace(need=engine_room.need_of(context))
+    if self._trackers.is_used:
+      objective_s = context.route.objective.total_seconds()
+      chosen = await self._select_tracked(preferred, prompt, objective_s)
+    else:
+      self._note_usage(preferred, prompt, {})
+      chosen = placement_lib.choose(preferred, prompt, self._datacentre)
+    if chosen is not None:
+      self._room_log.note_choice(chosen)
+    return chosen
+
+  def _note_usage(
+      self,
+      rows: list[endpoints.Row],
+      prompt: placement_lib.Prompt,
+      statuses: dict[str, tracking.EndpointStatus],
+  ) -> None:
+    """Updates what is known of the engines' memory, and logs full ones."""
+    if prompt.need is None:
+      return
+    self._load_share.update_usage(rows)
+    now = self._clock.monotonic()
+    for row in rows:
+      status = statuses.get(row.life)
+      usage = row.usage if status is None else status.usage
+      self._room_log.note_usage(row.life, usage, prompt.need, now)
 
   def _is_enough(
       self,
@@ -404,6 +442,7 @@
       lives = [one.row.life for one in found]
       if len(rows) > 1:
         statuses |= await self._trackers.survey(lives, prompt.prefix)
+      self._note_usage([one.row for one in found], prompt, statuses)
       placement = placement_lib.choose_tracked(
           asked, statuses, prompt, self._datacentre
       )
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -25,6 +25,7 @@
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
 from mustardfall.proxy import endpoint_statements as endpoint_statements_lib
+from mustardfall.proxy import engine_room
 from mustardfall.proxy import exchange as exchange_lib
 from mustardfall.proxy import http_server
 from mustardfall.proxy import messages
@@ -306,6 +307,7 @@
     context.tried_endpoints.add(row.name)
     context.endpoint = row.name
     context.expected_s = placement.answer_s
+    context.memory = engine_room.facts_of(placement)
     context.version = row.version
     connection = await self._connect(context, row)
     context.via = connection.via
--- a/mustardfall/proxy/messages.py
+++ b/mustardfall/proxy/messages.py
@@ -65,6 +65,9 @@
   caller resumes; empty if it named none."""
   model: str = ""
   """The requested model; empty if the request is not a generation."""
+  output_hint: float | None = None
+  """The caller's estimate of the output tokens; None if there is none or it is
+  no number."""
 
 
 class ForwardingInfo(NamedTuple):
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -82,6 +82,8 @@
   endpoint: str = ""
   expected_s: float | None = None
   """Time until that endpoint's answer begins, as expected when it was chosen."""
+  memory: dict | None = None
+  """What was known of that endpoint's memory, see `engine_room.facts_of`."""
   version: str = ""
   """The software version of that endpoint, as listed."""
   event_versions: list[str] = dataclasses.field(default_factory=list)
--- a/mustardfall/proxy/request_log.py
+++ b/mustardfall/proxy/request_log.py
@@ -152,6 +152,7 @@
             "expected_ms": None
             if context.expected_s is None
             else round(context.expected_s * 1000),
+            "memory": context.memory,
             "versions": context.event_versions,
             "resumes": context.request.resumes,
             "resumed_at": context.request.last_event,
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -11,6 +11,7 @@
 from typing import Literal, NotRequired, TypedDict
 
 from mustardfall import settings
+from mustardfall.routing import engine_memory
 from mustardfall.routing import server_speed
 
 logger = logging.getLogger(__name__)
@@ -92,6 +93,13 @@
   """Requests that other routers report to have in flight there."""
   others_prefill_s: float = 0.0
   """Seconds of prefill that other routers report as pending there."""
+  runs: engine_memory.Book = dataclasses.field(
+      default_factory=engine_memory.Book
+  )
+  """This router's runs there whose need of memory is known."""
+  usage: engine_memory.Usage = engine_memory.EMPTY
+  """What the runs of all routers hold of its memory, see
+  `loads.Loads.update_usage`."""
   prefixes: dict[str, float] = dataclasses.field(default_factory=dict)
   """Prompt prefixes recently sent to it, and when, monotonic seconds."""
   cold_cache: bool = False
--- a/mustardfall/routing/loads.py
+++ b/mustardfall/routing/loads.py
@@ -6,10 +6,12 @@
 """
 
 import collections
+from collections.abc import Iterable
 import json
 from typing import NamedTuple
 
 from mustardfall.routing import endpoints
+from mustardfall.routing import engine_memory
 
 _PREFIX_REPORTS = 2
 """Reports that repeat a sent prefix: one datagram in some hundreds is lost."""
@@ -24,6 +26,8 @@
   in_flight: int
   prefill_s: float
   """Seconds of prefill pending there for the router's requests."""
+  usage: engine_memory.Usage = engine_memory.EMPTY
+  """What the router's runs hold of the endpoint's memory."""
 
 
 class Report(NamedTuple):
@@ -42,10 +46,11 @@
 
 def encode(report: Report) -> bytes:
   """Encodes a report for a datagram."""
-  rows = {
-      life: [load.in_flight, round(load.prefill_s, 4)]
-      for life, load in report.loads.items()
-  }
+  rows: dict[str, list] = {}
+  for life, load in report.loads.items():
+    rows[life] = [load.in_flight, round(load.prefill_s, 4)]
+    if load.usage.ranks:
+      rows[life].append(engine_memory.encode(load.usage, with_parts=True))
   content = [report.sender, report.number, rows, report.prefixes]
   return json.dumps(content, separators=(",", ":")).encode()
 
@@ -57,10 +62,10 @@
     ValueError, TypeError: `raw` is not a report.
   """
   sender, number, rows, prefixes = json.loads(raw)
-  loads = {
-      life: Load(int(in_flight), float(prefill_s))
-      for life, (in_flight, prefill_s) in rows.items()
-  }
+  loads = {}
+  for life, (in_flight, prefill_s, *more) in rows.items():
+    usage = engine_memory.decode(more[0]) if more else engine_memory.EMPTY
+    loads[life] = Load(int(in_flight), float(prefill_s), usage)
   prefixes_ = {life: list(ids) for life, ids in prefixes.items()}
   return Report(str(sender), int(number), loads, prefixes_)
 
@@ -104,14 +109,19 @@
           _SentPrefix(endpoint, prefix, self._number + _PREFIX_REPORTS)
       )
 
-  def report(self) -> Report:
-    """Returns a new report of this router's load."""
+  def report(self, now: float | None = None) -> Report:
+    """Returns a new report of this router's load.
+
+    Args:
+      now: the current time; None: what its runs hold is left out.
+    """
     self._number += 1
-    loads = {
-        row.life: Load(row.in_flight, max(0.0, row.prefill_s))
-        for row in self._table.rows.values()
-        if row.in_flight
-    }
+    loads = {}
+    for row in self._table.rows.values():
+      if row.in_flight:
+        usage = engine_memory.EMPTY if now is None else row.runs.usage(now)
+        load = Load(row.in_flight, max(0.0, row.prefill_s), usage)
+        loads[row.life] = load
     prefixes: dict[str, list[str]] = {}
     for sent in self._sent:
       prefixes.setdefault(sent.endpoint, []).append(sent.prefix)
@@ -140,6 +150,27 @@
         row.others_in_flight += sign * load.in_flight
         row.others_prefill_s += sign * load.prefill_s
 
+  def update_usage(self, rows: Iterable[endpoints.Row], now: float) -> None:
+    """Computes what the runs of all routers hold at endpoints.
+
+    Args:
+      rows: the endpoints; their `usage` is set.
+      now: the current time, monotonic seconds.
+    """
+    reports = [
+        received
+        for received in self._received.values()
+        if now - received.at <= _REPORT_LIFETIME_S
+    ]
+    for row in rows:
+      usages = [row.runs.usage(now)]
+      for report, at in reports:
+        load = report.loads.get(row.life)
+        if load is not None and load.usage.ranks:
+          age_s = load.usage.age_s + max(0.0, now - at)
+          usages.append(load.usage._replace(age_s=age_s))
+      row.usage = engine_memory.combine(usages)
+
   def recompute_totals(self, now: float) -> None:
     """Computes the table's sums anew from recent reports; call once per tick.
 
--- a/mustardfall/routing/placement.py
+++ b/mustardfall/routing/placement.py
@@ -11,10 +11,12 @@
 
 from collections.abc import Mapping
 import hashlib
+import math
 import random
 from typing import NamedTuple
 
 from mustardfall.routing import endpoints
+from mustardfall.routing import engine_memory
 from mustardfall.routing import server_speed
 from mustardfall.routing import tracking
 
@@ -75,6 +77,8 @@
   work_s: float = 0.0
   """Time that a plain request takes at an endpoint of nominal speed, as far as
   known."""
+  need: engine_memory.Need | None = None
+  """What the request needs of an engine's memory; None: that is not counted."""
 
 
 NO_PROMPT = Prompt("", 0, 0)
@@ -94,6 +98,56 @@
   """Time until the answer begins at an endpoint of nominal speed."""
   is_cached: bool = True
   """Whether the prompt's prefix is assumed to be in its cache."""
+  need: engine_memory.Need | None = None
+  """What the request needs of its memory; None: that was not counted."""
+  memory_wait_s: float = 0.0
+  """Time until the request fits into its memory; infinite: it never does."""
+  usage: engine_memory.Usage = engine_memory.EMPTY
+  """What the runs there were known to hold."""
+
+
+def memory_wait_s(
+    usage: engine_memory.Usage, holds_prefix: bool, prompt: Prompt
+) -> float:
+  """Returns the seconds until a request fits into an engine's memory.
+
+  Args:
+    usage: what the runs there hold.
+    holds_prefix: whether one of them is known to hold the prompt's prefix.
+    prompt: the request's prompt.
+
+  Returns:
+    0 if it fits now or its need is not known, infinity if it never fits.
+  """
+  need = prompt.need
+  if need is None:
+    return 0.0
+  return engine_memory.wait_s(
+      usage, need.memory_tokens, need.slots, need.run, holds_prefix
+  )
+
+
+def _stays_cached(is_cached: bool, is_held: bool, memory_s: float) -> bool:
+  """Whether a prefix will still be cached when a request is prefilled.
+
+  Where runs need all of the memory, prefixes that none of them holds are
+  evicted.
+
+  Args:
+    is_cached: whether it is cached now.
+    is_held: whether one of the runs there holds it.
+    memory_s: how long the request waits for memory.
+  """
+  return is_cached and (is_held or not 0.0 < memory_s < math.inf)
+
+
+def _finite_s(wait: float) -> float:
+  """Returns a wait for memory as it counts in a cost.
+
+  A request that never fits does so at no engine of its service: its choice
+  remains as if memory were not counted, and the engine rejects it.
+  """
+  return 0.0 if math.isinf(wait) else wait
 
 
 def wait_s(row: endpoints.Row, prompt: Prompt) -> float:
@@ -137,7 +191,12 @@
     datacentre: the router's own.
     mean_ratio: ratio of the average endpoint, see `server_speed`.
   """
-  is_cached = likely_cached(row, rank, prompt)
+  memory_s = memory_wait_s(row.usage, False, prompt)
+  is_cached = _stays_cached(
+      likely_cached(row, rank, prompt),
+      prompt.prefix in row.usage.parts,
+      memory_s,
+  )
   cost = _fixed_cost_s(row, is_cached, prompt, datacentre)
   failure_s = row.failures * _COST_S_PER_FAILURE
   own_prefill_s = prefill_s(is_cached, prompt)
@@ -147,7 +206,7 @@
     own_prefill_s *= _CACHE_MISS_WEIGHT
   ratio = row.slowness * server_speed.ratio_of(row.speed, mean_ratio)
   work_s = wait_s(row, prompt) + own_prefill_s + prompt.work_s
-  return ratio * work_s + cost + failure_s
+  return ratio * work_s + _finite_s(memory_s) + cost + failure_s
 
 
 def _fixed_cost_s(
@@ -260,7 +319,13 @@
   is_cached = _is_cached(best, statuses, prompt)
   ratio = server_speed.ratio_of(_speed(best, statuses), mean_ratio)
   wait = tracked_wait_s(best, statuses, prompt, ratio)
-  return _placement(best.row, prompt, is_cached, wait, ratio)
+  usage, is_held, memory_s = _tracked_memory(best, statuses, prompt)
+  is_cached = _stays_cached(is_cached, is_held, memory_s)
+  wait += _finite_s(memory_s)
+  placement = _placement(best.row, prompt, is_cached, wait, ratio)
+  return placement._replace(
+      need=prompt.need, memory_wait_s=memory_s, usage=usage
+  )
 
 
 def _placement(
@@ -308,6 +373,27 @@
   return likely_cached(candidate.row, candidate.rank, prompt)
 
 
+def _tracked_memory(
+    candidate: Candidate,
+    statuses: Mapping[str, tracking.EndpointStatus],
+    prompt: Prompt,
+) -> tuple[engine_memory.Usage, bool, float]:
+  """Returns what a candidate's memory holds, and the wait for it.
+
+  Returns:
+    What the runs there hold, whether one of them holds the prompt's prefix, and
+    the seconds until the request fits.
+  """
+  status = statuses.get(candidate.row.life)
+  if prompt.need is None:
+    return engine_memory.EMPTY, False, 0.0
+  usage = candidate.row.usage
+  holds_prefix = prompt.prefix in usage.parts
+  if status is not None:
+    usage, holds_prefix = status.usage, status.holds_prefix
+  return usage, holds_prefix, memory_wait_s(usage, holds_prefix, prompt)
+
+
 def tracked_wait_s(
     candidate: Candidate,
     statuses: Mapping[str, tracking.EndpointStatus],
@@ -349,7 +435,10 @@
         datacentre,
         mean_ratio,
     )
-  cached_here = _is_cached(candidate, statuses, prompt)
+  _, is_held, memory_s = _tracked_memory(candidate, statuses, prompt)
+  cached_here = _stays_cached(
+      _is_cached(candidate, statuses, prompt), is_held, memory_s
+  )
   own_prefill_s = prefill_s(cached_here, prompt)
   cost = _fixed_cost_s(candidate.row, cached_here, prompt, datacentre)
   if not cached_anywhere:
@@ -361,6 +450,7 @@
   return (
       cost
       + wait
+      + _finite_s(memory_s)
       + ratio * (status.slowness * own_prefill_s + prompt.work_s)
       + status.failures * _COST_S_PER_FAILURE
   )
@@ -414,8 +504,14 @@
   rank, row = best
   ratio = server_speed.ratio_of(row.speed, mean_ratio)
   is_cached = likely_cached(row, rank, prompt)
-  wait = ratio * wait_s(row, prompt)
-  return _placement(row, prompt, is_cached, wait, ratio)
+  memory_s = memory_wait_s(row.usage, False, prompt)
+  is_held = prompt.prefix in row.usage.parts
+  is_cached = _stays_cached(is_cached, is_held, memory_s)
+  wait = ratio * wait_s(row, prompt) + _finite_s(memory_s)
+  placement = _placement(row, prompt, is_cached, wait, ratio)
+  return placement._replace(
+      need=prompt.need, memory_wait_s=memory_s, usage=row.usage
+  )
 
 
 def _rank_key(prefix: str, name: str) -> bytes:
--- a/mustardfall/routing/tracking.py
+++ b/mustardfall/routing/tracking.py
@@ -9,6 +9,7 @@
 import dataclasses
 from typing import NamedTuple
 
+from mustardfall.routing import engine_memory
 from mustardfall.routing import server_speed
 
 _CACHE_LIFETIME_S = 15.0
@@ -51,6 +52,10 @@
   """Recently failed attempts; decays."""
   speed: server_speed.Speed = server_speed.UNKNOWN_SPEED
   """How fast it works, learned over a longer time than `slowness`."""
+  usage: engine_memory.Usage = engine_memory.EMPTY
+  """What the runs there hold of its memory."""
+  holds_prefix: bool = False
+  """Whether a run there holds the prefix in question."""
 
 
 UNKNOWN = EndpointStatus(0, 0.0, False, 1.0, 0.0)
@@ -67,6 +72,10 @@
   """When it will have prefilled the prompts that it was sent."""
   requests: dict[str, float] = dataclasses.field(default_factory=dict)
   """Requests in flight there, and when each was sent."""
+  runs: engine_memory.Book = dataclasses.field(
+      default_factory=engine_memory.Book
+  )
+  """Those of them whose need of memory is known."""
   prefixes: dict[str, float] = dataclasses.field(default_factory=dict)
   """Prefixes that it was sent, and when each was last sent."""
   slowness: float = 1.0
@@ -91,6 +100,7 @@
       return UNKNOWN
     self._decay(state, now)
     sent_at = state.prefixes.get(prefix)
+    usage = state.runs.usage(now)
     return EndpointStatus(
         in_flight=len(state.requests),
         prefill_s=max(0.0, state.prefill_done_at - now),
@@ -99,6 +109,8 @@
         slowness=state.slowness,
         failures=state.failures,
         speed=server_speed.speed_of(state.estimate, now),
+        usage=usage,
+        holds_prefix=prefix in usage.parts,
     )
 
   def speeds(self, now: float) -> dict[str, server_speed.Speed]:
@@ -116,6 +128,7 @@
       prefix: str,
       prefill_s: float,
       now: float,
+      run: engine_memory.Run | None = None,
   ) -> None:
     """Records that a request is being sent to an endpoint.
 
@@ -125,6 +138,7 @@
       prefix: the prompt's prefix; empty: none.
       prefill_s: expected time to prefill its prompt there.
       now: the current time.
+      run: what it needs of the endpoint's memory; None: that is not known.
     """
     state = self._state_of(endpoint, now)
     state.requests[request] = now
@@ -133,6 +147,9 @@
     speed = server_speed.speed_of(state.estimate, now)
     ratio = state.slowness * server_speed.ratio_of(speed, 1.0)
     state.prefill_done_at = begin + bounded_s * ratio
+    if run is not None:
+      begins_s = state.prefill_done_at - now
+      state.runs.add(request, run._replace(prefill_s=begins_s, sent_at=now))
     if prefix:
       state.prefixes.pop(prefix, None)
       state.prefixes[prefix] = now
@@ -169,6 +186,7 @@
     state = self._state_of(endpoint, now)
     self._decay(state, now)
     state.requests.pop(request, None)
+    state.runs.remove(request, failed, now)
     state.failures += failed
 
   def _state_of(self, endpoint: str, now: float) -> _State:
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -165,6 +165,9 @@
   learned_speeds: bool = False
   """Whether endpoints are chosen by the speed that was learned of each, and more
   of them are compared for long prompts."""
+  engine_memory: bool = False
+  """Whether endpoints are chosen by the room that the runs there leave in their
+  memory, where the configuration says how much they have."""
   metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port that serves the metrics in the Prometheus format; 0: none."""
 
