--- a/mustardfall/routing/engine_memory.py
+++ b/mustardfall/routing/engine_memory.py
@@ -28,10 +28,12 @@
 _MIN_LEFT_S = 0.1
 """Time that a run is assumed to last at least from now. Hints are too low for
 half of the runs, so that a run past its expected end has not always ended."""
-_PREEMPTION_WEIGHT = 0.25
+_PREEMPTION_WEIGHT = 0.1
 """Weight of the time that it takes until less urgent runs need not be preempted.
-They lose a prefill, which is a part of what a more urgent run loses that waits
-beyond its objective."""
+That is about a second, and the prefill that they lose takes about 0.1 s."""
+_MIN_DURATION_S = 0.5
+"""Expected durations are raised to this where they say how likely a run is to be
+still there: queues and preemptions outweigh shorter ones."""
 _RANK_FIELDS = 5
 """Numbers that describe one rank in the compact form."""
 _PART_FIELDS = 3
@@ -100,7 +102,8 @@
   """What the runs of one rank hold at an engine."""
 
   rank: int
-  runs: int
+  runs: float
+  """Their number; one past its expected end counts less the longer it is."""
   held_tokens: float
   """Tokens held now, without the parts that are listed in `Usage.parts`."""
   coming_tokens: float
@@ -126,7 +129,7 @@
     return shared + sum(one.held_tokens + one.coming_tokens for one in self[0])
 
   @property
-  def runs(self) -> int:
+  def runs(self) -> float:
     """The number of runs."""
     return sum(one.runs for one in self.ranks)
 
@@ -205,22 +208,29 @@
       continue
     decode_s = run.output_tokens * _DECODE_S_PER_TOKEN * pace
     prefill_s = run.prefill_s * pace
+    duration_s = max(_MIN_DURATION_S, prefill_s + decode_s)
+    # Half of the runs end later than expected. One of which no end is reported
+    # for long has either been preempted or its report was lost.
+    weight = 1.0
+    if elapsed_s > duration_s:
+      weight = 0.5 ** (elapsed_s / duration_s - 1.0)
     done = 1.0
     if decode_s > 0.0:
       done = min(1.0, max(0.0, (elapsed_s - prefill_s) / decode_s))
     left_s = min(prefill_s + decode_s, LIFETIME_S) - elapsed_s
-    found = sums.setdefault(run.rank, [0, 0.0, 0.0, 0.0])
+    found = sums.setdefault(run.rank, [0.0, 0.0, 0.0, 0.0])
     held = run.own_tokens + done * run.output_tokens
-    found[0] += 1
-    found[1] += held
-    found[2] += run.own_tokens + run.output_tokens - held
-    found[3] += max(_MIN_LEFT_S, left_s)
+    found[0] += weight
+    found[1] += weight * held
+    found[2] += weight * (run.own_tokens + run.output_tokens - held)
+    found[3] += weight * max(_MIN_LEFT_S, left_s)
     if run.prefix:
-      _add_part(parts, run.prefix, Part(run.shared_tokens, run.rank))
+      tokens = int(weight * run.shared_tokens)
+      _add_part(parts, run.prefix, Part(tokens, run.rank))
     else:
-      found[1] += run.shared_tokens
+      found[1] += weight * run.shared_tokens
   ranks = tuple(
-      RankUsage(rank, int(n), held, coming, left_s / n)
+      RankUsage(rank, n, held, coming, left_s / n)
       for rank, (n, held, coming, left_s) in sorted(sums.items())
   )
   return Usage(ranks, parts, age_s)
@@ -286,21 +296,32 @@
   need = run.tokens
   if holds_prefix or run.prefix in found.parts:
     need -= run.shared_tokens
-  urgent = [one for one in ranks if one.rank <= run.rank]
   hard_s = all_s = 0.0
   if memory_tokens > 0:
-    hard_s = _release_s(
-        need - memory_tokens,
-        [(one.held_tokens + one.coming_tokens, one.left_s) for one in urgent],
-    )
-    all_s = _release_s(
-        need - memory_tokens,
-        [(one.held_tokens + one.coming_tokens, one.left_s) for one in ranks],
-    )
+    urgent, others = _split(ranks, run.rank)
+    hard_s = _release_s(need - memory_tokens, urgent)
+    # Less urgent runs that find no memory wait and hold none.
+    room = max(0.0, memory_tokens - sum(amount for amount, _ in urgent))
+    total = sum(amount for amount, _ in others)
+    share = min(1.0, room / total) if total > 0.0 else 0.0
+    running = [(amount * share, left_s) for amount, left_s in others]
+    all_s = _release_s(need - memory_tokens, urgent + running)
   hard_s = max(hard_s, _slot_wait_s(slots, ranks, run.rank))
   return hard_s + _PREEMPTION_WEIGHT * max(0.0, all_s - hard_s)
 
 
+def _split(
+    ranks: tuple[RankUsage, ...], rank: int
+) -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+  """Returns the tokens and times of ranks as urgent as `rank`, and of others."""
+  urgent: list[tuple[float, float]] = []
+  others: list[tuple[float, float]] = []
+  for one in ranks:
+    load = (one.held_tokens + one.coming_tokens, one.left_s)
+    (urgent if one.rank <= rank else others).append(load)
+  return urgent, others
+
+
 def _slot_wait_s(slots: int, ranks: tuple[RankUsage, ...], rank: int) -> float:
   """Returns the seconds until a run of a rank gets a slot.
 
@@ -357,7 +378,7 @@
   for one in found.ranks if with_parts else fold(found).ranks:
     numbers += [
         one.rank,
-        one.runs,
+        round(one.runs, 2),
         round(one.held_tokens),
         round(one.coming_tokens),
         round(one.left_s * 1000),
@@ -379,12 +400,12 @@
   for rank, runs, held, coming, left_ms in _groups(numbers, _RANK_FIELDS):
     one = RankUsage(
         rank_of(rank),
-        int(_bounded(runs, _MAX_TOKENS)),
+        _bounded(runs, _MAX_TOKENS),
         _bounded(held, _MAX_TOKENS),
         _bounded(coming, _MAX_TOKENS),
         max(_MIN_LEFT_S, _bounded(left_ms, LIFETIME_S * 1000) / 1000),
     )
-    if one.runs:
+    if one.runs > 0.0:
       found = ranks.get(one.rank)
       ranks[one.rank] = one if found is None else _sum(found, one)
   parts: dict[str, Part] = {}
@@ -408,16 +429,11 @@
     self._usage = EMPTY
     self._computed_at = -math.inf
     self._changed_at = -math.inf
-    self._nominal_s = 0.0
-    """Decaying sum of the nominal durations of runs that ended well."""
-    self._actual_s = 0.0
-    """The same of their actual durations."""
-
-  @property
-  def pace(self) -> float:
+    self._durations = (0.0, 0.0)
+    """Decaying sums of the nominal and the actual durations of runs that ended
+    well."""
+    self.pace = 1.0
     """Actual to nominal duration of runs at this engine."""
-    ratio = (self._actual_s + _PACE_PRIOR_S) / (self._nominal_s + _PACE_PRIOR_S)
-    return min(max(ratio, _MIN_PACE), _MAX_PACE)
 
   def __len__(self) -> int:
     return len(self._runs)
@@ -443,12 +459,18 @@
     self._changed_at = now
     self._computed_at = -math.inf
     if not failed:
-      nominal_s = run.prefill_s + run.output_tokens * _DECODE_S_PER_TOKEN
-      actual_s = min(max(0.0, now - run.sent_at), LIFETIME_S)
-      self._nominal_s = _PACE_KEPT * self._nominal_s + min(
-          nominal_s, LIFETIME_S
-      )
-      self._actual_s = _PACE_KEPT * self._actual_s + actual_s
+      self._measure(run, now)
+
+  def _measure(self, run: Run, now: float) -> None:
+    """Records how long a run took."""
+    nominal_s = run.prefill_s + run.output_tokens * _DECODE_S_PER_TOKEN
+    actual_s = min(max(0.0, now - run.sent_at), LIFETIME_S)
+    nominal_sum, actual_sum = self._durations
+    nominal_sum = _PACE_KEPT * nominal_sum + min(nominal_s, LIFETIME_S)
+    actual_sum = _PACE_KEPT * actual_sum + actual_s
+    self._durations = nominal_sum, actual_sum
+    ratio = (actual_sum + _PACE_PRIOR_S) / (nominal_sum + _PACE_PRIOR_S)
+    self.pace = min(max(ratio, _MIN_PACE), _MAX_PACE)
 
   def usage(self, now: float) -> Usage:
     """Returns what the runs hold."""
