Huge integers in datagrams and headers are bounded; gateway test of engine memory

Cause: math.isnan and math.isfinite raise OverflowError for integers beyond the range of a float, which JSON and prompt parts may hold.

Change: values are compared instead. A test sends requests through a gateway with and without the setting and reads the logged facts.

--- a/mustardfall/routing/engine_memory.py
+++ b/mustardfall/routing/engine_memory.py
@@ -170,7 +170,7 @@
 
 def rank_of(value: Any) -> int:
   """Returns a rank within its bounds; the least urgent one if it is unusable."""
-  if not isinstance(value, int | float) or not math.isfinite(value):
+  if not isinstance(value, int | float) or not -math.inf < value < math.inf:
     return MAX_RANK
   return min(MAX_RANK, max(0, int(value)))
 
@@ -184,7 +184,7 @@
     max_tokens: the maximum output that the request states.
   """
   most = int(_bounded(max_tokens, _MAX_TOKENS))
-  if not isinstance(hint, int | float) or math.isnan(hint) or hint < 1:
+  if not isinstance(hint, int | float) or not hint >= 1:
     return most
   return int(min(hint, most))
 
@@ -515,6 +515,6 @@
 
 def _bounded(value: Any, most: float) -> float:
   """Returns a number between 0 and `most`; 0 if it is none."""
-  if not isinstance(value, int | float) or math.isnan(value):
+  if not isinstance(value, int | float) or not value > 0.0:
     return 0.0
-  return min(max(0.0, value), most)
+  return float(min(value, most))
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -9,7 +9,9 @@
 import collections
 import math
 import types
+from unittest import mock
 
+import anyio
 import hypothesis
 from hypothesis import strategies
 import testtools
@@ -25,6 +27,7 @@
 from mustardfall.routing import loads
 from mustardfall.routing import placement
 from mustardfall.routing import tracking
+from tests import platformcase
 
 _MEMORY = 60_000
 _SLOTS = 64
@@ -32,6 +35,7 @@
     strategies.none(),
     strategies.floats(),
     strategies.integers(),
+    strategies.sampled_from((10**400, -(10**400))),
     strategies.text(max_size=5),
     strategies.booleans(),
 )
@@ -170,7 +174,7 @@
     """Guards against callers that gain room by an unusable estimate."""
     expected = engine_memory.expected_output(hint, most)
     self.assertTrue(0 <= expected <= most)
-    is_usable = isinstance(hint, int | float) and hint >= 1
+    is_usable = isinstance(hint, int | float) and hint >= 1  # NaN is not
     if not is_usable:
       self.assertEqual(most, expected)
 
@@ -178,8 +182,10 @@
   def test_odd_ranks_gain_no_urgency(self, rank):
     """Guards against callers that gain urgency by an unusable rank."""
     found = engine_memory.rank_of(rank)
-    if not isinstance(rank, int | float) or not math.isfinite(rank):
+    if rank in (None, math.inf, -math.inf) or isinstance(rank, str):
       self.assertEqual(engine_memory.MAX_RANK, found)
+    elif not math.isnan(rank) if isinstance(rank, float) else True:
+      self.assertEqual(min(9, max(0, int(rank))), found)
 
   @hypothesis.given(
       strategies.recursive(
@@ -413,6 +419,65 @@
     self.assertEqual({"memory_short": 1, "memory_never": 1}, dict(totals))
 
 
+class GatewayTest(testtools.TestCase):
+
+  def _ended(self, logs) -> list[dict | None]:
+    return [
+        record.memory
+        for record in logs.records
+        if record.getMessage() == "request ended"
+    ]
+
+  async def _send(self, env, name: str) -> None:
+    async with env.caller() as caller:
+      await caller.send(
+          "/once/a",
+          name,
+          token_usage="300,40",
+          prompt_prefix="p:200,e1:100",
+          length_hint="16",
+          model="m",
+      )
+      response = await caller.receive()
+    self.assertEqual(200, response.status)
+
+  def _play(self, engine_memory_: bool, engine: dict) -> list[dict | None]:
+    """Returns the logged facts of requests sent one after the other."""
+    found = []
+
+    async def go():
+      async with platformcase.running() as env:
+        given = platformcase.configuration(version=2)
+        given["services"][0]["engine"] |= engine
+        env.store.put("op/config", given)
+        await anyio.sleep(0.5)
+        with self.assertLogs("mustardfall.proxy.request_log", "INFO") as logs:
+          for number in range(2):
+            await self._send(env, f"r{number}")
+            await anyio.sleep(0.05)
+        found.extend(self._ended(logs))
+
+    more = {"proxy": {"engine_memory": engine_memory_}}
+    with mock.patch.dict(platformcase.ROUTER_SETTINGS, more):
+      anyio.run(go)
+    return found
+
+  def test_memory_of_the_chosen_engine_is_logged(self):
+    """Guards against a setting that has no effect on real requests."""
+    facts = self._play(True, {"slots": 8, "kv_capacity": 1_000})
+    self.assertEqual(2, len(facts))
+    for one in facts:
+      self.assertEqual((1_000, 316), (one["of"], one["needs"]))
+      # Nothing of a run that has ended may be left.
+      self.assertEqual((0, 0), (one["held"], one["wait_ms"]))
+
+  def test_nothing_is_counted_unless_it_is_configured(self):
+    """Guards against new behaviour in the deployments in service."""
+    self.assertEqual([None, None], self._play(True, {}))
+    off = self._play(False, {"slots": 8, "kv_capacity": 1_000})
+    self.assertEqual([None, None], off)
+
+
 class FleetTest(testtools.TestCase):
   """The model of four engines, with and without `proxy.engine_memory`.
 
