--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -448,6 +448,7 @@
           sheds_connections=True,
           saturation=saturation_limiter_lib.SaturationLimiter(
               self.config,
+              self.clock,
               lambda: self.tunnel_server.lag_s,
               lambda: len(self.accounts.members.lives) > 1,
               self.instruments,
--- a/mustardfall/platform/process_settings.py
+++ b/mustardfall/platform/process_settings.py
@@ -75,6 +75,7 @@
 class _Limits(_JsonModel):
   memory_mb: Annotated[int, pydantic.Field(ge=0)] = 0
   max_fds: Annotated[int, pydantic.Field(ge=0)] = 0
+  link_mbps: _NonNegativeFloat = 0.0
 
 
 _Model = TypeVar("_Model", bound=_JsonModel)
@@ -198,7 +199,11 @@
       "last_spare_port": optional.port_range[-1],
       "kv_url": f"http://{store}",
       "hosts_url": f"http://{store}",
-      "limits": {"memory_mb": limits.memory_mb, "files": limits.max_fds},
+      "limits": {
+          "memory_mb": limits.memory_mb,
+          "files": limits.max_fds,
+          "link_mbps": limits.link_mbps,
+      },
       "proxy": {
           "retry_ratio": bounds.retry_ratio * _RETRY_SHARE,
           "retry_burst": bounds.retry_slack
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -195,6 +195,11 @@
             queue,
         )
 
+  def note_bytes(self, size: int) -> None:
+    """Counts bytes that a caller has sent or is sent."""
+    if self._saturation is not None:
+      self._saturation.note_bytes(size)
+
   @property
   def is_leaving_connections(self) -> bool:
     """Whether connections are closed after the request that is served."""
@@ -396,6 +401,7 @@
     """Reads once from the connection."""
     try:
       data = await self._stream.receive(_READ_BYTES)
+      self._server.note_bytes(len(data))
     except anyio.EndOfStream:
       data = b""
       self._caller_closed = True
@@ -538,6 +544,7 @@
     """Sends events of a response."""
     data = b"".join(self._parser.send(event) or b"" for event in events)
     if data:
+      self._server.note_bytes(len(data))
       await self._stream.send(data)
 
   async def _close_lingering(self) -> None:
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -167,7 +167,7 @@
   `Retry-After`, seconds; 0: none. A longer one is asked for again after it."""
   sheds_saturated: bool = False
   """Whether connections of callers are closed, new ones unread, while this
-  router's processor is saturated and other routers are up."""
+  router's processor or link is saturated and other routers are up."""
   learned_speeds: bool = False
   """Whether endpoints are chosen by the speed that was learned of each, and more
   of them are compared for long prompts."""
@@ -185,6 +185,8 @@
   """Memory above which the host kills the process, MB."""
   files: int = pydantic.Field(default=0, ge=0)
   """Maximum number of open file descriptors."""
+  link_mbps: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
+  """Rate of the host's network link in each direction, Mbit/s."""
 
 
 class Records(_SettingsModel):
--- a/tests/test_router_saturation.py
+++ b/tests/test_router_saturation.py
@@ -5,6 +5,7 @@
 their deadlines while other hosts are nearly idle.
 """
 
+import datetime
 import math
 import random
 
@@ -17,6 +18,7 @@
 from mustardfall import settings
 from mustardfall.proxy import saturation_limiter
 from mustardfall.routing import router_saturation
+from mustardfall.util import clock as clock_lib
 from tests import test_gateway
 
 _CAPACITY_PER_S = 25.0
@@ -95,7 +97,13 @@
 
 class LimiterTest(testtools.TestCase):
 
-  def _limiter(self, lag_s: float, others: bool = True, enabled: bool = True):
+  def _limiter(
+      self,
+      lag_s: float,
+      others: bool = True,
+      enabled: bool = True,
+      link_mbps: float = 0.0,
+  ) -> saturation_limiter.SaturationLimiter:
     listen = settings.Listen(port=0)
     config = settings.Router(
         name="r",
@@ -105,9 +113,12 @@
         kv_url="",
         hosts_url="",
         proxy=settings.Proxy(sheds_saturated=enabled),
+        limits=settings.Limits(link_mbps=link_mbps),
     )
+    self.clock = clock_lib.FakeClock()
     return saturation_limiter.SaturationLimiter(
         config,
+        self.clock,
         lambda: lag_s,
         lambda: others,
         metrics.Instruments("r"),
@@ -122,6 +133,41 @@
     """Guards against requests that wait at a saturated router."""
     self.assertTrue(80 < self._closed(self._limiter(0.1)) < 120)
 
+  def _run_link(self, offered: float, seconds: float = 40.0):
+    """Offers a 5 Mbit/s link requests of 6 KB; returns those served a second.
+
+    Args:
+      offered: bytes a second, relative to the rate of the link.
+      seconds: the time.
+    """
+    limiter = self._limiter(0.0, link_mbps=5.0)
+    served = []
+    size = 6_000
+    per_s = offered * 625_000 / size
+    for number in range(int(seconds * per_s)):
+      self.clock.advance(datetime.timedelta(seconds=1 / per_s))
+      if not limiter.closes_unread():
+        limiter.note_bytes(size)
+        served.append(number / per_s)
+    later = [at for at in served if at > seconds / 2]
+    return len(later) * size / 625_000 / (seconds / 2)
+
+  def test_full_link_carries_what_it_can(self):
+    """Guards against callers whose packets wait at a link that is full."""
+    for offered in (0.8, 1.5, 3.0):
+      self.assertTrue(0.4 < self._run_link(offered) < 0.6, offered)
+
+  def test_link_with_room_closes_nothing(self):
+    """Guards against closing connections that the link can carry."""
+    self.assertAlmostEqual(0.4, self._run_link(0.4), delta=0.01)
+
+  @hypothesis.given(strategies.floats(), strategies.floats(0, 1e9))
+  def test_odd_rates_never_close_all(self, utilisation, now):
+    """Guards against a measurement that ends all service."""
+    state = router_saturation.LinkState(0.5, 10.0)
+    share = router_saturation.update_link(state, utilisation, now).share
+    self.assertTrue(0.0 <= share <= 0.9, share)
+
   def test_only_router_serves_what_it_can(self):
     """Guards against closing connections that no other router could serve."""
     limiter = self._limiter(0.5, others=False)
