New requests are admitted by their cost to callers

Setting proxy.load_shedding, `objective` by default. The emulated server queues requests and states its load where a test sets `queue`.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -4,6 +4,8 @@
 most of the faulty ones.
 """
 
+import collections
+from collections.abc import Callable
 import dataclasses
 import socket
 import struct
@@ -66,6 +68,9 @@
   header is left out."""
   slots: int | None = None
   """Requests that it runs at a time; it turns others away. None: any number."""
+  queue: int = 0
+  """Requests that wait for one of its slots, in order of arrival. If there are
+  any, it states its true load; otherwise it states one running request."""
   brittle: int | None = None
   """Value of the `Server-Brittle` header: it crashes if it turns away more
   requests in a second. None: the header is left out."""
@@ -180,6 +185,10 @@
     """Answers without end that the router has closed."""
     self.connections = 0
     self._running = 0
+    self._waiting: collections.deque[anyio.Event] = collections.deque()
+    """Requests that wait for a slot; set when they get one."""
+    self.busy_s = 0.0
+    """Seconds for which slots were taken, added up over the slots."""
     self._turned_away_at: list[float] = []
     """When requests were turned away for want of a slot."""
     self.started = anyio.Event()
@@ -263,7 +272,8 @@
       headers = {"instance-id": self.id} | _statement_headers(behaviour)
       await stream.send(_head(421, headers) + b"\r\n")
       return False
-    is_full = behaviour.slots is not None and self._running >= behaviour.slots
+    is_busy = behaviour.slots is not None and self._running >= behaviour.slots
+    is_full = is_busy and len(self._waiting) >= behaviour.queue
     if behaviour.endless:
       self.received.append(request)
       await self._send_without_end(stream, request, behaviour)
@@ -279,11 +289,19 @@
         await self._note_turned_away(behaviour)
       return False
     self.received.append(request)
-    self._running += 1
+    if is_busy:
+      await self._wait_for_slot()
+    else:
+      self._running += 1
+    began_at = anyio.current_time()
     try:
       await self._respond(stream, request, behaviour)
     finally:
-      self._running -= 1
+      self.busy_s += anyio.current_time() - began_at
+      if self._waiting:
+        self._waiting.popleft().set()
+      else:
+        self._running -= 1
     parser.send(
         h11.Response(status_code=200, headers=[("content-length", "0")])
     )
@@ -293,6 +311,19 @@
     )
     return keep and not request.cancelled
 
+  async def _wait_for_slot(self) -> None:
+    """Waits until a request that ends leaves its slot to this one."""
+    freed = anyio.Event()
+    self._waiting.append(freed)
+    await freed.wait()
+
+  def load(self, behaviour: Behaviour) -> str:
+    """Returns the value of the `Server-Load` header."""
+    slots = behaviour.slots or 8
+    if not behaviour.queue:
+      return f"1,0,{slots}"
+    return f"{self._running},{len(self._waiting)},{slots}"
+
   async def _send_without_end(
       self,
       stream: abc.SocketStream,
@@ -330,7 +361,12 @@
     async with anyio.create_task_group() as tg:
       tg.start_soon(_watch_disconnect, stream, request, tg.cancel_scope)
       writer = _ResponseWriter(
-          stream, request, behaviour, self.id, self.version
+          stream,
+          request,
+          behaviour,
+          self.id,
+          self.version,
+          lambda: self.load(behaviour),
       )
       if _crashes_on(request, behaviour):
         await writer.send_head()
@@ -399,7 +435,9 @@
       behaviour: Behaviour,
       id_: str,
       version: str,
+      load: Callable[[], str],
   ) -> None:
+    self._load = load
     self._stream = stream
     self._request = request
     self._behaviour = behaviour
@@ -432,10 +470,9 @@
       await self._stream.send(_head(200, headers, 3) + b"\r\nbad")
 
   def _headers(self) -> dict[str, str]:
-    slots = self._behaviour.slots or 8
     headers = {
         **_request_id_header(self._request),
-        "server-load": f"1,0,{slots}",
+        "server-load": self._load(),
     }
     if not self._behaviour.unsigned:
       headers["response-signature"] = f"signed-by-{self._id}"
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 import random
+from typing import NamedTuple
 
 from mustardfall import metrics
 from mustardfall import settings
@@ -10,6 +11,7 @@
 from mustardfall.membership import trackers as trackers_lib
 from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
+from mustardfall.proxy import load_shedder as load_shedder_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import directory as directory_lib
@@ -18,6 +20,7 @@
 from mustardfall.routing import placement as placement_lib
 from mustardfall.routing import server_speed
 from mustardfall.routing import statements as statements_lib
+from mustardfall.routing import tracking
 from mustardfall.routing import work_times as work_times_lib
 from mustardfall.util import clock as clock_lib
 
@@ -27,6 +30,14 @@
 """Limited endpoints whose permits are asked for in turn for one request."""
 
 
+class _Choice(NamedTuple):
+  """An endpoint chosen for a request."""
+
+  placement: placement_lib.Placement
+  status: tracking.EndpointStatus | None = None
+  """Its status at its trackers, if they were asked and have answered."""
+
+
 class EndpointAttempt:
   """One attempt at an endpoint: accounts for its load from start to end.
 
@@ -36,6 +47,7 @@
     directory: learns the endpoint's speed.
     work_times: learns how long plain requests take; None: speeds are not
       learned.
+    shedder: learns how long requests take; None: admission does not need it.
     clock: the time source.
     load_share: reports load to all routers of a small fleet.
     trackers: reports load to the endpoint's trackers in a large fleet.
@@ -47,6 +59,7 @@
       placement: placement_lib.Placement,
       directory: directory_lib.Directory,
       work_times: work_times_lib.WorkTimes | None,
+      shedder: load_shedder_lib.LoadShedder | None,
       clock: clock_lib.Clock,
       load_share: loadshare_lib.LoadShare,
       trackers: trackers_lib.Trackers,
@@ -54,6 +67,10 @@
     self._is_generation = bool(context.request.parts)
     self._route = context.route.name
     self._work_times = work_times
+    self._context = context
+    self._shedder = shedder
+    self._first_token_at: float | None = None
+    """When the answer of a generation began, monotonic seconds."""
     self._clock = clock
     self._placement = placement
     self._directory = directory
@@ -114,6 +131,17 @@
     )
     return measured
 
+  def note_run(self, took_s: float) -> None:
+    """Records that the endpoint runs the request or has run it.
+
+    Args:
+      took_s: from when it was sent until the answer began.
+    """
+    if self._is_generation:
+      self._first_token_at = self._clock.monotonic()
+    elif self._shedder is not None:
+      self._shedder.note_work(self._context, took_s)
+
   def end_prefill(self) -> None:
     """Records that the endpoint has processed the prompt."""
     self._pending_prefill.end()
@@ -123,6 +151,10 @@
     """Records that the endpoint no longer works on the request."""
     self._placement.row.in_flight -= 1
     self.end_prefill()
+    began_at = self._first_token_at
+    if self._shedder is not None and began_at is not None and not failed:
+      took_s = self._clock.monotonic() - began_at
+      self._shedder.note_decoding(self._context, took_s)
     if self._tracked_send is not None:
       self._trackers.note_end(self._tracked_send, failed)
 
@@ -179,6 +211,11 @@
     self._clock = clock
     self._detectors: dict[str, overload.Detector] = {}
     self._random = rng or random.Random()
+    self._shedder = None
+    if config.proxy.load_shedding == "cost":
+      self._shedder = load_shedder_lib.LoadShedder(
+          directory, clock, instruments, self._random
+      )
 
   async def select(
       self, context: request_context_lib.RequestContext
@@ -200,10 +237,11 @@
     )
     candidates = self._limiter.filter_permitted(rows, max_wait_s)
     for asked in itertools.count(1):
-      placement = await self._select_among(candidates, context)
-      if placement is None:
+      choice = await self._select_among(candidates, context)
+      if choice is None:
         break
-      self._refuse_if_overloaded(context, placement)
+      placement = choice.placement
+      self._refuse_if_overloaded(context, choice)
       # Waiting for an engine with the prefix cached is no loss as long as
       # another one would need longer to prefill it.
       wait_s = min(placement.saved_s, max_wait_s)
@@ -217,7 +255,8 @@
     row = await self._limiter.wait_for_any(rows, context)
     if row is None or row not in self._eligible(context):
       return None
-    return await self._select_among([row], context)
+    choice = await self._select_among([row], context)
+    return None if choice is None else choice.placement
 
   def _sample_others(
       self, rows: list[endpoints.Row], refused: endpoints.Row
@@ -235,9 +274,12 @@
   def _refuse_if_overloaded(
       self,
       context: request_context_lib.RequestContext,
-      placement: placement_lib.Placement,
+      choice: _Choice,
   ) -> None:
-    """Refuses a new generation if all engines have standing queues.
+    """Refuses a new request if the capacity for it is short.
+
+    Generations whose requests all have one priority are refused by their
+    objective, whatever the settings.
 
     Limited engines say nothing of queues: they get few requests, and most of
     those that would go there get no permit. The few endpoints of a stream's
@@ -246,9 +288,20 @@
     Raises:
       refusals.RefusalError: the request would wait for long.
     """
-    if not context.request.parts or context.attempts_sent:
+    placement = choice.placement
+    if self._shedder is not None:
+      context.queued_works = self._shedder.queued_works(
+          placement.row, choice.status
+      )
+    if context.attempts_sent or context.bound_version is not None:
       return
-    if placement.row.is_limited or context.bound_version is not None:
+    if placement.row.is_limited:
+      return
+    if self._shedder is not None:
+      self._shedder.refuse_if_short(context, placement, choice.status)
+      if self._shedder.has_ranks(context):
+        return
+    if not context.request.parts:
       return
     slowness = placement.row.slowness
     forecast = overload.Forecast(
@@ -361,7 +414,7 @@
       self,
       rows: list[endpoints.Row],
       context: request_context_lib.RequestContext,
-  ) -> placement_lib.Placement | None:
+  ) -> _Choice | None:
     untried = [row for row in rows if row.name not in context.tried_endpoints]
     # An endpoint that leaves would soon break off the stream again.
     staying = [row for row in untried if not self._statements.is_leaving(row)]
@@ -371,7 +424,8 @@
       work_s = self._work_times.work_s(context.route.name)
       prompt = prompt._replace(work_s=work_s)
     if not self._trackers.is_used:
-      return placement_lib.choose(preferred, prompt, self._datacentre)
+      placement = placement_lib.choose(preferred, prompt, self._datacentre)
+      return None if placement is None else _Choice(placement)
     objective_s = context.route.objective.total_seconds()
     return await self._select_tracked(preferred, prompt, objective_s)
 
@@ -391,7 +445,7 @@
       rows: list[endpoints.Row],
       prompt: placement_lib.Prompt,
       objective_s: float,
-  ) -> placement_lib.Placement | None:
+  ) -> _Choice | None:
     """Queries the load of a few endpoints, and of more while that may help."""
     placement, asked, statuses = None, [], {}
     self._placements["tracked"] += 1
@@ -409,7 +463,9 @@
       )
       if placement is None or self._is_enough(placement, prompt, objective_s):
         break
-    return placement
+    if placement is None:
+      return None
+    return _Choice(placement, statuses.get(placement.row.life))
 
   def record_unreachable(self, row: endpoints.Row) -> None:
     """Reports that an endpoint accepted no connection."""
@@ -429,6 +485,7 @@
         placement,
         self._directory,
         self._work_times,
+        self._shedder,
         self._clock,
         self._load_share,
         self._trackers,
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -451,8 +451,9 @@
       if waited_s > placement.answer_s:
         attempt.record_response_time(waited_s)
       raise
+    took_s = self._clock.monotonic() - sent_at
     attempt.record_response_time(
-        self._clock.monotonic() - sent_at,
+        took_s,
         head.load.moment if head.load is not None else None,
     )
     attempt.end_prefill()
@@ -462,6 +463,8 @@
       row.running = head.load.running
       row.waiting = head.load.waiting
       row.slots = head.load.slots
+      row.stated_load = head.load.running + head.load.waiting
+      row.load_stated_at = self._clock.monotonic()
     if head.not_run or head.misdirected:
       context.may_have_run = may_have_run_before
       if head.misdirected:
@@ -470,6 +473,7 @@
         row.failures += 1
       await exchange.drain()
       raise _RetryableError(f"not run: {head.status}")
+    attempt.note_run(took_s)
     if head.has_content_encoding or not head.signed or not head.request_id:
       raise errors.InvalidResponseError("not the endpoint's own answer")
     if head.is_event_stream and head.status == _OK:
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -124,6 +124,11 @@
   return RefusalError(503, "all endpoints are busy", retry_after_s, facts)
 
 
+def shed(retry_after_s: float, facts: Mapping[str, Any]) -> RefusalError:
+  """Capacity is short; rejecting this request costs callers least."""
+  return RefusalError(503, "capacity is short", retry_after_s, facts)
+
+
 def not_sent_in_time(retry_after_s: float) -> RefusalError:
   """The deadline passed before the request was sent to an endpoint."""
   return RefusalError(503, "not sent in time", retry_after_s)
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -82,6 +82,9 @@
   endpoint: str = ""
   expected_s: float | None = None
   """Time until that endpoint's answer begins, as expected when it was chosen."""
+  queued_works: float = 0.0
+  """The wait expected at that endpoint if it is a plain server, in units of the
+  mean time that it works on a request."""
   version: str = ""
   """The software version of that endpoint, as listed."""
   event_versions: list[str] = dataclasses.field(default_factory=list)
--- a/mustardfall/routing/configuration.py
+++ b/mustardfall/routing/configuration.py
@@ -154,6 +154,15 @@
         return route
     return None
 
+  def routes_to(self, service: str) -> list[Route]:
+    """Returns the routes whose requests may go to a service."""
+    return [
+        route
+        for prefixes in self._routes.values()
+        for route in prefixes.values()
+        if any(share.service == service for share in route.split)
+    ]
+
   def team_of(self, api_key: str) -> Team | None:
     """Returns the team that `api_key` belongs to, if any."""
     return self._by_key.get(api_key)
--- a/mustardfall/routing/endpoints.py
+++ b/mustardfall/routing/endpoints.py
@@ -86,6 +86,10 @@
   """Requests running there, of all routers, as last reported; decays."""
   waiting: float = 0.0
   """Requests queued there, of all routers, as last reported; decays."""
+  stated_load: float = 0.0
+  """Requests running and queued there, as last stated in an answer."""
+  load_stated_at: float = -float("inf")
+  """When it stated that, monotonic seconds."""
   prefill_s: float = 0.0
   """Seconds of prefill pending there for this router's requests."""
   others_in_flight: int = 0
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -165,6 +165,11 @@
   learned_speeds: bool = False
   """Whether endpoints are chosen by the speed that was learned of each, and more
   of them are compared for long prompts."""
+  load_shedding: str = pydantic.Field(
+      default="objective", pattern="^(objective|cost)$"
+  )
+  """Which requests are rejected where capacity is short: `objective`, generations
+  that would be late; `cost`, those whose rejection costs callers least."""
   metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port that serves the metrics in the Prometheus format; 0: none."""
 
