Plain requests go to the shortest queue where the chosen server is full

Cause: the choice by cost weights a queue that a server stated by the prefill of prompts, 0.12 s each, so that routers sent plain requests to full servers that turned them away while others had room.

Change: with proxy.load_shedding `cost`, a plain request whose server has a queue goes to the one with the shortest among those compared. Tests with lost datagrams, trackers, a restarted router and callers that return.

--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -1,6 +1,7 @@
 """Chooses a request's endpoint and reports its load to other routers."""
 
 import collections
+from collections.abc import Mapping
 import itertools
 import random
 from typing import NamedTuple
@@ -425,9 +426,26 @@
       prompt = prompt._replace(work_s=work_s)
     if not self._trackers.is_used:
       placement = placement_lib.choose(preferred, prompt, self._datacentre)
+      if placement is None:
+        return None
+      row = self._least_queued(context, placement.row, preferred, {})
+      if row is not placement.row:
+        placement = placement_lib.choose([row], prompt, self._datacentre)
       return None if placement is None else _Choice(placement)
     objective_s = context.route.objective.total_seconds()
-    return await self._select_tracked(preferred, prompt, objective_s)
+    return await self._select_tracked(context, preferred, prompt, objective_s)
+
+  def _least_queued(
+      self,
+      context: request_context_lib.RequestContext,
+      chosen: endpoints.Row,
+      rows: list[endpoints.Row],
+      statuses: Mapping[str, tracking.EndpointStatus],
+  ) -> endpoints.Row:
+    """Returns the endpoint for a request; for a generation, the chosen one."""
+    if self._shedder is None or context.request.parts:
+      return chosen
+    return self._shedder.least_queued(chosen, rows, statuses)
 
   def _is_enough(
       self,
@@ -442,6 +460,7 @@
 
   async def _select_tracked(
       self,
+      context: request_context_lib.RequestContext,
       rows: list[endpoints.Row],
       prompt: placement_lib.Prompt,
       objective_s: float,
@@ -465,7 +484,16 @@
         break
     if placement is None:
       return None
-    return _Choice(placement, statuses.get(placement.row.life))
+    compared = [one.row for one in asked]
+    row = self._least_queued(context, placement.row, compared, statuses)
+    if row is not placement.row:
+      alone = [one for one in asked if one.row is row]
+      placement = placement_lib.choose_tracked(
+          alone, statuses, prompt, self._datacentre
+      )
+    if placement is None:
+      return None
+    return _Choice(placement, statuses.get(row.life))
 
   def record_unreachable(self, row: endpoints.Row) -> None:
     """Reports that an endpoint accepted no connection."""
--- a/mustardfall/proxy/load_shedder.py
+++ b/mustardfall/proxy/load_shedder.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterable, Mapping
 import logging
 import random
 from typing import Any
@@ -83,6 +84,37 @@
     in_flight = self._in_flight(row, status)
     return load_shedding.queued_works(row.slots, in_flight)
 
+  def least_queued(
+      self,
+      chosen: endpoints.Row,
+      rows: Iterable[endpoints.Row],
+      statuses: Mapping[str, tracking.EndpointStatus],
+  ) -> endpoints.Row:
+    """Returns the plain server with the shortest queue if the chosen has one.
+
+    The choice by cost weights a stated queue by the prefill of prompts, which
+    plain requests have not, so that full servers are chosen beside free ones.
+
+    Args:
+      chosen: the server chosen by cost.
+      rows: the servers that were compared.
+      statuses: their status at their trackers, as far as known, by life.
+    """
+
+    def wait(row: endpoints.Row) -> float:
+      status = statuses.get(row.life)
+      return self.queued_works(row, status) * _time_ratio(row, status)
+
+    if chosen.is_limited or not wait(chosen):
+      return chosen
+    # The load of a server that failed is not that which it could bear.
+    others = [
+        row
+        for row in rows
+        if row.slots and not row.is_limited and row.failures <= chosen.failures
+    ]
+    return min([chosen, *others], key=wait)
+
   def note_work(
       self, context: request_context_lib.RequestContext, took_s: float
   ) -> None:
--- a/tests/test_shed_platform.py
+++ b/tests/test_shed_platform.py
@@ -1,12 +1,16 @@
 """Load above capacity at plain servers, on the emulated platform."""
 
 import collections
+import random
 from typing import NamedTuple
 from unittest import mock
 
 import anyio
 import testtools
 
+from mustardfall.bench import fleet
+from mustardfall.membership import datagrams as datagrams_lib
+from mustardfall.membership import members as members_lib
 from tests import platformcase
 
 _SERVERS = 4
@@ -23,6 +27,9 @@
 _PLAY_S = 12.0
 _WORTHS = (5.0, 1.0, 0.1)
 """Worth of an answer by rank."""
+_MIN_SERVED_TOP = 0.97
+_MIN_WORTH = 0.85
+_MIN_USED = 0.9
 _MAX_REJECTION_S = 0.1
 _LOST = 0.3
 """Share of datagrams that are lost."""
@@ -54,8 +61,10 @@
 class _Play:
   """Callers of all ranks that send requests at a steady rate."""
 
-  def __init__(self, env, routers) -> None:
+  def __init__(self, env, routers, retries: int = 0) -> None:
     self._env = env
+    self._retries = retries
+    """How often a rejected caller returns."""
     self._routers = routers
     self.outcomes: dict[int, list[_Outcome]] = collections.defaultdict(list)
 
@@ -72,16 +81,26 @@
         await anyio.sleep(max(0.0, due_at - anyio.current_time()))
 
   async def _call(self, rank, id_, router) -> None:
-    sent_at = anyio.current_time()
-    response = await self._env.call(
-        f"/rank{rank}/a", id_, router, deadline_ms=str(int(_DEADLINE_S * 1000))
-    )
-    took_s = anyio.current_time() - sent_at
+    due_at = anyio.current_time() + _DEADLINE_S
+    for tries in range(self._retries + 1):
+      sent_at = anyio.current_time()
+      left_s = due_at - sent_at
+      response = await self._env.call(
+          f"/rank{rank}/a",
+          f"{id_}-{tries}",
+          router,
+          deadline_ms=str(int(left_s * 1000)),
+      )
+      retry_after_s = response.headers.get("retry-after")
+      if retry_after_s is None or float(retry_after_s) > left_s / 3:
+        break
+      if tries < self._retries:
+        await anyio.sleep(float(retry_after_s))
     self.outcomes[rank].append(
         _Outcome(
             response.status,
-            took_s,
-            "retry-after" in response.headers,
+            anyio.current_time() - sent_at,
+            retry_after_s is not None,
             response.body.decode() if response.status != 200 else "",
         )
     )
@@ -109,6 +128,17 @@
     return [o for outcomes in self.outcomes.values() for o in outcomes]
 
 
+def _is_dropped(rng: random.Random):
+  """Returns a handler of datagrams that loses some of them."""
+  handle = datagrams_lib.Datagrams._handle
+
+  def _handle(self, raw, sender):
+    if rng.random() >= _LOST:
+      handle(self, raw, sender)
+
+  return _handle
+
+
 class PlainOverloadTest(testtools.TestCase):
 
   def _run(self, test) -> None:
@@ -122,82 +152,125 @@
             server.behaviour.slots = _SLOTS
             server.behaviour.queue = _QUEUE
             server.behaviour.response_delay_s = _WORK_S
-          routers = await env.add_routers(_ROUTERS)
+          port = fleet.free_port()
+          routers = await env.add_routers(_ROUTERS, (port,))
           await env.wait_until(
               lambda: all(
                   r.directory.configuration.version == 2 for r in routers
               )
           )
-          await test(env, routers)
+          await _Play(env, routers).run(1.0, overload=0.5)
+          for server in env.servers.values():
+            server.busy_s = 0.0
+          await test(env, routers, port)
 
     with mock.patch.dict(
         platformcase.ROUTER_SETTINGS, proxy={"load_shedding": "cost"}
     ):
       anyio.run(go)
 
-  def _check(self, play, min_top, min_worth, seconds=_PLAY_S) -> None:
+  def _check(self, play: _Play) -> None:
+    outcomes = play.all_outcomes()
     figures = {
         "served": [round(play.served(rank), 3) for rank in range(3)],
-        "worth": round(play.worth_ratio(seconds), 3),
+        "worth": round(play.worth_ratio(_PLAY_S), 3),
         "statuses": collections.Counter(
-            outcome.status for outcome in play.all_outcomes()
-        ),
-        "reasons": collections.Counter(
             (rank, outcome.status, outcome.reason)
             for rank, outcomes in play.outcomes.items()
             for outcome in outcomes
         ),
-        "took": [
-            [
-                round(
-                    sorted(
-                        o.took_s for o in play.outcomes[r] if o.status == 200
-                    )[int(q * play.served(r) * len(play.outcomes[r])) - 1],
-                    2,
-                )
-                for q in (0.5, 0.9, 1)
-            ]
-            for r in range(3)
-        ],
     }
     print(figures)
-    self.assertGreaterEqual(play.served(0), min_top, figures)
-    self.assertGreaterEqual(play.worth_ratio(seconds), min_worth, figures)
-    self.assertEqual(0, figures["statuses"][504], figures)
+    self.assertTrue(play.served(0) >= _MIN_SERVED_TOP, figures)
+    self.assertTrue(play.worth_ratio(_PLAY_S) >= _MIN_WORTH, figures)
+    self.assertNotIn(504, [outcome.status for outcome in outcomes], figures)
+    served_share = [o.status for o in outcomes].count(200) / len(outcomes)
+    for rank in range(3):
+      self.assertTrue(play.served(rank) >= served_share / 4, figures)
 
   def test_rejections_cost_callers_least(self):
     """Guards against urgent requests that queue behind less urgent ones."""
 
-    async def test(env, routers):
-      await _Play(env, routers).run(1.0, overload=0.5)
-      for server in env.servers.values():
-        server.busy_s = 0.0
+    async def test(env, routers, port):
       play = _Play(env, routers)
       began_at = anyio.current_time()
       await play.run(_PLAY_S)
       took_s = anyio.current_time() - began_at
-      self._check(play, 0.97, 0.85)
+      self._check(play)
       busy_s = sum(server.busy_s for server in env.servers.values())
       used = busy_s / (_SERVERS * _SLOTS * took_s)
       print("used", used)
-      self.assertGreaterEqual(used, 0.9)
-      total = sum(play.served(rank) for rank in range(3)) / 3
-      for rank in range(3):
-        self.assertGreaterEqual(play.served(rank), total / 4)
+      self.assertTrue(used >= _MIN_USED, used)
       for outcome in play.all_outcomes():
         if outcome.status != 200:
-          self.assertIn(outcome.status, (429, 503))
-          self.assertTrue(outcome.has_retry_after)
-          self.assertLessEqual(outcome.took_s, _MAX_REJECTION_S)
+          self.assertEqual((503, True), outcome[:3:2], outcome)
+          self.assertTrue(outcome.took_s <= _MAX_REJECTION_S, outcome)
+
+    self._run(test)
+
+  def test_callers_that_return_do_not_go_first(self):
+    """Guards against rejected callers that return before there is room."""
+
+    async def test(env, routers, port):
+      play = _Play(env, routers, retries=1)
+      await play.run(_PLAY_S)
+      self._check(play)
+
+    self._run(test)
+
+  def test_lost_datagrams(self):
+    """Guards against decisions that need each report of other routers."""
+    rng = random.Random(1)
+
+    async def test(env, routers, port):
+      with mock.patch.object(
+          datagrams_lib.Datagrams, "_handle", _is_dropped(rng)
+      ):
+        play = _Play(env, routers)
+        await play.run(_PLAY_S)
+      self._check(play)
+
+    self._run(test)
+
+  def test_fleet_with_trackers(self):
+    """Guards against a fleet whose routers know endpoints by trackers only."""
+    with mock.patch.object(members_lib, "MAX_SMALL_FLEET", _ROUTERS - 2):
+
+      async def test(env, routers, port):
+        self.assertTrue(all(r.trackers.is_used for r in routers))
+        play = _Play(env, routers)
+        await play.run(_PLAY_S)
+        self._check(play)
+
+      self._run(test)
+
+  def test_restarted_router(self):
+    """Guards against a router without knowledge that admits all ranks."""
+
+    async def test(env, routers, port):
+      play = _Play(env, routers)
+
+      async def restart():
+        await anyio.sleep(_PLAY_S / 3)
+        killed = routers.pop(0)
+        env.kill(killed)
+        name, host = killed.config.name, killed.config.listen.host
+        router = await env.add_gateway(name, host=host, port_range=(port,))
+        routers.append(router)
+
+      async with anyio.create_task_group() as tg:
+        tg.start_soon(restart)
+        await play.run(_PLAY_S)
+      self._check(play)
 
     self._run(test)
 
   def test_nothing_is_rejected_with_room_for_all(self):
     """Guards against rejections where no capacity is short."""
 
-    async def test(env, routers):
+    async def test(env, routers, port):
       play = _Play(env, routers)
-      await play.run(4.0, overload=0.6)
+      await play.run(_PLAY_S / 2, overload=0.6)
       statuses = {outcome.status for outcome in play.all_outcomes()}
       self.assertEqual({200}, statuses)
 
