Low ranks get their least share by measuring it

Change: a rank below 0.3 of the share of all is admitted with the longest wait of lower ranks; only some of its requests with that of the highest rank.

--- a/mustardfall/proxy/load_shedder.py
+++ b/mustardfall/proxy/load_shedder.py
@@ -183,11 +183,11 @@
       is_full = load_shedding.is_plain_full(room)
     shortage = self._shortages.setdefault(service, load_shedding.Shortage())
     room = shortage.complete(
-        room, is_full, shortest_s, self._random.random(), now
+        room, demand.rank, is_full, shortest_s, self._random.random(), now
     )
     decision = load_shedding.decide(demand, room)
     admitted = isinstance(decision, load_shedding.Admit)
-    shortage.note_decision(admitted)
+    shortage.note_decision(demand.rank, admitted)
     if isinstance(decision, load_shedding.Reject):
       facts = self._facts(demand, room, placement.row, status, now)
       facts["why"] = decision.reason
--- a/mustardfall/routing/load_shedding.py
+++ b/mustardfall/routing/load_shedding.py
@@ -40,8 +40,13 @@
 _MIN_SHARE_RATIO = 0.3
 """Part of the share of all requests that are admitted that each rank gets at
 least. Callers need a quarter; the rest covers requests that are lost later."""
+_DRAWN_RATIO = 0.4
+"""The same for the requests of a rank below that share that may wait as long as
+the highest rank does. It is larger, since some of them find no room either."""
 _SHARE_WEIGHT = 0.04
 """Weight of the newest decision in the share of admitted requests."""
+_RANK_SHARE_WEIGHT = 0.1
+"""The same in the share of one rank, which has fewer requests."""
 _DEADLINE_RATIO = 0.9
 """Part of the time left in which the answer must be expected: estimates of waits
 are off by some tenths, and an answer after the deadline is wasted work."""
@@ -92,6 +97,8 @@
   """How long it has been."""
   admitted_share: float = 1.0
   """Share of all recent requests that were admitted."""
+  rank_share: float = 1.0
+  """Share of the recent requests of the same rank that were admitted."""
   draw: float = 1.0
   """Random number from 0 to 1, drawn for this request."""
 
@@ -133,9 +140,8 @@
   if wait_s <= bound_s:
     return Admit()
   # While capacity is not short, nothing is known of the share.
-  share = min(1.0, _bounded(room.admitted_share, 0.0)) * room.is_short
   top_s = _top_wait_s(demand, work_s)
-  if wait_s <= top_s and 0.0 <= room.draw < _MIN_SHARE_RATIO * share:
+  if room.is_short and wait_s <= _starved_bound_s(demand, room):
     return Admit()
   reason = "rank" if wait_s <= top_s else "wait"
   excess_s = wait_s - bound_s + work_s
@@ -147,6 +153,12 @@
   return max(_TOP_WAIT_RATIO * objective_s, objective_s - work_s)
 
 
+def _lower_wait_s(demand: Demand, room: Room) -> float:
+  """Returns the longest wait of any rank but the highest, seconds."""
+  top_s = _TOP_WAIT_RATIO * _bounded(demand.objective_s, 0.0)
+  return min(top_s, _bounded(room.max_lower_wait_s, 0.0))
+
+
 def _bound_s(demand: Demand, room: Room) -> float:
   """Returns the longest wait with which a request is admitted, seconds."""
   if demand.rank == 0:
@@ -154,14 +166,31 @@
   lowest = demand.ranks - 1
   # A comparison with NaN is false: such a rank is the lowest.
   rank = demand.rank if 0 < demand.rank < lowest else lowest
-  top_s = _TOP_WAIT_RATIO * _bounded(demand.objective_s, 0.0)
-  lower_s = min(top_s, _bounded(room.max_lower_wait_s, 0.0))
+  lower_s = _lower_wait_s(demand, room)
   if not room.is_short:
     return lower_s
-  idle_s = min(top_s, _bounded(room.min_lower_wait_s, 0.0))
+  idle_s = min(lower_s, _bounded(room.min_lower_wait_s, 0.0))
   return idle_s + (1 - rank / lowest) * max(0.0, lower_s - idle_s)
 
 
+def _starved_bound_s(demand: Demand, room: Room) -> float:
+  """Returns the longest wait of a request whose rank gets too small a share.
+
+  Most of them are admitted only if the queue is short, so that the last places
+  are left for the highest rank. Some are whenever that would be, since the queue
+  may not be short for as long as that rank alone exceeds the capacity.
+
+  Returns:
+    A negative number if the rank gets enough.
+  """
+  share = min(1.0, _bounded(room.admitted_share, 0.0))
+  if not room.rank_share < _MIN_SHARE_RATIO * share:
+    return -1.0
+  if room.draw < _DRAWN_RATIO * share:
+    return _top_wait_s(demand, _bounded(demand.work_s, 0.0))
+  return _lower_wait_s(demand, room)
+
+
 def _retry_s(excess_s: float, left_s: float, short_s: float) -> float:
   """Returns the time after which room is expected, seconds.
 
@@ -252,10 +281,12 @@
     self._last_full_at = -math.inf
     self._short_since: float | None = None
     self._share = 1.0
+    self._rank_shares: dict[int, float] = {}
 
   def complete(
       self,
       room: Room,
+      rank: int,
       is_full: bool,
       objective_s: float,
       draw: float,
@@ -265,6 +296,7 @@
 
     Args:
       room: the room at its endpoint.
+      rank: the rank of the request.
       is_full: whether that, the best one, is full.
       objective_s: the shortest objective of the service.
       draw: random number from 0 to 1.
@@ -273,6 +305,7 @@
     if now - self._last_full_at > _SHORTAGE_HOLD_S:
       self._short_since = None
       self._share = 1.0
+      self._rank_shares.clear()
     if not is_full:
       self._full_since = None
     else:
@@ -287,13 +320,18 @@
         is_short=since is not None,
         short_s=0.0 if since is None else now - since,
         admitted_share=self._share,
+        rank_share=self._rank_shares.get(rank, _MIN_SHARE_RATIO),
         draw=draw,
     )
 
-  def note_decision(self, admitted: bool) -> None:
+  def note_decision(self, rank: int, admitted: bool) -> None:
     """Records whether a request was admitted while capacity is short."""
-    if self._short_since is not None:
-      self._share += _SHARE_WEIGHT * (admitted - self._share)
+    if self._short_since is None:
+      return
+    self._share += _SHARE_WEIGHT * (admitted - self._share)
+    share = self._rank_shares.get(rank, _MIN_SHARE_RATIO)
+    share += _RANK_SHARE_WEIGHT * (admitted - share)
+    self._rank_shares[rank] = share
 
 
 class Ranks(NamedTuple):
