--- a/mustardfall/routing/load_shedding.py
+++ b/mustardfall/routing/load_shedding.py
@@ -166,9 +166,9 @@
   lowest = demand.ranks - 1
   # A comparison with NaN is false: such a rank is the lowest.
   rank = demand.rank if 0 < demand.rank < lowest else lowest
-  lower_s = _lower_wait_s(demand, room)
   if not room.is_short:
-    return lower_s
+    return _bounded(room.max_lower_wait_s, 0.0)
+  lower_s = _lower_wait_s(demand, room)
   idle_s = min(lower_s, _bounded(room.min_lower_wait_s, 0.0))
   return idle_s + (1 - rank / lowest) * max(0.0, lower_s - idle_s)
 
@@ -303,7 +303,7 @@
       now: the current time.
     """
     if now - self._last_full_at > _SHORTAGE_HOLD_S:
-      self._short_since = None
+      self._full_since = self._short_since = None
       self._share = 1.0
       self._rank_shares.clear()
     if not is_full:
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import testtools
 
+from mustardfall.bench.virtual import shedding
 from mustardfall.routing import configuration
 from mustardfall.routing import load_shedding
 
@@ -84,6 +85,12 @@
     self.assertTrue(_admits(_demand(0, work_s=2.0), room))
     self.assertFalse(_admits(_demand(2, work_s=0.02), room))
 
+  def test_momentary_queue_of_an_engine_rejects_nothing(self):
+    """Guards against rejections in a burst that passes by itself."""
+    room = load_shedding.engine_room(64, 40, 2.0, _OBJECTIVE_S)
+    for rank in range(3):
+      self.assertTrue(_admits(_demand(rank), room))
+
   def test_longer_objective_of_a_low_rank_admits_it_no_sooner(self):
     """Guards against a low rank that outlasts a higher one in the queue."""
     route = {"authority": "h", "kind": configuration.Kind.IDEMPOTENT}
@@ -223,6 +230,45 @@
     met = [True] * 3 + ([False] * 9 + [True]) * 3
     self.assertNotIn(False, self._states(met)[2:])
 
+  def test_full_endpoints_met_long_ago_are_no_shortage(self):
+    """Guards against shortages at routers that get few requests."""
+    self.assertNotIn(True, self._states([True] * 4, step_s=5.0))
+
   def test_shortage_ends(self):
     """Guards against rejections after the load has gone."""
     self.assertFalse(self._states([True] * 3 + [False] * 22)[-1])
+
+
+class FleetTest(testtools.TestCase):
+  """Fleets in virtual time, load 1.6 times the capacity."""
+
+  def _check(self, routers, servers, seconds):
+    day = shedding.Day(routers, servers, seconds)
+    results = {
+        policy: shedding.Simulation(day, policy, 1).run()
+        for policy in ("fifo", "rank", "cost")
+    }
+    cost = results["cost"]
+    self.assertTrue(cost.served[0] >= 0.97, results)
+    self.assertTrue(cost.worth >= 0.85, results)
+    self.assertTrue(cost.worth >= results["rank"].worth - 0.03, results)
+    self.assertTrue(cost.worth > results["fifo"].worth, results)
+    self.assertTrue(min(cost.served) >= sum(cost.served) / 12, results)
+
+  def test_small_fleet(self):
+    """Guards against routers that decide differently from the same reports."""
+    self._check(9, 4, 10.0)
+
+  def test_fleet_with_trackers(self):
+    """Guards against decisions that need the load of all servers."""
+    self._check(86, 4, 10.0)
+
+  def test_largest_fleet(self):
+    """Guards against decisions that need many requests at each router."""
+    self._check(760, 36, 3.0)
+
+  def test_nothing_is_rejected_with_room_for_all(self):
+    """Guards against rejections where no capacity is short."""
+    day = shedding.Day(86, 4, 10.0, overload=0.6)
+    result = shedding.Simulation(day, "cost", 1).run()
+    self.assertTrue(min(result.served) >= 0.999, result)
