Small requests of low ranks wait longer, and engines are short later

Change: the bound falls with the rank in proportion to the request's work; a wait that leaves the objective intact is admitted for every rank while it is in its bounds; engines count as short after half an objective.

--- a/mustardfall/bench/virtual/shedding.py
+++ b/mustardfall/bench/virtual/shedding.py
@@ -161,11 +161,16 @@
     room = load_shedding.plain_room(_SLOTS, in_flight, _WORK_S)
     is_full = load_shedding.is_plain_full(room)
     room = shortage.complete(
-        room, rank, is_full, _OBJECTIVE_S, self._rng.random(), now
+        room,
+        rank,
+        is_full,
+        load_shedding.standing_s(False, _OBJECTIVE_S),
+        self._rng.random(),
+        now,
     )
     left_s = request.due_at - now
     demand = load_shedding.Demand(
-        rank, len(WORTHS), left_s, _OBJECTIVE_S, _WORK_S
+        rank, len(WORTHS), left_s, _OBJECTIVE_S, _WORK_S, _WORK_S
     )
     decision = load_shedding.decide(demand, room)
     admitted = isinstance(decision, load_shedding.Admit)
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -473,7 +473,8 @@
         row.failures += 1
       await exchange.drain()
       raise _RetryableError(f"not run: {head.status}")
-    attempt.note_run(took_s)
+    if head.status < _SERVER_ERROR:
+      attempt.note_run(took_s)
     if head.has_content_encoding or not head.signed or not head.request_id:
       raise errors.InvalidResponseError("not the endpoint's own answer")
     if head.is_event_stream and head.status == _OK:
--- a/mustardfall/proxy/load_shedder.py
+++ b/mustardfall/proxy/load_shedder.py
@@ -57,6 +57,8 @@
     """Time that endpoints work on a request, by route."""
     self._service_work_times = work_times_lib.WorkTimes()
     """The same of plain requests, by service."""
+    self._prefill_times = work_times_lib.WorkTimes()
+    """Time of prefill of the requests that came, by service."""
     self._shortages: dict[str, load_shedding.Shortage] = {}
     self._ranked: configuration_lib.Configuration | None = None
     self._ranks: dict[str, load_shedding.Ranks] = {}
@@ -183,7 +185,12 @@
       is_full = load_shedding.is_plain_full(room)
     shortage = self._shortages.setdefault(service, load_shedding.Shortage())
     room = shortage.complete(
-        room, demand.rank, is_full, shortest_s, self._random.random(), now
+        room,
+        demand.rank,
+        is_full,
+        load_shedding.standing_s(is_generation, shortest_s),
+        self._random.random(),
+        now,
     )
     decision = load_shedding.decide(demand, room)
     admitted = isinstance(decision, load_shedding.Admit)
@@ -214,8 +221,29 @@
         context.deadline - now,
         objective_s,
         work_s + placement.prefill_s,
+        placement.prefill_s if context.request.parts else work_s,
+        self._relative_work(context, placement),
     )
 
+  def _relative_work(
+      self,
+      context: request_context_lib.RequestContext,
+      placement: placement_lib.Placement,
+  ) -> float:
+    """Returns a request's work relative to the mean one of its service.
+
+    Of a generation this is the prefill: engines decode many at the same time.
+    """
+    service = context.service.name
+    if context.request.parts:
+      own_s, times = placement.prefill_s, self._prefill_times
+      times.note(service, own_s)
+    else:
+      own_s = self._work_times.work_s(context.route.name)
+      times = self._service_work_times
+    mean_s = times.work_s(service)
+    return own_s / mean_s if mean_s > 0.0 else 1.0
+
   def _ranks_of(self, service: str) -> load_shedding.Ranks:
     """Returns a service's ranks, computed once per configuration."""
     config = self._directory.configuration
--- a/mustardfall/routing/load_shedding.py
+++ b/mustardfall/routing/load_shedding.py
@@ -28,12 +28,16 @@
 _LONG_WAIT_RATIO = 0.25
 """Wait for an engine, relative to the objective, from which engines count as
 full. Half of what the highest rank may wait remains for it."""
-_IDLE_WAIT_RATIO = 0.1
-"""Wait for an engine, relative to the objective, that the lowest rank may have:
-without a queue, running requests delay a first token by up to that."""
-_STANDING_RATIO = 0.25
-"""How long endpoints must have been full before requests are rejected, relative
-to the objective. A shorter burst delays callers by less than that."""
+_IDLE_WAIT_RATIO = 0.3
+"""Wait for an engine, relative to the objective, that the lowest rank may have.
+It is above that from which engines count as full: rejecting all low ranks there
+left engines idle that urgent requests, with few prefixes, did not choose."""
+_PLAIN_STANDING_RATIO = 0.25
+"""How long plain servers must have been full before requests are rejected,
+relative to the objective. A shorter burst delays callers by less than that."""
+_ENGINE_STANDING_RATIO = 0.5
+"""The same for engines. One long prompt makes a router meet a long wait for up
+to that time without a shortage."""
 _SHORTAGE_HOLD_S = 2.0
 """How long capacity counts as short after the endpoints were last full.
 Rejections keep some slots free now and then while the demand remains."""
@@ -74,6 +78,11 @@
   that a longer objective of a lower rank does not admit it first."""
   work_s: float
   """Time that an endpoint works on it; 0: it is not known."""
+  until_answer_s: float
+  """The part of it until the answer begins, to which the objective applies."""
+  relative_work: float = 1.0
+  """Capacity that it uses, relative to the mean request of its service. Rejecting
+  a small request leaves little room to more urgent ones."""
 
 
 class Room(NamedTuple):
@@ -140,7 +149,7 @@
   if wait_s <= bound_s:
     return Admit()
   # While capacity is not short, nothing is known of the share.
-  top_s = _top_wait_s(demand, work_s)
+  top_s = _top_wait_s(demand)
   if room.is_short and wait_s <= _starved_bound_s(demand, room):
     return Admit()
   reason = "rank" if wait_s <= top_s else "wait"
@@ -148,21 +157,21 @@
   return Reject(reason, _retry_s(excess_s, left_s, _bounded(room.short_s, 0.0)))
 
 
-def _top_wait_s(demand: Demand, work_s: float) -> float:
+def _top_wait_s(demand: Demand) -> float:
   objective_s = _bounded(demand.objective_s, 0.0)
-  return max(_TOP_WAIT_RATIO * objective_s, objective_s - work_s)
+  own_s = _bounded(demand.until_answer_s, 0.0)
+  return max(_TOP_WAIT_RATIO * objective_s, objective_s - own_s)
 
 
 def _lower_wait_s(demand: Demand, room: Room) -> float:
   """Returns the longest wait of any rank but the highest, seconds."""
-  top_s = _TOP_WAIT_RATIO * _bounded(demand.objective_s, 0.0)
-  return min(top_s, _bounded(room.max_lower_wait_s, 0.0))
+  return min(_top_wait_s(demand), _bounded(room.max_lower_wait_s, 0.0))
 
 
 def _bound_s(demand: Demand, room: Room) -> float:
   """Returns the longest wait with which a request is admitted, seconds."""
   if demand.rank == 0:
-    return _top_wait_s(demand, _bounded(demand.work_s, 0.0))
+    return _top_wait_s(demand)
   lowest = demand.ranks - 1
   # A comparison with NaN is false: such a rank is the lowest.
   rank = demand.rank if 0 < demand.rank < lowest else lowest
@@ -170,7 +179,9 @@
     return _bounded(room.max_lower_wait_s, 0.0)
   lower_s = _lower_wait_s(demand, room)
   idle_s = min(lower_s, _bounded(room.min_lower_wait_s, 0.0))
-  return idle_s + (1 - rank / lowest) * max(0.0, lower_s - idle_s)
+  # A comparison with NaN is false: such a request is not small.
+  size = demand.relative_work if 0.0 < demand.relative_work < 1.0 else 1.0
+  return lower_s - size * rank / lowest * max(0.0, lower_s - idle_s)
 
 
 def _starved_bound_s(demand: Demand, room: Room) -> float:
@@ -187,7 +198,7 @@
   if not room.rank_share < _MIN_SHARE_RATIO * share:
     return -1.0
   if room.draw < _DRAWN_RATIO * share:
-    return _top_wait_s(demand, _bounded(demand.work_s, 0.0))
+    return _top_wait_s(demand)
   return _lower_wait_s(demand, room)
 
 
@@ -259,6 +270,17 @@
   return Room(wait_s, _MAX_S, idle_s, slots, in_flight, is_short=False)
 
 
+def standing_s(is_generation: bool, objective_s: float) -> float:
+  """Returns how long endpoints must have been full, for `Shortage.complete`.
+
+  Args:
+    is_generation: whether they are engines.
+    objective_s: the shortest objective of the service.
+  """
+  ratio = _ENGINE_STANDING_RATIO if is_generation else _PLAIN_STANDING_RATIO
+  return ratio * _bounded(objective_s, 0.0)
+
+
 def is_plain_full(room: Room) -> bool:
   """Whether a plain server has no free slot, as far as known."""
   return 0 < room.slots <= room.in_flight
@@ -288,7 +310,7 @@
       room: Room,
       rank: int,
       is_full: bool,
-      objective_s: float,
+      must_stand_s: float,
       draw: float,
       now: float,
   ) -> Room:
@@ -298,7 +320,7 @@
       room: the room at its endpoint.
       rank: the rank of the request.
       is_full: whether that, the best one, is full.
-      objective_s: the shortest objective of the service.
+      must_stand_s: how long they must have been full, see `standing_s`.
       draw: random number from 0 to 1.
       now: the current time.
     """
@@ -312,8 +334,7 @@
       self._last_full_at = now
       if self._full_since is None:
         self._full_since = now
-      standing_s = _STANDING_RATIO * _bounded(objective_s, 0.0)
-      if self._short_since is None and now - self._full_since >= standing_s:
+      if self._short_since is None and now - self._full_since >= must_stand_s:
         self._short_since = now
     since = self._short_since
     return room._replace(
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -14,6 +14,7 @@
 
 _OBJECTIVE_S = 0.8
 _WORK_S = 0.1
+_STANDING_S = load_shedding.standing_s(False, _OBJECTIVE_S)
 _ODD = strategies.sampled_from(
     (None, math.nan, -math.inf, -1.0, -1e300, "x", True)
 )
@@ -22,6 +23,7 @@
 
 def _demand(rank=0, ranks=3, left_s=8.0, **more):
   fields = {"objective_s": _OBJECTIVE_S, "work_s": _WORK_S, **more}
+  fields.setdefault("until_answer_s", fields["work_s"])
   return load_shedding.Demand(rank, ranks, left_s, **fields)
 
 
@@ -85,6 +87,15 @@
     self.assertTrue(_admits(_demand(0, work_s=2.0), room))
     self.assertFalse(_admits(_demand(2, work_s=0.02), room))
 
+  def test_small_request_of_a_low_rank_waits_longer(self):
+    """Guards against rejecting small requests, which frees little room."""
+    room = _room(4)
+    self.assertFalse(_admits(_demand(2), room))
+    self.assertTrue(_admits(_demand(2, relative_work=0.1), room))
+    self.assertFalse(_admits(_demand(2, relative_work=0.1), _room(7)))
+    for odd in (-1.0, 0.0, math.nan):
+      self.assertFalse(_admits(_demand(2, relative_work=odd), room))
+
   def test_momentary_queue_of_an_engine_rejects_nothing(self):
     """Guards against rejections in a burst that passes by itself."""
     room = load_shedding.engine_room(64, 40, 2.0, _OBJECTIVE_S)
@@ -132,7 +143,7 @@
           _room(in_flight),
           rank,
           True,
-          _OBJECTIVE_S,
+          _STANDING_S,
           draws.random(),
           number * 0.01,
       )
@@ -177,7 +188,7 @@
       self, rank, left_s, objective_s, work_s, wait_s, share, is_short
   ):
     """Guards against values of callers or servers that raise or gain room."""
-    demand = load_shedding.Demand(rank, 3, left_s, objective_s, work_s)
+    demand = load_shedding.Demand(rank, 3, left_s, objective_s, work_s, work_s)
     room = _room(4, is_short, admitted_share=share)._replace(wait_s=wait_s)
     decision = load_shedding.decide(demand, room)
     if isinstance(decision, load_shedding.Reject):
@@ -212,7 +223,7 @@
     shortage = load_shedding.Shortage()
     return [
         shortage.complete(
-            _room(8), 0, is_full, _OBJECTIVE_S, 0.5, number * step_s
+            _room(8), 0, is_full, _STANDING_S, 0.5, number * step_s
         ).is_short
         for number, is_full in enumerate(met)
     ]
