--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -1,8 +1,10 @@
 """Chooses a request's endpoint and reports its load to other routers."""
 
 import collections
+from collections.abc import Mapping
 import itertools
 import random
+from typing import NamedTuple
 
 from mustardfall import metrics
 from mustardfall import settings
@@ -11,6 +13,7 @@
 from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
 from mustardfall.proxy import engine_room
+from mustardfall.proxy import load_shedder as load_shedder_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import directory as directory_lib
@@ -29,6 +32,14 @@
 """Limited endpoints whose permits are asked for in turn for one request."""
 
 
+class _Choice(NamedTuple):
+  """An endpoint chosen for a request."""
+
+  placement: placement_lib.Placement
+  status: tracking.EndpointStatus | None = None
+  """Its status at its trackers, if they were asked and have answered."""
+
+
 class EndpointAttempt:
   """One attempt at an endpoint: accounts for its load from start to end.
 
@@ -38,6 +49,7 @@
     directory: learns the endpoint's speed.
     work_times: learns how long plain requests take; None: speeds are not
       learned.
+    shedder: learns how long requests take; None: admission does not need it.
     clock: the time source.
     load_share: reports load to all routers of a small fleet.
     trackers: reports load to the endpoint's trackers in a large fleet.
@@ -49,6 +61,7 @@
       placement: placement_lib.Placement,
       directory: directory_lib.Directory,
       work_times: work_times_lib.WorkTimes | None,
+      shedder: load_shedder_lib.LoadShedder | None,
       clock: clock_lib.Clock,
       load_share: loadshare_lib.LoadShare,
       trackers: trackers_lib.Trackers,
@@ -56,6 +69,10 @@
     self._is_generation = bool(context.request.parts)
     self._route = context.route.name
     self._work_times = work_times
+    self._context = context
+    self._shedder = shedder
+    self._first_token_at: float | None = None
+    """When the answer of a generation began, monotonic seconds."""
     self._clock = clock
     self._placement = placement
     self._directory = directory
@@ -124,6 +141,17 @@
     )
     return measured
 
+  def note_run(self, took_s: float) -> None:
+    """Records that the endpoint runs the request or has run it.
+
+    Args:
+      took_s: from when it was sent until the answer began.
+    """
+    if self._is_generation:
+      self._first_token_at = self._clock.monotonic()
+    elif self._shedder is not None:
+      self._shedder.note_work(self._context, took_s)
+
   def end_prefill(self) -> None:
     """Records that the endpoint has processed the prompt."""
     self._pending_prefill.end()
@@ -135,6 +163,10 @@
     now = self._clock.monotonic()
     self._placement.row.runs.remove(self._run_name, failed, now)
     self.end_prefill()
+    began_at = self._first_token_at
+    if self._shedder is not None and began_at is not None and not failed:
+      took_s = self._clock.monotonic() - began_at
+      self._shedder.note_decoding(self._context, took_s)
     if self._tracked_send is not None:
       self._trackers.note_end(self._tracked_send, failed)
 
@@ -193,6 +225,11 @@
     self._clock = clock
     self._detectors: dict[str, overload.Detector] = {}
     self._random = rng or random.Random()
+    self._shedder = None
+    if config.proxy.load_shedding == "cost":
+      self._shedder = load_shedder_lib.LoadShedder(
+          directory, clock, instruments, self._random
+      )
 
   async def select(
       self, context: request_context_lib.RequestContext
@@ -214,10 +251,11 @@
     )
     candidates = self._limiter.filter_permitted(rows, max_wait_s)
     for asked in itertools.count(1):
-      placement = await self._select_among(candidates, context)
-      if placement is None:
+      choice = await self._select_among(candidates, context)
+      if choice is None:
         break
-      self._refuse_if_overloaded(context, placement)
+      placement = choice.placement
+      self._refuse_if_overloaded(context, choice)
       # Waiting for an engine with the prefix cached is no loss as long as
       # another one would need longer to prefill it.
       wait_s = min(placement.saved_s, max_wait_s)
@@ -231,7 +269,8 @@
     row = await self._limiter.wait_for_any(rows, context)
     if row is None or row not in self._eligible(context):
       return None
-    return await self._select_among([row], context)
+    choice = await self._select_among([row], context)
+    return None if choice is None else choice.placement
 
   def _sample_others(
       self, rows: list[endpoints.Row], refused: endpoints.Row
@@ -249,9 +288,12 @@
   def _refuse_if_overloaded(
       self,
       context: request_context_lib.RequestContext,
-      placement: placement_lib.Placement,
+      choice: _Choice,
   ) -> None:
-    """Refuses a new generation if all engines have standing queues.
+    """Refuses a new request if the capacity for it is short.
+
+    Generations whose requests all have one priority are refused by their
+    objective, whatever the settings.
 
     Limited engines say nothing of queues: they get few requests, and most of
     those that would go there get no permit. The few endpoints of a stream's
@@ -260,9 +302,20 @@
     Raises:
       refusals.RefusalError: the request would wait for long.
     """
-    if not context.request.parts or context.attempts_sent:
+    placement = choice.placement
+    if self._shedder is not None:
+      context.queued_works = self._shedder.queued_works(
+          placement.row, choice.status
+      )
+    if context.attempts_sent or context.bound_version is not None:
       return
-    if placement.row.is_limited or context.bound_version is not None:
+    if placement.row.is_limited:
+      return
+    if self._shedder is not None:
+      self._shedder.refuse_if_short(context, placement, choice.status)
+      if self._shedder.has_ranks(context):
+        return
+    if not context.request.parts:
       return
     slowness = placement.row.slowness
     forecast = overload.Forecast(
@@ -376,7 +429,7 @@
       self,
       rows: list[endpoints.Row],
       context: request_context_lib.RequestContext,
-  ) -> placement_lib.Placement | None:
+  ) -> _Choice | None:
     untried = [row for row in rows if row.name not in context.tried_endpoints]
     # An endpoint that leaves would soon break off the stream again.
     staying = [row for row in untried if not self._statements.is_leaving(row)]
@@ -388,20 +441,46 @@
     if self._counts_memory:
       prompt = prompt._replace(need=engine_room.need_of(context))
     if self._trackers.is_used:
-      objective_s = context.route.objective.total_seconds()
-      chosen = await self._select_tracked(preferred, prompt, objective_s)
+      choice = await self._select_tracked(context, preferred, prompt)
     else:
-      self._note_usage(preferred, prompt, {})
-      chosen = placement_lib.choose(preferred, prompt, self._datacentre)
-    if chosen is not None:
-      self._room_log.note_choice(chosen)
-    return chosen
+      choice = self._select_untracked(context, preferred, prompt)
+    if choice is not None:
+      self._room_log.note_choice(choice.placement)
+    return choice
+
+  def _select_untracked(
+      self,
+      context: request_context_lib.RequestContext,
+      rows: list[endpoints.Row],
+      prompt: placement_lib.Prompt,
+  ) -> _Choice | None:
+    """Chooses by what this router knows of the endpoints."""
+    self._note_usage(rows, prompt, {})
+    placement = placement_lib.choose(rows, prompt, self._datacentre)
+    if placement is None:
+      return None
+    row = self._least_queued(context, placement.row, rows, {})
+    if row is not placement.row:
+      placement = placement_lib.choose([row], prompt, self._datacentre)
+    return None if placement is None else _Choice(placement)
+
+  def _least_queued(
+      self,
+      context: request_context_lib.RequestContext,
+      chosen: endpoints.Row,
+      rows: list[endpoints.Row],
+      statuses: Mapping[str, tracking.EndpointStatus],
+  ) -> endpoints.Row:
+    """Returns the endpoint for a request; for a generation, the chosen one."""
+    if self._shedder is None or context.request.parts:
+      return chosen
+    return self._shedder.least_queued(chosen, rows, statuses)
 
   def _note_usage(
       self,
       rows: list[endpoints.Row],
       prompt: placement_lib.Prompt,
-      statuses: dict[str, tracking.EndpointStatus],
+      statuses: Mapping[str, tracking.EndpointStatus],
   ) -> None:
     """Updates what is known of the engines' memory, and logs full ones."""
     if prompt.need is None:
@@ -426,12 +505,13 @@
 
   async def _select_tracked(
       self,
+      context: request_context_lib.RequestContext,
       rows: list[endpoints.Row],
       prompt: placement_lib.Prompt,
-      objective_s: float,
-  ) -> placement_lib.Placement | None:
+  ) -> _Choice | None:
     """Queries the load of a few endpoints, and of more while that may help."""
     placement, asked, statuses = None, [], {}
+    objective_s = context.route.objective.total_seconds()
     self._placements["tracked"] += 1
     rounds = placement_lib.candidates(
         rows, prompt, self._datacentre, self._random
@@ -448,7 +528,18 @@
       )
       if placement is None or self._is_enough(placement, prompt, objective_s):
         break
-    return placement
+    if placement is None:
+      return None
+    compared = [one.row for one in asked]
+    row = self._least_queued(context, placement.row, compared, statuses)
+    if row is not placement.row:
+      alone = [one for one in asked if one.row is row]
+      placement = placement_lib.choose_tracked(
+          alone, statuses, prompt, self._datacentre
+      )
+    if placement is None:
+      return None
+    return _Choice(placement, statuses.get(row.life))
 
   def record_unreachable(self, row: endpoints.Row) -> None:
     """Reports that an endpoint accepted no connection."""
@@ -468,6 +559,7 @@
         placement,
         self._directory,
         self._work_times,
+        self._shedder,
         self._clock,
         self._load_share,
         self._trackers,
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -174,6 +174,11 @@
   engine_memory: bool = False
   """Whether endpoints are chosen by the room that the runs there leave in their
   memory, where the configuration says how much they have."""
+  load_shedding: str = pydantic.Field(
+      default="objective", pattern="^(objective|cost)$"
+  )
+  """Which requests are rejected where capacity is short: `objective`, generations
+  that would be late; `cost`, those whose rejection costs callers least."""
   metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
   """TCP port that serves the metrics in the Prometheus format; 0: none."""
 
