Send load reports to fewer routers while trackers answer

Cause: in a fleet of more than 12 routers an endpoint's load comes from its trackers; load reports only serve for endpoints whose trackers do not answer. They were sent to eight routers each time and were a third to a half of all datagrams.

Change: while a router's queries are answered, a report goes to two routers; for 5 s after a query without answer it goes to eight, as before. The interval between reports is unchanged.

--- a/mustardfall/bench/virtual/limits.py
+++ b/mustardfall/bench/virtual/limits.py
@@ -243,6 +243,9 @@
   def note_sent(self, endpoint: str, prefix: str) -> None:
     """Does nothing."""
 
+  def note_unanswered(self) -> None:
+    """Does nothing."""
+
   def mark_changed(self) -> None:
     """Does nothing."""
 
--- a/mustardfall/membership/loadshare.py
+++ b/mustardfall/membership/loadshare.py
@@ -21,6 +21,14 @@
 sends none can be taken for dead."""
 _FANOUT = 8
 """Receivers of one report in a large fleet; the others follow in turn."""
+_ANSWERED_FANOUT = 2
+"""The same while trackers answer. Reports to eight were a third of a router's
+datagrams although only endpoints whose trackers do not answer are judged by
+them."""
+_FALLBACK_S = 5.0
+"""Time after a query without answer in which reports go to more receivers.
+Longer than a router that gave no answer is avoided (1 s), after which it is
+queried again."""
 _MAX_BYTES_PER_S = 1_500
 """Limit of reports sent by a router of a large fleet, whatever the fleet's
 size, out of the 7 KB a second that it may send for control. In a large fleet
@@ -55,8 +63,14 @@
     """Position of the next receiver in the list of others. It starts at a hash
     of the name: if all routers started with the same receivers, these would get
     all reports and the rest none."""
+    self._fallback_until = -float("inf")
+    """Until when reports go to more receivers, monotonic seconds."""
     datagrams.connect(datagrams_lib.Kind.LOADS, self._handle_report)
 
+  def note_unanswered(self) -> None:
+    """Records that the trackers of an endpoint have not answered a query."""
+    self._fallback_until = self._clock.monotonic() + _FALLBACK_S
+
   def mark_changed(self) -> None:
     """Records that this router's load at an endpoint has changed."""
     self._changed.set()
@@ -78,7 +92,12 @@
       await anyio.sleep(max(_MIN_INTERVAL_S, sent_bytes / _MAX_BYTES_PER_S))
 
   async def _send_report(self) -> int:
-    """Sends a report; returns the bytes that count towards the limit."""
+    """Sends a report; returns the bytes that count towards the limit.
+
+    In a large fleet these are the bytes that go to `_FANOUT` receivers, also
+    where there are fewer: a report has the prefixes sent since the one before,
+    so that reports at longer intervals would be larger.
+    """
     raw = loads_lib.encode(self._loads.report())
     others = self._members.others
     if not self._members.is_large:
@@ -86,16 +105,18 @@
       return 0
     receivers = self._next_receivers(others)
     await self._datagrams.send(datagrams_lib.Kind.LOADS, raw, receivers)
-    return len(raw) * len(receivers)
+    return len(raw) * _FANOUT
 
   def _next_receivers(
       self, others: list[members_lib.Member]
   ) -> list[members_lib.Member]:
     """Returns the receivers of the next report, in round-robin order."""
+    is_fallback = self._clock.monotonic() < self._fallback_until
+    fanout = _FANOUT if is_fallback else _ANSWERED_FANOUT
     start = self._next_receiver % len(others)
-    self._next_receiver = start + _FANOUT
+    self._next_receiver = start + fanout
     ordered = itertools.chain(others[start:], others[:start])
-    return list(itertools.islice(ordered, _FANOUT))
+    return list(itertools.islice(ordered, fanout))
 
   def _handle_report(self, raw: bytes) -> None:
     report = loads_lib.decode(raw)
--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -403,7 +403,10 @@
       asked += found
       lives = [one.row.life for one in found]
       if len(rows) > 1:
-        statuses |= await self._trackers.survey(lives, prompt.prefix)
+        answers = await self._trackers.survey(lives, prompt.prefix)
+        statuses |= answers
+        if len(answers) < len(set(lives)):
+          self._load_share.note_unanswered()
       placement = placement_lib.choose_tracked(
           asked, statuses, prompt, self._datacentre
       )
