Encode a request to an endpoint once, and send a short one without a task

Cause: an exchange ran h11 twice over its request (once for the parser, once for the bytes), started a task group to send it, and opened a cancel scope for each read of the response, also where there was no time limit.

Change: the parser's own output is sent. Requests of up to 16 KiB, which fit into the hosts' socket buffers, are sent before the response is read; longer ones as before, since the server may answer before it has read all. A cancel scope is opened only for a read with a time limit.

--- a/mustardfall/proxy/exchange.py
+++ b/mustardfall/proxy/exchange.py
@@ -33,6 +33,10 @@
 _MAX_DRAIN_S = 0.05
 """Bytes and time for the rest of a response that is not used, in order to keep
 the connection."""
+_MAX_INLINE_BYTES = 16_384
+"""Longest request that is sent before its response is read. It fits into the
+buffers of the process and the kernel, so that sending it does not wait for the
+server."""
 _MIN_CHUNK_BYTES = 8
 _MIN_WHOLE_BODY_CHUNK_BYTES = 512
 """Bytes that the chunks of a stream, or of another body, hold on average at
@@ -94,7 +98,7 @@
         target=target,
         headers=headers if bodiless else [*headers, *length],
     )
-    self._parser = self._new_parser()
+    self._parser, self._encoded = self._new_parser()
     self._sent = False
     self._is_complete = False
     """Whether the response has been read to its end."""
@@ -113,23 +117,15 @@
     """Whether the response has neither a length nor chunks, so that one that was
     broken off may look complete."""
 
-  def _new_parser(self) -> h11.Connection:
-    """Returns a parser that expects the response to this request."""
+  def _new_parser(self) -> tuple[h11.Connection, bytes]:
+    """Returns a parser of the response to this request, and the request."""
     parser = h11.Connection(
         h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
     )
-    parser.send(self._request)
-    if self._body:
-      parser.send(h11.Data(data=self._body))
-    parser.send(h11.EndOfMessage())
-    return parser
-
-  def _encode(self) -> bytes:
-    parser = h11.Connection(h11.CLIENT)
     out = parser.send(self._request) or b""
     if self._body:
       out += parser.send(h11.Data(data=self._body)) or b""
-    return out + (parser.send(h11.EndOfMessage()) or b"")
+    return parser, out + (parser.send(h11.EndOfMessage()) or b"")
 
   async def start(
       self,
@@ -145,6 +141,21 @@
       errors.InvalidResponseError: there is no response; the request may have
         run.
     """
+    if len(self._encoded) <= _MAX_INLINE_BYTES:
+      await self._send()
+      head = await self._read_head(decode, request_id)
+    else:
+      head = await self._send_and_read_head(decode, request_id)
+    self._idle_timeout_s = head.idle_timeout_s
+    self._closes_connection = head.closes_connection
+    return head
+
+  async def _send_and_read_head(
+      self,
+      decode: Callable[[int, list[messages.Header]], messages.ResponseHead],
+      request_id: str,
+  ) -> messages.ResponseHead:
+    """Sends a long request and returns the head of its response; see `start`."""
     result: list[messages.ResponseHead | errors.InvalidResponseError] = []
 
     async def _read() -> None:
@@ -162,13 +173,12 @@
     head_or_error = result[0]
     if isinstance(head_or_error, errors.InvalidResponseError):
       raise head_or_error
-    self._idle_timeout_s = head_or_error.idle_timeout_s
-    self._closes_connection = head_or_error.closes_connection
     return head_or_error
 
   async def _send(self) -> None:
+    encoded, self._encoded = self._encoded, b""  # a copy of the body
     try:
-      await self._connection.stream.send(self._encode())
+      await self._connection.stream.send(encoded)
       self._sent = True
     except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
       # The server may have responded before it closed; `_read_head` finds out.
@@ -216,7 +226,7 @@
             "response to another request, endless"
         )
     rest, ended = self._parser.trailing_data
-    self._parser = self._new_parser()
+    self._parser, _ = self._new_parser()
     if rest:
       self._parser.receive_data(rest)
     if ended:
@@ -264,11 +274,13 @@
     Raises:
       errors.InvalidResponseError: none arrive until `due_at`.
     """
-    with anyio.CancelScope(deadline=due_at):
-      try:
+    try:
+      if due_at == math.inf:
+        return await self._connection.stream.receive(_READ_BYTES)
+      with anyio.CancelScope(deadline=due_at):
         return await self._connection.stream.receive(_READ_BYTES)
-      except anyio.EndOfStream:
-        return b""
+    except anyio.EndOfStream:
+      return b""
     raise errors.InvalidResponseError(f"head not whole in {_MAX_HEAD_S} s")
 
   async def body(self) -> AsyncIterator[bytes]:
