Check waits for endpoints when the first one is due

Cause: while any request was in flight, the timers woke the process every 50 ms, and each wake-up costs system calls.

Change: they sleep until the first wait is due, and are woken when a wait is due earlier. A wait that may not end yet is checked every 50 ms, as before.

--- a/mustardfall/proxy/attempt_timers.py
+++ b/mustardfall/proxy/attempt_timers.py
@@ -8,12 +8,15 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import dataclasses
+import math
 
 import anyio
 
 from mustardfall.util import clock as clock_lib
 
 _CHECK_INTERVAL_S = 0.05
+"""Shortest time between two checks: waits that are over and may not end yet are
+checked again after it."""
 
 
 @dataclasses.dataclass
@@ -36,7 +39,9 @@
     self._clock = clock
     self._waits: dict[int, _Wait] = {}
     self._next_id = 0
-    self._added = anyio.Event()
+    self._due_earlier = anyio.Event()
+    """Set when a wait is due before the next check."""
+    self._next_check_at = math.inf
 
   @contextlib.contextmanager
   def limit(
@@ -48,21 +53,47 @@
     with anyio.CancelScope() as scope:
       due_at = self._clock.monotonic() + limit_s
       self._waits[id_] = _Wait(scope, due_at, may_end)
-      self._added.set()
+      if due_at < self._next_check_at:
+        self._due_earlier.set()
       try:
         yield scope
       finally:
         del self._waits[id_]
 
   async def run(self) -> None:
-    """Ends waits until cancelled."""
+    """Ends waits until cancelled.
+
+    It sleeps until the earliest wait is due. Each event of a stream begins a
+    wait that is due later, so that it wakes about once a second and not at each
+    event.
+    """
     while True:
-      if not self._waits:
-        self._added = anyio.Event()
-        await self._added.wait()
-      await anyio.sleep(_CHECK_INTERVAL_S)
       now = self._clock.monotonic()
       for wait in list(self._waits.values()):
         if now >= wait.due_at and not wait.scope.cancel_called:
           if wait.may_end():
             wait.scope.cancel()
+      await self._wait_until_due(now + _CHECK_INTERVAL_S)
+
+  async def _wait_until_due(self, earliest_at: float) -> None:
+    """Waits until the first wait is due, at least until `earliest_at`."""
+    while (
+        left_s := self._next_due_at(earliest_at) - self._clock.monotonic()
+    ) > 0:
+      self._due_earlier = anyio.Event()
+      self._next_check_at = self._next_due_at(earliest_at)
+      with anyio.move_on_after(left_s):
+        await self._due_earlier.wait()
+    self._next_check_at = -math.inf
+
+  def _next_due_at(self, earliest_at: float) -> float:
+    """Returns when the next wait is due, not before `earliest_at`."""
+    due_at = min(
+        (
+            wait.due_at
+            for wait in self._waits.values()
+            if not wait.scope.cancel_called
+        ),
+        default=math.inf,
+    )
+    return max(earliest_at, due_at)
