--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -226,6 +226,17 @@
         return
 
 
+class _DecodedMembers(NamedTuple):
+  """A list of routers that was decoded.
+
+  Notices confirm the list several times a second, and decoding it takes time
+  that grows with the fleet.
+  """
+
+  digest: str
+  members: list[members_lib.Member]
+
+
 class Followers:
   """Follows the configuration, the server list and the other routers.
 
@@ -262,6 +273,7 @@
     self._decoded_digest = ""
     """Digest of the configuration that was last decoded, valid or not."""
     self._decoder = documents.ConfigurationDecoder()
+    self._decoded_members: _DecodedMembers | None = None
 
   def loops(self) -> list[Callable[[], Awaitable[None]]]:
     """Returns the loops to be supervised."""
@@ -292,9 +304,13 @@
 
   async def _apply_members(self, document: deltas.Document) -> None:
     copy = self._gateway.copies.find(members_lib.PREFIX)
+    digest = copy.digest if copy is not None else ""
+    decoded = self._decoded_members
+    if decoded is None or not digest or decoded.digest != digest:
+      members = [members_lib.from_row(row) for row in document["members"]]
+      decoded = self._decoded_members = _DecodedMembers(digest, members)
     self._members.update(
-        [members_lib.from_row(row) for row in document["members"]],
-        copy.as_of if copy is not None else None,
+        decoded.members, copy.as_of if copy is not None else None
     )
     self._members.set_list_current(True)
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -25,9 +25,11 @@
 from mustardfall import settings
 from mustardfall.bench.virtual import loop as virtual
 from mustardfall.membership import clockcheck
+from mustardfall.membership import copies as copies_lib
 from mustardfall.membership import datagrams
 from mustardfall.membership import loadshare
 from mustardfall.membership import members as members_lib
+from mustardfall.platform import followers
 from mustardfall.platform import store as store_lib
 from mustardfall.proxy import http_client
 from mustardfall.routing import endpoints
@@ -326,6 +328,32 @@
     self.assertTrue(store.calls <= most, store.calls)
 
 
+class MemberListTest(testtools.TestCase):
+
+  def test_confirmed_list_of_routers_is_decoded_once(self):
+    """Guards against decoding the list at each notice that confirms it.
+
+    Notices arrive several times a second from each reader, so that all routers
+    together spent time that grows with the square of the fleet.
+    """
+    clock, view = clock_lib.FakeClock(), _members(0)
+    copies = copies_lib.Copies(clock)
+    gateway = mock.Mock(copies=copies)
+    gateway.accounts.members = view
+    found = followers.Followers(gateway, mock.Mock(), clock)
+    for count in (_ROUTERS, _ROUTERS - 1):
+      rows = [_member(i)._asdict() for i in range(count)]
+      document = {"members": rows}
+      with mock.patch.object(
+          members_lib, "from_row", side_effect=members_lib.from_row
+      ) as from_row:
+        for second in range(10):
+          copies.put(members_lib.PREFIX, document, float(second))
+          anyio.run(found._apply_members, document)
+      self.assertEqual(count, from_row.call_count)
+      self.assertEqual(count, len(view.lives))
+
+
 class _Registrations:
   """Answers a store client's calls while the routers register in turn."""
 
