--- a/mustardfall/bench/experiment.py
+++ b/mustardfall/bench/experiment.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import concurrent.futures
 import json
 import pathlib
@@ -97,9 +97,16 @@
     "turned back %": lambda r: 100 * r.turned_back / r.requests,
     "lost %": lambda r: 100 * r.lost,
     "overspend": lambda r: float(r.overspend),
-    "store calls": lambda r: float(sum(r.calls.values())),
+    "store calls": lambda r: priced_calls(r.calls),
     "writes": lambda r: float(r.calls.get("write", 0)),
 }
+_PRICES = {"keep": 0.1}
+"""Calls that one call of a kind counts as, where that is not 1."""
+
+
+def priced_calls(calls: Mapping[str, int]) -> float:
+  """Returns the number of calls; a renewal of a lease counts as a tenth."""
+  return sum(count * _PRICES.get(kind, 1.0) for kind, count in calls.items())
 
 
 def summarize(outcomes: Iterable[Outcome]) -> dict[str, Figure]:
@@ -128,6 +135,15 @@
   }
 
 
+_BREAKDOWNS = {
+    "false refusals": "causes",
+    "store calls": "calls",
+    "failed store calls": "failed_calls",
+    "transactions": "transactions",
+}
+"""Fields of a result that are listed below the table, by title."""
+
+
 def to_table(outcomes: list[Outcome]) -> str:
   """Returns the metrics of each policy as a Markdown table."""
   policies = dict.fromkeys(outcome.policy for outcome in outcomes)
@@ -143,19 +159,22 @@
     ]
     lines.append(f"| {policy} | " + " | ".join(cells) + " |")
   for policy in policies:
-    lines.append(f"\n{policy}: " + _format_causes(outcomes, policy))
+    results = [
+        outcome.result for outcome in outcomes if outcome.policy == policy
+    ]
+    for title, field in _BREAKDOWNS.items():
+      means = _format_means([getattr(result, field) for result in results])
+      lines.append(f"\n{policy}, {title}: {means}")
   return "\n".join(lines)
 
 
-def _format_causes(outcomes: list[Outcome], policy: str) -> str:
-  """Returns false refusals per day by cause, the most frequent first."""
-  results = [outcome.result for outcome in outcomes if outcome.policy == policy]
+def _format_means(counts: list[dict[str, int]]) -> str:
+  """Returns the mean count of each key per day, the largest first."""
   total: collections.Counter[str] = collections.Counter()
-  for result in results:
-    total.update(result.causes)
+  for count in counts:
+    total.update(count)
   return ", ".join(
-      f"{cause} {count / len(results):.1f}"
-      for cause, count in total.most_common()
+      f"{key} {count / len(counts):.1f}" for key, count in total.most_common()
   )
 
 
--- a/mustardfall/bench/virtual/days.py
+++ b/mustardfall/bench/virtual/days.py
@@ -82,6 +82,9 @@
 
   kind: Literal["roll"] = "roll"
   gap_s: float = 2.0
+  overlap: bool = False
+  """Whether the next router stops `gap_s` after this one has begun to, instead
+  of after its restart."""
 
 
 class TrafficBurst(_BaseEvent):
--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -1,5 +1,7 @@
 """Simulated hosts, each of which runs at most one router process."""
 
+import collections
+import math
 import random
 
 import anyio
@@ -16,6 +18,7 @@
 from mustardfall.budget import policy
 from mustardfall.budget import reserving
 from mustardfall.membership import clockcheck
+from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers
 
 _HAND_BACK_TIMEOUT_S = 0.7
@@ -35,6 +38,22 @@
 _POLL_RETRY_S = 0.3
 """Pauses between polls after a success and after a failure. Polling also
 detects that the store is reachable again."""
+_READERS = 2
+"""Routers that read the shared documents for all others in a large fleet."""
+_MAX_SILENCE_S = {_ENDPOINTS: 1.1, members_lib.PREFIX: 6.0}
+"""Time without a notice after which any router reads a document itself."""
+_PAUSE_S = {_ENDPOINTS: 0.5, members_lib.PREFIX: 0.15}
+"""Pause of a reader after each read of a document."""
+_READER_BACKOFF_S = (0.3, 1.0)
+_BACKOFF_S = (1.2, 4.0)
+"""First and longest pause after a failed read, of readers and of the others."""
+_BACKOFF_JITTER = 0.3
+"""Fraction of a pause that is random."""
+_MAX_REVISION_AGE_S = 5.0
+"""Age of the list of routers up to which only its changes are read."""
+_MEMBERS_POLL_S = 3.0
+"""Maximum time that a watch of the routers waits for a change. These constants
+are those of `platform.followers` and `platform.sources`."""
 
 
 class Fleet:
@@ -61,8 +80,48 @@
     """Limits that the operators have set; a host may not know them yet."""
     self.rng = random.Random(seed)
     self.tasks = tasks
+    self.ended_transactions: collections.Counter[str] = collections.Counter()
+    """Transactions of routers that have ended; see `Writer.transactions`."""
+    self.read_at = {_ENDPOINTS: -math.inf, members_lib.PREFIX: -math.inf}
+    """When a reader last announced each document."""
     self.hosts = {name: Host(self, name) for name in names}
 
+  @property
+  def is_large(self) -> bool:
+    """Whether two readers follow the shared documents for all routers."""
+    return len(self.hosts) > members_lib.MAX_SMALL_FLEET
+
+  def total_transactions(self) -> collections.Counter[str]:
+    """Returns the transactions of all routers so far, by what is in them."""
+    total = self.ended_transactions.copy()
+    for host in self.hosts.values():
+      if host.accounts is not None:
+        total.update(host.accounts.writer.transactions)
+    return total
+
+  def announce(self, reader: members_lib.Members, document: str) -> None:
+    """Records that a reader has read a document, and tells the others.
+
+    Notices are not modelled one by one: all routers that the reader reaches
+    have the list of routers at once.
+    """
+    if self.network.cut_from_peers[reader.me.name]:
+      return
+    now = anyio.current_time()
+    self.read_at[document] = now
+    if document != members_lib.PREFIX:
+      return
+    rows = list(reader.lives.values())
+    for host in self.hosts.values():
+      is_deaf = self.network.cut_from_peers[host.name]
+      if (
+          host.name != reader.me.name
+          and host.accounts is not None
+          and not is_deaf
+      ):
+        host.accounts.members.set_list_current(True)
+        host.accounts.members.update(rows, now)
+
   async def post(
       self, caller: str, url: str, body: dict, timeout_s: float
   ) -> dict:
@@ -119,6 +178,9 @@
     self._limits: dict[str, ledger.Limit] = {}
     self._scope: anyio.CancelScope | None = None
     self._client: store_lib.Client | None = None
+    self._listed_at = -math.inf
+    """When this router last read the list of routers itself."""
+    self._listed_revision = 0
 
   def start(self) -> None:
     """Starts a new router process."""
@@ -133,6 +195,7 @@
     client = self._client = store_lib.Client(
         fleet.store, fleet.network, self.name, fleet.rng, self.clock
     )
+    self._listed_at = -math.inf
     self._limits.clear()
     self._limits.update(fleet.limits)
 
@@ -154,9 +217,8 @@
       self._scope = tasks.cancel_scope
       for loop in (
           *accounts.loops(),
-          accounts.members.follow,
           self._tick,
-          self._poll_store,
+          *self._followers(accounts),
       ):
         tasks.start_soon(
             accounts_lib.supervise, loop, config.tick_s, _fail_simulation
@@ -166,6 +228,57 @@
       self.reserver = reserving.Reserver(accounts.pool, tasks, wait_s)
       self.serving = True
 
+  def _followers(self, accounts: accounts_lib.Accounts) -> tuple:
+    """Returns the loops that follow the documents that routers share."""
+    if not self._fleet.is_large:
+      return accounts.members.follow, self._poll_store
+    return (
+        lambda: self._follow(accounts.members, _ENDPOINTS),
+        lambda: self._follow(accounts.members, members_lib.PREFIX),
+    )
+
+  async def _follow(self, members: members_lib.Members, document: str) -> None:
+    """Follows a document like `platform.followers` in a large fleet.
+
+    Two readers read it. The others read it at their start, and once no reader
+    has announced it for a while.
+    """
+    max_silence_s, failures, has_copy = _MAX_SILENCE_S[document], 0, False
+    while True:
+      now = anyio.current_time()
+      silent_s = now - self._fleet.read_at[document]
+      is_reader = members.rank < _READERS
+      if has_copy and not is_reader and silent_s < max_silence_s:
+        await anyio.sleep(max_silence_s - silent_s)
+        continue
+      try:
+        if document == members_lib.PREFIX:
+          await self._read_members(members)
+        else:
+          await self._client.get_prefix(document)
+      except (errors.KvUnavailableError, errors.KvUnknownError):
+        initial_s, max_s = _READER_BACKOFF_S if is_reader else _BACKOFF_S
+        pause_s = min(max_s, initial_s * 2.0**failures)
+        failures += 1
+        jitter = 1 + _BACKOFF_JITTER * (self._fleet.rng.random() - 0.5)
+        await anyio.sleep(pause_s * jitter)
+        continue
+      failures, has_copy = 0, True
+      self._fleet.announce(members, document)
+      await anyio.sleep(_PAUSE_S[document])
+
+  async def _read_members(self, members: members_lib.Members) -> None:
+    """Reads the list of routers, or waits for its next change."""
+    if anyio.current_time() - self._listed_at <= _MAX_REVISION_AGE_S:
+      revision, records = await self._client.poll(
+          members_lib.PREFIX, self._listed_revision, _MEMBERS_POLL_S
+      )
+    else:
+      revision, records = await self._client.get_prefix(members_lib.PREFIX)
+    self._listed_at, self._listed_revision = anyio.current_time(), revision
+    members.set_list_current(True)
+    members.update(members_lib.decode(records), self._listed_at)
+
   async def _poll_store(self) -> None:
     """Polls the store as a router does for its shared documents."""
     while True:
@@ -201,6 +314,8 @@
     """Kills the router process without a shutdown, and cuts power on request."""
     self.serving = False
     self.in_flight = 0
+    if self.accounts is not None:
+      self._fleet.ended_transactions.update(self.accounts.writer.transactions)
     self.accounts = None
     if power_loss:
       self._fleet.network.powered_off.add(self.name)
--- a/mustardfall/bench/virtual/simulation.py
+++ b/mustardfall/bench/virtual/simulation.py
@@ -51,6 +51,11 @@
   """Largest excess of a budget's used and reserved tokens over its limit."""
   calls: dict[str, int]
   """Number of calls to the store, by kind."""
+  failed_calls: dict[str, int]
+  """Those of `calls` that were refused or not answered, by outcome and kind."""
+  transactions: dict[str, int]
+  """Transactions with budgets, by what is in them; among the writes of `calls`.
+  """
   seconds: dict[int, int]
   """False refusals by second of the day."""
   causes: dict[str, int]
@@ -321,13 +326,22 @@
         host.restart(event.power)
 
   async def _rolling_restart(self, event: days.RollingRestart) -> None:
-    for host in self._select_hosts(event):
-      if host.accounts is not None:
-        await host.stop()
-        await anyio.sleep(event.for_s)
-        if host.accounts is None:
-          host.restart(power_loss=False)
-      await anyio.sleep(event.gap_s)
+    async with anyio.create_task_group() as tasks:
+      for host in self._select_hosts(event):
+        if event.overlap:
+          tasks.start_soon(self._restart_host, host, event.for_s)
+        else:
+          await self._restart_host(host, event.for_s)
+        await anyio.sleep(event.gap_s)
+
+  async def _restart_host(self, host: hosts_lib.Host, down_s: float) -> None:
+    """Stops a host's router gracefully and starts it again."""
+    if host.accounts is None:
+      return
+    await host.stop()
+    await anyio.sleep(down_s)
+    if host.accounts is None:
+      host.restart(power_loss=False)
 
   # Results
 
@@ -345,6 +359,8 @@
         lost=lost / limits,
         overspend=max(0, self._overspend),
         calls=dict(self._fleet.store.calls),
+        failed_calls=dict(self._fleet.store.failed_calls),
+        transactions=dict(self._fleet.total_transactions()),
         seconds=dict(self._false_refusals_by_s),
         causes=dict(self._false_refusals_by_cause),
     )
--- a/mustardfall/bench/virtual/store.py
+++ b/mustardfall/bench/virtual/store.py
@@ -20,6 +20,10 @@
 """A client abandons a call after this time."""
 _WATCH_TIMEOUT_S = 0.6
 """A client abandons a watch this long after its expected end."""
+_WATCH_INTERVAL_S = 0.15
+"""Pause after a watch that returned, as in `platform.store`."""
+_MAX_READ_KEYS = 32
+"""Maximum number of keys that one call reads, as in `platform.store`."""
 
 
 class _Change(NamedTuple):
@@ -34,6 +38,9 @@
   def __init__(self) -> None:
     self.records: dict[str, protocol.Record] = {}
     self.calls: collections.Counter[str] = collections.Counter()
+    self.failed_calls: collections.Counter[str] = collections.Counter()
+    """Calls that were refused or never reached the store, by outcome and kind;
+    they are among `calls`, too."""
     self.revision = 1
     self._history: list[_Change] = []
     self._changed = anyio.Event()
@@ -116,6 +123,14 @@
       record = self.records.pop(key)
       self._append_change(True, record)
 
+  def find(self, prefix: str) -> list[protocol.Record]:
+    """Returns the records under `prefix`, sorted by key."""
+    return [
+        record
+        for key, record in sorted(self.records.items())
+        if key.startswith(prefix)
+    ]
+
   def changes_since(self, prefix: str, since: int) -> list[_Change]:
     """Returns the changes under `prefix` from revision `since` on."""
     found = []
@@ -183,11 +198,13 @@
     self.calls += 1
     self._store.calls[kind] += 1
     if not self._network.reaches_store(self._host):
+      self._store.failed_calls[f"no answer {kind}"] += 1
       await anyio.sleep(_CALL_TIMEOUT_S)
       self._breaker.record("no answer")
       raise errors.KvUnknownError("no answer from the store")
     await anyio.sleep(_LATENCY_S * self._network.latency_factor)
     if self._network.is_refused(self._host):
+      self._store.failed_calls[f"refused {kind}"] += 1
       self._breaker.record("refused")
       raise errors.KvUnavailableError("the store refused the call")
     self._breaker.record(None)
@@ -200,21 +217,17 @@
   async def get_many(self, keys: list[str]) -> dict[str, protocol.Record]:
     """Returns the records found at `keys`."""
     found = {}
-    for key in keys:
-      record = await self.get(key)
-      if record is not None:
-        found[key] = record
+    for start in range(0, len(keys), _MAX_READ_KEYS):
+      await self._call("read")
+      for key in keys[start : start + _MAX_READ_KEYS]:
+        if key in self._store.records:
+          found[key] = self._store.records[key]
     return found
 
   async def get_prefix(self, prefix: str) -> tuple[int, list[protocol.Record]]:
     """Returns the revision and the records under `prefix`."""
-    await self._call("read", ignore_backoff=True)
-    records = [
-        record
-        for key, record in sorted(self._store.records.items())
-        if key.startswith(prefix)
-    ]
-    return self._store.revision, records
+    await self._call(f"range {prefix}", ignore_backoff=True)
+    return self._store.revision, self._store.find(prefix)
 
   async def put(self, key: str, value: bytes, lease: int = 0) -> int:
     """Writes `value` at `key`; returns the revision."""
@@ -241,7 +254,7 @@
 
   async def grant_lease(self, ttl_s: int) -> int:
     """Grants a lease; returns its id."""
-    await self._call("write")
+    await self._call("lease")
     lease = self._store.grant_lease(ttl_s)
     self._ttls[lease] = ttl_s
     return lease
@@ -254,7 +267,7 @@
 
   async def revoke_lease(self, lease: int) -> None:
     """Ends a lease."""
-    await self._call("write")
+    await self._call("lease end")
     self._store.revoke_lease(lease)
 
   async def watch(
@@ -271,6 +284,27 @@
         await anyio.sleep(_WATCH_TIMEOUT_S)
         self._breaker.record("watch silent")
         raise errors.KvUnknownError(f"no answer to the watch on {prefix!r}")
-      for change in self._store.changes_since(prefix, since):
-        yield protocol.Event(change.deleted, change.record)
+      changes = self._store.changes_since(prefix, since)
       since = self._store.revision + 1
+      for change in changes:
+        yield protocol.Event(change.deleted, change.record)
+      if changes:
+        await anyio.sleep(_WATCH_INTERVAL_S)
+
+  async def poll(
+      self, prefix: str, after: int, wait_s: float
+  ) -> tuple[int, list[protocol.Record]]:
+    """Waits once for changes under `prefix`; returns its revision and records.
+
+    Raises:
+      errors.KvUnavailableError, errors.KvUnknownError: the call failed.
+    """
+    await self._call("watch", ignore_backoff=True)
+    with anyio.move_on_after(wait_s):
+      while not self._store.changes_since(prefix, after + 1):
+        await self._store.wait_for_change()
+    if not self._network.reaches_store(self._host):
+      await anyio.sleep(_WATCH_TIMEOUT_S)
+      self._breaker.record("watch silent")
+      raise errors.KvUnknownError(f"no answer to the watch on {prefix!r}")
+    return self._store.revision, self._store.find(prefix)
--- a/mustardfall/kv/writer.py
+++ b/mustardfall/kv/writer.py
@@ -99,6 +99,8 @@
     """Whether the writer pauses because the last batch failed."""
     self._random = random.Random()
     self.counts: collections.Counter[str] = collections.Counter()
+    self.transactions: collections.Counter[str] = collections.Counter()
+    """Transactions sent, by what is in them; see `_transaction_kind`."""
 
   @property
   def is_paused(self) -> bool:
@@ -308,6 +310,7 @@
           self.counts["no_ops"] += 1
           return True
         sent = True
+        self.transactions[_transaction_kind(batch, attempt)] += 1
         if await self._compare_and_swap(values):
           return True
         sent = False
@@ -422,3 +425,15 @@
       self._cache.popitem(last=False)
     if cached.value is not None:
       self._on_value(key, cached.value)
+
+
+def _transaction_kind(batch: list[_PendingChange], attempt: int) -> str:
+  """Returns the types of the changes that caused a transaction.
+
+  Changes that a caller waits for cause it; the posted ones only ride along.
+  """
+  waited = [pending for pending in batch if pending.done is not None]
+  names = {type(pending.change).__name__ for pending in waited or batch}
+  cause = "waited" if waited else "posted"
+  again = " again" if attempt else ""
+  return f"{cause} {'+'.join(sorted(names))}{again}"
