Renewals of leases find out whether the store is back

While the circuit breaker is open, a due probe is left to the renewal of the lease for half a second: it costs the store a tenth of another call. Followers other than readers and standbys no longer call a store that counts as unreachable.

--- a/mustardfall/bench/virtual/hosts.py
+++ b/mustardfall/bench/virtual/hosts.py
@@ -40,6 +40,9 @@
 detects that the store is reachable again."""
 _READERS = 2
 """Routers that read the shared documents for all others in a large fleet."""
+_ANNOUNCERS = 8
+"""These and six standby routers read them even while the store is unreachable.
+"""
 _MAX_SILENCE_S = {_ENDPOINTS: 1.1, members_lib.PREFIX: 6.0}
 """Time without a notice after which any router reads a document itself."""
 _PAUSE_S = {_ENDPOINTS: 0.5, members_lib.PREFIX: 0.15}
@@ -252,12 +255,15 @@
         await anyio.sleep(max_silence_s - silent_s)
         continue
       try:
+        if not (self._client.reachable or members.rank < _ANNOUNCERS):
+          raise errors.KvUnavailableError("the store is unreachable")
         if document == members_lib.PREFIX:
           await self._read_members(members)
         else:
           await self._client.get_prefix(document)
       except (errors.KvUnavailableError, errors.KvUnknownError):
-        initial_s, max_s = _READER_BACKOFF_S if is_reader else _BACKOFF_S
+        reads_early = members.rank < _ANNOUNCERS
+        initial_s, max_s = _READER_BACKOFF_S if reads_early else _BACKOFF_S
         pause_s = min(max_s, initial_s * 2.0**failures)
         failures += 1
         jitter = 1 + _BACKOFF_JITTER * (self._fleet.rng.random() - 0.5)
--- a/mustardfall/bench/virtual/store.py
+++ b/mustardfall/bench/virtual/store.py
@@ -193,7 +193,8 @@
       errors.KvUnavailableError: the call was not made or was refused.
       errors.KvUnknownError: the store did not answer.
     """
-    if not ignore_backoff and not self._breaker.allows_call():
+    is_renewal = kind == "keep"
+    if not ignore_backoff and not self._breaker.allows_call(is_renewal):
       raise errors.KvUnavailableError("call not made: the store is unreachable")
     self.calls += 1
     self._store.calls[kind] += 1
--- a/mustardfall/kv/circuit_breaker.py
+++ b/mustardfall/kv/circuit_breaker.py
@@ -18,6 +18,9 @@
 _PROBE_BACKOFF = 1.6
 """Factor by which the delay grows after each failed probe: a fleet that the
 store refuses must not use up its rate limit with probes."""
+_RENEWAL_HEAD_START_S = 0.5
+"""How long a due probe is left to renewals of leases, which cost the store a
+tenth of another call. Longer than a router pauses between attempts to renew."""
 _JITTER = 0.25
 """Random part of the time between two probes."""
 
@@ -43,12 +46,17 @@
     """Whether the store is considered unreachable."""
     return self._opened_at is not None
 
-  def allows_call(self) -> bool:
-    """Whether a call may be made: any while closed, else only a due probe."""
+  def allows_call(self, is_renewal: bool = False) -> bool:
+    """Whether a call may be made: any while closed, else only a due probe.
+
+    Args:
+      is_renewal: whether the call renews a lease.
+    """
     if not self.is_open:
       return True
     now = self._clock.monotonic()
-    if now < self._next_probe_at:
+    head_start_s = 0.0 if is_renewal else _RENEWAL_HEAD_START_S
+    if now < self._next_probe_at + head_start_s:
       return False
     self._schedule_probe(now)
     return True
--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -41,6 +41,14 @@
 _MAX_LOGGED_LIVES = 8
 """Lives listed in one log line."""
 _RETRY_S = 0.5
+_PROBE_RETRY_S = 0.1
+"""The same while the store counts as unreachable. The client then sends few of
+these calls; they are the cheapest way to find out that the store is back."""
+_REACHABLE_POLL_S = 0.25
+"""Pause between two looks whether the store counts as reachable."""
+_UNREACHABLE_POLLS = 2
+"""Consecutive looks that find it unreachable before the lease is renewed early.
+"""
 _SETTLE_S = 0.4
 """How long the list must be unchanged before a router that started without the
 store relies on it. Routers that start together retry twice a second."""
@@ -331,9 +339,23 @@
       except (errors.KvUnavailableError, errors.KvUnknownError):
         if not self.was_listed:
           self._started_without_store = True
-        await anyio.sleep(_RETRY_S)
+        reachable = self._kv.reachable
+        await anyio.sleep(_RETRY_S if reachable else _PROBE_RETRY_S)
         continue
-      await anyio.sleep(self._config.ttl_s / 3)
+      await self._wait_for_renewal()
+
+  async def _wait_for_renewal(self) -> None:
+    """Waits until the lease is to be renewed, or the store is unreachable."""
+    due_at = self._clock.monotonic() + self._config.ttl_s / 3
+    unreachable_polls = 0
+    # A client may count the store as unreachable while its first call is in
+    # progress.
+    while unreachable_polls < _UNREACHABLE_POLLS:
+      left_s = due_at - self._clock.monotonic()
+      if left_s <= 0:
+        return
+      await anyio.sleep(min(left_s, _REACHABLE_POLL_S))
+      unreachable_polls = 0 if self._kv.reachable else unreachable_polls + 1
 
   async def leave(self) -> None:
     """Removes this router from the list, so that none asks it for tokens."""
--- a/mustardfall/platform/followers.py
+++ b/mustardfall/platform/followers.py
@@ -57,6 +57,7 @@
     clock: the time source.
     on_unreachable: called after each failed read while the copy is older than
       the source's `max_silence_s`.
+    is_reachable: returns whether the store counts as reachable.
   """
 
   def __init__(
@@ -66,6 +67,7 @@
       gateway: gateway_lib.Gateway,
       clock: clock_lib.Clock,
       on_unreachable: Callable[[], None] = lambda: None,
+      is_reachable: Callable[[], bool] = lambda: True,
   ) -> None:
     self._source = source
     self._name = source.name
@@ -75,6 +77,7 @@
     self._relay = gateway.relay
     self._clock = clock
     self._on_unreachable = on_unreachable
+    self._is_reachable = is_reachable
     self._applied: copies_lib.Copy | None = None
     self._failures = 0
     self._behind_since: float | None = None
@@ -147,15 +150,20 @@
         await self._apply(copy.document)
 
   async def read(self) -> bool:
-    """Reads the document once; returns whether the read succeeded."""
-    try:
-      async with anyio.create_task_group() as tasks:
-        tasks.start_soon(self._apply_notices)
-        document, as_of = await self._source.read()
-        tasks.cancel_scope.cancel()
-    except* (errors.KvUnavailableError, errors.KvUnknownError) as group:
-      logger.debug("document %s not read: %s", self._name, group.exceptions)
-      document = None
+    """Reads the document once; returns whether the read succeeded.
+
+    While the store counts as unreachable only readers and announcers call it.
+    The others learn that it is back from the renewal of their lease.
+    """
+    document = None
+    if self._reads_early or self._is_reachable():
+      try:
+        async with anyio.create_task_group() as tasks:
+          tasks.start_soon(self._apply_notices)
+          document, as_of = await self._source.read()
+          tasks.cancel_scope.cancel()
+      except* (errors.KvUnavailableError, errors.KvUnknownError) as group:
+        logger.debug("document %s not read: %s", self._name, group.exceptions)
     if document is None:
       await self._fetch_from_peers()
       if self._copies.age_s(self._name) > self._source.max_silence_s:
@@ -211,10 +219,15 @@
     self._copies.put(self._name, fetched.document, fetched.as_of)
     await self._apply_copy()
 
+  @property
+  def _reads_early(self) -> bool:
+    """Whether this router has to detect soon that the store is back."""
+    return self._notices.is_announcer or self._notices.is_reader
+
   async def _back_off(self) -> None:
     """Waits before the next read, or until a notice makes it unnecessary."""
-    reads_early = self._notices.is_announcer or self._notices.is_reader
-    initial_s, max_s = _ANNOUNCER_BACKOFF if reads_early else _DEFAULT_BACKOFF
+    backoff = _ANNOUNCER_BACKOFF if self._reads_early else _DEFAULT_BACKOFF
+    initial_s, max_s = backoff
     pause_s = min(max_s, initial_s * _BACKOFF_FACTOR**self._failures)
     pause_s *= 1 + _JITTER * (random.random() - 0.5)
     self._failures += 1
@@ -243,14 +256,23 @@
   ) -> None:
     self._gateway = gateway
     self._members = gateway.accounts.members
+
+    def _is_reachable() -> bool:
+      return kv.reachable
+
     self.configuration = Follower(
         sources.Configuration(kv, clock),
         self._apply_configuration,
         gateway,
         clock,
+        is_reachable=_is_reachable,
     )
     self.servers = Follower(
-        sources.Servers(kv, clock), self._apply_servers, gateway, clock
+        sources.Servers(kv, clock),
+        self._apply_servers,
+        gateway,
+        clock,
+        is_reachable=_is_reachable,
     )
     self.members = Follower(
         sources.Members(kv, clock),
@@ -258,6 +280,7 @@
         gateway,
         clock,
         self._mark_unreachable,
+        _is_reachable,
     )
     self._decoded_digest = ""
     """Digest of the configuration that was last decoded, valid or not."""
--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -146,6 +146,7 @@
       body: dict[str, Any] | None = None,
       timeout_s: float = _CALL_TIMEOUT_S,
       bypass_breaker: bool = False,
+      is_renewal: bool = False,
   ) -> http_client_lib.Response:
     """Makes one call.
 
@@ -156,12 +157,13 @@
       timeout_s: seconds.
       bypass_breaker: send the call even while the store counts as
         unreachable. Followers do, since they limit their own rate.
+      is_renewal: whether the call renews a lease; see `CircuitBreaker`.
 
     Raises:
       errors.KvUnavailableError: the call had no effect.
       errors.KvUnknownError: the call may have had an effect.
     """
-    if not bypass_breaker and not self._breaker.allows_call():
+    if not bypass_breaker and not self._breaker.allows_call(is_renewal):
       raise errors.KvUnavailableError(
           f"{method} {target}: not sent, store {self._address} is unreachable"
       )
@@ -295,7 +297,7 @@
 
   async def keep_alive(self, lease: int) -> int:
     """Renews `lease`; returns its TTL in seconds, 0 if it has expired."""
-    reply = await self._call("POST", f"/-/kv-keep/{lease}")
+    reply = await self._call("POST", f"/-/kv-keep/{lease}", is_renewal=True)
     if reply.status == _NOT_FOUND:
       return 0
     return max(
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -151,6 +151,8 @@
   class _Store:
     """Answers every call."""
 
+    reachable = True
+
     async def grant_lease(self, ttl_s):
       return 1
 
@@ -179,6 +181,7 @@
 
   def test_list_settles_after_an_outage_at_the_start(self):
     class Store:
+      reachable = True
 
       async def grant_lease(self, ttl_s):
         raise errors.KvUnavailableError("away")
@@ -218,6 +221,8 @@
     # During a rolling restart the list changes about every second.
     class Store:
 
+      reachable = True
+
       async def grant_lease(self, ttl_s):
         raise errors.KvUnavailableError("away")
 
@@ -238,6 +243,8 @@
   class _Store:
     """Grants leases, and refuses the first writes."""
 
+    reachable = True
+
     def __init__(self, refusals: int) -> None:
       self.refusals = refusals
       self.keys: dict[str, int] = {}
@@ -278,6 +285,33 @@
     self._register(store, 5.0)
     self.assertEqual(["member/r0"], list(store.keys))
 
+  def _renewals(self, unreachable_from_s, seconds):
+    """Returns when a router renewed its lease, seconds after its start."""
+    renewed_at = []
+
+    class Store(self._Store):
+
+      @property
+      def reachable(self):
+        return anyio.current_time() < unreachable_from_s
+
+      async def keep_alive(self, lease):
+        renewed_at.append(anyio.current_time())
+        return await super().keep_alive(lease)
+
+    self._register(Store(refusals=0), seconds)
+    return renewed_at
+
+  def test_lease_is_renewed_early_once_the_store_is_unreachable(self):
+    """Guards against dearer calls that find out that the store is back."""
+    early = self._renewals(unreachable_from_s=1.0, seconds=1.7)
+    self.assertTrue(early)
+    self.assertTrue(early[0] <= 1.6, early)
+
+  def test_lease_is_renewed_thrice_per_term_while_the_store_answers(self):
+    """Guards against renewals at each look whether the store is reachable."""
+    self.assertEqual(3, len(self._renewals(float("inf"), seconds=8.5)))
+
   def test_router_that_is_missing_from_a_later_list_registers_again(self):
     """Guards against an entry that a late write ties to an expired lease."""
     store = self._Store(refusals=0)
