--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -83,6 +83,8 @@
     self._records = {}
     self._changed = anyio.Event()
     self.unavailable = False
+    self.counts_as_unreachable = False
+    """Whether the hosts' clients know that calls fail."""
     self.silent = False
     """Whether waiting watches are never notified of a change."""
     self.refused = set()
@@ -137,6 +139,10 @@
   def __init__(self, store: _Store, name: str) -> None:
     self._store, self._name = store, name
 
+  @property
+  def reachable(self):
+    return not self._store.counts_as_unreachable
+
   def _check(self):
     if self._name in self._store.refused:
       self._store.calls += 1
@@ -455,6 +461,24 @@
     fleet.store.unavailable = False
     await self._check_leaving_server(fleet)
 
+  @in_large_fleet
+  async def test_only_few_read_while_the_store_counts_as_unreachable(
+      self, fleet
+  ):
+    """Guards against calls of all routers that can only be refused."""
+    fleet.store.unavailable = True
+    await anyio.sleep(2.5)
+    fleet.store.counts_as_unreachable = True
+    before = fleet.store.calls
+    await anyio.sleep(6.0)
+    # Readers and standbys are eight; each reads three documents, and at most
+    # once a second and document once their pauses have grown.
+    calls = fleet.store.calls - before
+    self.assertTrue(0 < calls <= 8 * 3 * 8, calls)
+    fleet.store.unavailable = False
+    fleet.store.counts_as_unreachable = False
+    await self._check_leaving_server(fleet)
+
   @in_large_fleet
   async def test_a_third_that_registers_again_is_announced(self, fleet):
     """Guards against all routers reading the members at each registration."""
