A router that has left does not register again while it stops

The registration loop ran on while a stopping router returned its tokens. If the lease was due in these 0.7 s, it registered again, and for the term of the lease others asked a router that was gone for tokens.

--- a/mustardfall/membership/members.py
+++ b/mustardfall/membership/members.py
@@ -138,6 +138,9 @@
     self._registered_at: float | None = None
     """When this router was registered under its current lease, seconds of the
     boot clock, as the next two; None: it is not registered."""
+    self._has_left = False
+    """Whether this router has left the list, and must not register again while
+    it returns its tokens."""
     self._lease_ends_at = -float("inf")
     """Until when its lease is in force at least."""
     self._list_as_of = -float("inf")
@@ -319,7 +322,7 @@
     return now - max(since, self._connected_since)
 
   async def register(self) -> None:
-    """Keeps this router registered until cancelled."""
+    """Keeps this router registered until cancelled or `leave` was called."""
     while True:
       renewed_at = self._boot_s()
       try:
@@ -327,6 +330,8 @@
             self._registered_at is None
             or await self._kv.keep_alive(self._lease) == 0
         ):
+          if self._has_left:
+            return
           # The first registration, or the lease expired while this router was
           # paused or disconnected, and the others consider it gone.
           self._registered_at = None
@@ -359,6 +364,7 @@
 
   async def leave(self) -> None:
     """Removes this router from the list, so that none asks it for tokens."""
+    self._has_left = True
     self._registered_at = None
     try:
       if self._lease:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -312,6 +312,34 @@
     """Guards against renewals at each look whether the store is reachable."""
     self.assertEqual(3, len(self._renewals(float("inf"), seconds=8.5)))
 
+  def test_router_that_has_left_does_not_register_again(self):
+    """Guards against a stopped router that others ask for tokens."""
+
+    class Store(self._Store):
+
+      async def revoke_lease(self, lease):
+        self.keys.clear()
+
+    store = Store(refusals=0)
+
+    async def leave():
+      view = members.Members(
+          store,
+          _member(0),
+          settings.Membership(ttl_s=8),
+          virtual.Clock(),
+          events.Bus(),
+      )
+      async with anyio.create_task_group() as tg:
+        tg.start_soon(view.register)
+        await anyio.sleep(2.5)
+        await view.leave()
+        await anyio.sleep(3.0)
+        tg.cancel_scope.cancel()
+
+    virtual.run(leave)
+    self.assertEqual((1, {}), (store.leases, store.keys))
+
   def test_router_that_is_missing_from_a_later_list_registers_again(self):
     """Guards against an entry that a late write ties to an expired lease."""
     store = self._Store(refusals=0)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -51,6 +51,60 @@
     self.assertEqual(0, simulation.simulate(day, _DEPLOYED, 1).falsely)
 
 
+class StoreCallsTest(testtools.TestCase):
+  """Calls to the store in a fleet that is too large for all to read alike."""
+
+  _HOSTS = tuple(f"host-{number}" for number in range(16))
+
+  def _play(self, *fleet_events):
+    day = days.Day(
+        name="large",
+        hosts=self._HOSTS,
+        traffic_s=12.0,
+        events=list(fleet_events),
+    )
+    return simulation.simulate(day, _DEPLOYED, 1)
+
+  def test_transactions_are_among_the_writes(self):
+    """Guards against a breakdown that counts a transaction twice."""
+    result = self._play()
+    transactions = sum(result.transactions.values())
+    self.assertTrue(0 < transactions <= result.calls["write"])
+    self.assertEqual({}, result.failed_calls)
+
+  def test_two_routers_read_for_all(self):
+    """Guards against a model in which all routers read shared documents."""
+    calls = self._play().calls
+    # Each router reads at its start; two then read each half second, 18 s.
+    reads = len(self._HOSTS) + 2 * 2 * 18
+    self.assertTrue(calls["range endpoints/"] <= reads, calls)
+
+  def test_renewals_of_leases_probe_a_store_that_is_cut_off(self):
+    """Guards against probes that cost ten times a renewal of a lease."""
+    result = self._play(days.Partition(at_s=2.0, for_s=8.0))
+    failed = result.failed_calls
+    probes = failed.get("no answer read", 0) + failed.get("no answer write", 0)
+    self.assertTrue(failed["no answer keep"] > probes, failed)
+    self.assertEqual(0, result.overspend)
+
+  def test_restarts_in_turn_overlap(self):
+    """Guards against a fleet that takes minutes to restart."""
+    roll = days.RollingRestart(at_s=0.5, for_s=0.6, gap_s=0.4, overlap=True)
+    result = self._play(roll)
+    # One lease at the start of each router and one at its restart.
+    self.assertEqual(2 * len(self._HOSTS), result.calls["lease"])
+
+  def test_renewal_of_a_lease_counts_as_a_tenth(self):
+    """Guards against figures that differ from the platform's price."""
+    self.assertEqual(3.0, experiment.priced_calls({"keep": 10, "write": 2}))
+
+  def test_days_of_hard_load_are_valid(self):
+    """Guards against a file of days that the experiment cannot read."""
+    found = days.load(_ROOT / "bench" / "virtual" / "hard-load.yaml")
+    self.assertEqual([58, 86], [len(day.hosts) for day in found])
+    self.assertEqual({24}, {len(day.shares) for day in found})
+
+
 class PromiseSizeTest(testtools.TestCase):
   """Size of a promise: the tokens a router may use before it reports again.
 
