--- a/mustardfall/kv/circuit_breaker.py
+++ b/mustardfall/kv/circuit_breaker.py
@@ -15,6 +15,10 @@
 _FIRST_PROBE_DELAY_S = 0.3
 """Delay between opening the breaker and the first probe."""
 _MAX_PROBE_DELAY_S = 2.0
+_MAX_RENEWAL_DELAY_S = 0.8
+"""The same after a probe that renewed a lease, at a tenth of the price. Most
+routers make no other call then, and must not learn late that the store is back.
+"""
 _PROBE_BACKOFF = 1.6
 """Factor by which the delay grows after each failed probe: a fleet that the
 store refuses must not use up its rate limit with probes."""
@@ -58,16 +62,15 @@
     head_start_s = 0.0 if is_renewal else _RENEWAL_HEAD_START_S
     if now < self._next_probe_at + head_start_s:
       return False
-    self._schedule_probe(now)
+    max_s = _MAX_RENEWAL_DELAY_S if is_renewal else _MAX_PROBE_DELAY_S
+    self._schedule_probe(now, max_s)
     return True
 
-  def _schedule_probe(self, now: float) -> None:
+  def _schedule_probe(self, now: float, max_s: float) -> None:
     """Sets the time of the next probe, and lengthens the delay after it."""
     jitter = 1 + _JITTER * (random.random() - 0.5)
     self._next_probe_at = now + self._probe_delay_s * jitter
-    self._probe_delay_s = min(
-        _MAX_PROBE_DELAY_S, self._probe_delay_s * _PROBE_BACKOFF
-    )
+    self._probe_delay_s = min(max_s, self._probe_delay_s * _PROBE_BACKOFF)
 
   def record(self, error: str | None) -> None:
     """Records the outcome of a call: the error, or None if it was answered."""
@@ -83,5 +86,5 @@
     if self._opened_at is None and self._failures >= _FAILURE_THRESHOLD:
       self._opened_at = now
       self._probe_delay_s = _FIRST_PROBE_DELAY_S
-      self._schedule_probe(now)
+      self._schedule_probe(now, _MAX_PROBE_DELAY_S)
       logger.warning("store lost", extra={"error": error})
--- a/tests/test_circuit_breaker.py
+++ b/tests/test_circuit_breaker.py
@@ -35,6 +35,14 @@
     waited_s = self._first_allowed_s(is_renewal=False)
     self.assertTrue(0.7 <= waited_s <= 0.9, waited_s)
 
+  def test_renewals_probe_at_least_once_a_second(self):
+    """Guards against routers that learn late that the store is back."""
+    probes = 0
+    for _ in range(400):
+      probes += self.breaker.allows_call(is_renewal=True)
+      self.clock.advance(datetime.timedelta(seconds=0.025))
+    self.assertTrue(10 <= probes <= 20, probes)
+
   def test_answered_renewal_allows_all_calls(self):
     """Guards against refusals after the store is back."""
     self._first_allowed_s(is_renewal=True)
