Speeds of endpoints are learned from answers that ran only

Cause: the 503 of a server that turns requests away was noted as a response time, so that it would be taken for the fastest. Found in review of load shedding. The test fails without the change.

--- a/mustardfall/proxy/endpoint_selector.py
+++ b/mustardfall/proxy/endpoint_selector.py
@@ -99,7 +99,10 @@
       )
 
   def record_response_time(
-      self, took_s: float, stated_moment: float | None = None
+      self,
+      took_s: float,
+      stated_moment: float | None = None,
+      has_run: bool = True,
   ) -> None:
     """Records how long the response took to begin, or was waited for.
 
@@ -107,8 +110,10 @@
       took_s: the time.
       stated_moment: the slowdown that the endpoint stated, see
         `server_speed.moment_of`.
+      has_run: whether the endpoint has run the request; the time of one that it
+        turned away says nothing of its speed.
     """
-    measured = self._measure(took_s, stated_moment)
+    measured = self._measure(took_s, stated_moment) if has_run else None
     placement = self._placement
     if self._is_generation:
       self._directory.endpoints.update_slowness(
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -454,6 +454,7 @@
     attempt.record_response_time(
         took_s,
         head.load.moment if head.load is not None else None,
+        has_run=not (head.not_run or head.misdirected),
     )
     attempt.end_prefill()
     self._note_heard(context)
--- a/tests/test_server_speed.py
+++ b/tests/test_server_speed.py
@@ -20,6 +20,7 @@
 from mustardfall.routing import server_speed
 from mustardfall.routing import tracking
 from mustardfall.routing import work_times
+from tests import test_gateway
 
 _SPEEDS = (0.6, 1.0, 1.6, 1.0, 0.8)
 _KINDS = (
@@ -207,3 +208,18 @@
     for odd in (-1.0, math.nan, math.inf):
       times.note("r", odd)
     self.assertAlmostEqual(0.04, times.work_s("r"))
+
+
+class GatewayTest(testtools.TestCase):
+
+  @test_gateway.in_environment()
+  async def test_requests_turned_away_say_nothing_of_the_speed(self, env):
+    """Guards against taking a server that turns all away for the fastest."""
+    env.servers["i-1"].behaviour.not_run = True
+    gateway = env.gateway
+    gateway._endpoint_selector._work_times = work_times.WorkTimes()
+    gateway._endpoint_selector._work_times.note("look", 0.05)
+    for number in range(4):
+      await env.call("/look/a", f"r{number}")
+    row = gateway.directory.endpoints.rows["i-1"]
+    self.assertEqual(server_speed.UNKNOWN_SPEED, row.speed)
