--- a/mustardfall/proxy/load_shedder.py
+++ b/mustardfall/proxy/load_shedder.py
@@ -209,8 +209,7 @@
       now: float,
   ) -> load_shedding.Demand:
     ranks = self._ranks_of(context.service.name)
-    priority = load_shedding.priority_of(context.route, context.team)
-    rank = ranks.rank_of(priority)
+    rank = ranks.rank_of(context.priority)
     objective_s = context.route.objective.total_seconds()
     if ranks.objectives_s:
       objective_s = min(objective_s, ranks.objectives_s[rank])
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -13,6 +13,7 @@
 from mustardfall.routing import configuration
 from mustardfall.routing import endpoints
 from mustardfall.routing import limited_endpoints
+from mustardfall.routing import load_shedding
 from mustardfall.routing import placement
 from mustardfall.routing import stream_records
 
@@ -114,9 +115,7 @@
   @property
   def priority(self) -> int:
     """The request's priority, its team's first; 0 is the most urgent."""
-    if self.team is not None and self.team.priority is not None:
-      return self.team.priority
-    return self.route.priority
+    return load_shedding.priority_of(self.route, self.team)
 
   @property
   def units(self) -> tuple[str, ...]:
