--- a/tests/test_server_entries.py
+++ b/tests/test_server_entries.py
@@ -98,9 +98,10 @@
 
 
 class _Notices:
-  """Fake notices: none ever arrives."""
+  """Notices of a router without datagrams, which reads for itself."""
 
   is_announcer = False
+  is_reader = True
 
   def is_up_to_date(self, name):
     del name
