--- a/review/standins.py
+++ b/review/standins.py
@@ -137,10 +137,14 @@
   def __init__(self, folder: str, settings: dict[str, Any]) -> None:
     self.settings = settings
     self._path = pathlib.Path(folder) / f"{settings['node']}.json"
-    self._path.write_text(json.dumps(settings))
+    self.write_settings()
     self._log = pathlib.Path(folder) / f"{settings['node']}.log"
     self.process: subprocess.Popen | None = None
 
+  def write_settings(self) -> None:
+    """Writes the settings file."""
+    self._path.write_text(json.dumps(self.settings))
+
   def start(self) -> None:
     """Starts the process."""
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
