Send a complete response also when its deadline passes

Callers on kept connections saw the connection closed without a byte although their endpoint had answered: 7 to 26 of some 730 requests when many answers arrive as the route's timeout ends.

Cause: a response counted as started before any byte of it was passed to the connection. Sending begins with a cancellation point; if the deadline had passed in the same turn of the event loop, the encoded response was dropped, and no 504 could follow since a response had started.

Evidence: the new log line "response cut off" has the bytes that were sent.

Change: what completes a response is sent even if the cancellation is due, for at most 0.25 s; the head of a stream is either refused, so that a 504 is sent, or sent. The end of a stream that is complete is covered, too. Cancellations that come later are not postponed, so that slow callers do not delay a shutdown.

--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -13,6 +13,7 @@
 
 import anyio
 from anyio import abc
+from anyio import lowlevel
 import h11
 
 from mustardfall import errors
@@ -39,6 +40,9 @@
 _MIN_IDLE_S = 0.5
 """How long a connection must have waited for a request to be closed in favour of
 others."""
+_MIN_SEND_S = 0.25
+"""Least time for sending what completes a response, or begins it, also if the
+request is cancelled meanwhile."""
 _RETRY_AFTER_S = 1.0
 """Retry-After of callers refused for lack of connections or memory, in seconds.
 Mostly the load balancer sends the retry to another router."""
@@ -63,6 +67,8 @@
     self._connection = connection
     self.started = False
     self.ended = False
+    self.sent_bytes = 0
+    """Bytes of the response that were passed to the connection."""
 
   def hold(self, size: int) -> bool:
     """Allocates `size` bytes for a response; returns whether they fit."""
@@ -79,35 +85,48 @@
   async def respond(
       self, status: int, headers: list[messages.Header], body: bytes = b""
   ) -> None:
-    """Sends a complete response."""
+    """Sends a complete response, also if the request has been cancelled."""
     self.started = True
     length = (b"content-length", b"%d" % len(body))
     head = h11.Response(
         status_code=status,
         headers=[*headers, length, *self._connection_headers()],
     )
-    await self._connection.send(head, h11.Data(data=body), h11.EndOfMessage())
-    self.ended = True
+    await self._finish(head, h11.Data(data=body), h11.EndOfMessage())
 
   async def start(self, status: int, headers: list[messages.Header]) -> None:
-    """Sends the head of a response whose body follows in chunks."""
+    """Sends the head of a response whose body follows in chunks.
+
+    If the request has been cancelled, the response is not started, so that an
+    error response can still be sent.
+    """
+    await lowlevel.checkpoint_if_cancelled()
     self.started = True
     chunked = (b"transfer-encoding", b"chunked")
-    await self._connection.send(
-        h11.Response(
-            status_code=status,
-            headers=[*headers, chunked, *self._connection_headers()],
-        )
+    head = h11.Response(
+        status_code=status,
+        headers=[*headers, chunked, *self._connection_headers()],
     )
+    with _shield_for_sending():
+      await self._send(head)
 
   async def write(self, data: bytes) -> None:
     """Sends a piece of the body."""
-    await self._connection.send(h11.Data(data=data))
+    await self._send(h11.Data(data=data))
 
   async def end(self) -> None:
-    """Sends the end of the body."""
-    await self._connection.send(h11.EndOfMessage())
-    self.ended = True
+    """Sends the end of the body, also if the request has been cancelled."""
+    await self._finish(h11.EndOfMessage())
+
+  async def _finish(self, *events: h11.Event) -> None:
+    with _shield_for_sending():
+      await self._send(*events)
+      self.ended = True
+    if not self.ended:
+      await lowlevel.checkpoint_if_cancelled()
+
+  async def _send(self, *events: h11.Event) -> None:
+    self.sent_bytes += await self._connection.send(*events)
 
   def _connection_headers(self) -> list[messages.Header]:
     return (
@@ -117,6 +136,22 @@
     )
 
 
+@contextlib.contextmanager
+def _shield_for_sending() -> Iterator[None]:
+  """Postpones a cancellation that is due, until `_MIN_SEND_S` from now at most.
+
+  The connection must be closed after a response whose first bytes were encoded
+  and not sent: the caller would get no response at all. Later cancellations are
+  not postponed, so that a slow caller does not delay them.
+  """
+  now = anyio.current_time()
+  if anyio.current_effective_deadline() - now >= _MIN_SEND_S:
+    yield
+    return
+  with anyio.CancelScope(shield=True, deadline=now + _MIN_SEND_S):
+    yield
+
+
 class _IdleConnection(NamedTuple):
   """A connection that waits for a request."""
 
@@ -355,12 +390,26 @@
       await self._handle(request, body, responder)
     finally:
       self._server.in_flight -= 1
+      if responder.started and not responder.ended:
+        self._log_cut_off(request, responder)
     return (
         responder.ended
         and not self.closes_after_response
         and not self._caller_closed
     )
 
+  def _log_cut_off(
+      self, request: messages.Request, responder: Responder
+  ) -> None:
+    logger.info(
+        "response cut off",
+        extra={
+            "request": request.id,
+            "sent_bytes": responder.sent_bytes,
+            "caller_closed": self._caller_closed,
+        },
+    )
+
   async def _refuse(
       self, responder: Responder, exc: errors.RejectedRequestError
   ) -> None:
@@ -540,12 +589,13 @@
       self._caller_closed = True
       scope.cancel()
 
-  async def send(self, *events: h11.Event) -> None:
-    """Sends events of a response."""
+  async def send(self, *events: h11.Event) -> int:
+    """Sends events of a response; returns the number of bytes."""
     data = b"".join(self._parser.send(event) or b"" for event in events)
     if data:
       self._server.note_bytes(len(data))
       await self._stream.send(data)
+    return len(data)
 
   async def _close_lingering(self) -> None:
     """Shuts the connection down so that the last response still arrives."""
