Return the tokens above a cap although their holder's host is lost

Callers whose tenant had used 73 % of its prepaid tokens got 429 for good after all routers were killed and the host that held the budget was replaced: 8 to 16 % of their requests were served later than 12 s after, though all of them fitted.

Cause: a holder has up to six tenths of what remains in one grant. What it had not drawn was returned by a later life of the same router only. Without one the whole grant was written off, as the holder might be partitioned and draw on, by a ceiling that grows without an end.

Change: a ceiling has a cap: its value after `outage_s`, at most `outage_share` of the remaining tokens. The holder draws no more without a new ceiling in the ledger. A write-off returns what lies above; the cap of a written-off grant is not raised afterwards. No clock is involved. The cap also bounds what is lost where the clocks of a host that comes back contradict each other.

--- a/mustardfall/budget/ceilings.py
+++ b/mustardfall/budget/ceilings.py
@@ -10,8 +10,13 @@
 
 Only a later life of the same router on the same host makes this decision. Two
 lives never run at once on a host, so the earlier one is dead.
+
+A ceiling also has a *cap*, which it never exceeds however much time passes. The
+tokens above the cap return to the budget as soon as the holder is considered
+gone, even if it is only partitioned: no clock and no later life is needed.
 """
 
+import math
 from typing import NamedTuple
 
 from mustardfall.util import clock as clock_lib
@@ -31,29 +36,35 @@
 
   For `grace_s` after `issued`, at most `tokens` of the grant are in use
   (reserved, used or delegated). After that the bound grows by `rate` tokens per
-  second.
+  second, up to `cap` tokens.
   """
 
   tokens: int
   grace_s: float
   rate: float
   issued: clock_lib.Moment
+  cap: float = math.inf
+
+  def allowed_after(self, elapsed_s: float | None) -> float:
+    """Returns the bound `elapsed_s` seconds after issue or renewal.
 
-  def allowed_after(self, elapsed_s: float) -> int:
-    """Returns the bound `elapsed_s` seconds after issue or renewal."""
+    None stands for an unknown time.
+    """
+    if elapsed_s is None:
+      return self.cap
     beyond_s = max(0.0, elapsed_s - self.grace_s)
-    return self.tokens + int(self.rate * beyond_s)
+    return min(self.cap, self.tokens + int(self.rate * beyond_s))
 
 
 def encode(ceiling: Ceiling) -> list[float]:
-  """Returns a ceiling in the form stored in a ledger."""
-  return [*ceiling[:-1], *ceiling.issued]
+  """Returns a ceiling, without its cap, in the form stored in a ledger."""
+  return [ceiling.tokens, ceiling.grace_s, ceiling.rate, *ceiling.issued]
 
 
-def decode(raw: list[float]) -> Ceiling:
+def decode(raw: list[float], cap: float = math.inf) -> Ceiling:
   """Returns a ceiling from its stored form; see `encode`."""
   tokens, grace_s, rate, *issued = raw
-  return Ceiling(tokens, grace_s, rate, clock_lib.Moment(*issued))
+  return Ceiling(tokens, grace_s, rate, clock_lib.Moment(*issued), cap)
 
 
 def max_elapsed_s(
--- a/mustardfall/budget/granting.py
+++ b/mustardfall/budget/granting.py
@@ -106,17 +106,20 @@
       return None
     drawn = 0 if row is None else row.drawn
     slack, rate = least, 0.0  # a retired row takes no new reservations
+    most = slack
     grace_s = self._config.ceiling_grace_s
     if row is None or not row.retiring:
       sizing = self._budget_view.sizing_input(budget, limit)
       slack = max(least, holding.slack(sizing, self._config))
       rate = holding.ceiling_growth(sizing, self._config)
+      most = holding.outage_draw(sizing, self._config, slack)
       grace_s *= sizing.measured
     ceiling = ceilings_lib.Ceiling(
         tokens=drawn + slack,
         grace_s=grace_s,
         rate=rate,
         issued=self._with_error_bound(self._clock.moment()),
+        cap=drawn + most,
     )
     if row is not None:
       self._table.add_ceiling(row.gid, ceiling, self._clock.monotonic())
--- a/mustardfall/budget/holding.py
+++ b/mustardfall/budget/holding.py
@@ -88,6 +88,26 @@
   return int(min(max(expected, unmeasured), acceptable_loss))
 
 
+def outage_draw(
+    sizing: SizingInput, config: settings.Allotment, slack_tokens: int
+) -> int:
+  """Returns how many tokens a holder may draw without a report, in all.
+
+  This is what its ceiling allows after `outage_s`, but at most its part of
+  `outage_share` of the available tokens: so much is lost if the holder's host
+  never comes back. The rest of its grant then returns to the budget.
+
+  Args:
+    sizing: the figures of the budget.
+    config: the limits.
+    slack_tokens: the tokens that may be drawn until the next report.
+  """
+  grown = slack_tokens + ceiling_growth(sizing, config) * config.outage_s
+  available = min(_available(sizing), sizing.limit)  # the headroom may be old
+  most = available * config.outage_share * _own_share(sizing)
+  return int(max(slack_tokens, min(grown, most)))
+
+
 def ceiling_growth(sizing: SizingInput, config: settings.Allotment) -> float:
   """Returns a ceiling's growth without reports, tokens per second.
 
--- a/mustardfall/budget/ledger.py
+++ b/mustardfall/budget/ledger.py
@@ -26,7 +26,9 @@
 counted, because it is unknown how much of it was spent. Returning it to the
 budget would cause overspending if the holder was only paused. When such a
 holder resumes and settles, its grant is found in `lost`, the actual usage is
-billed and the rest returns to the budget.
+billed and the rest returns to the budget. If the holder has issued a ceiling,
+only the tokens up to its cap are written off; the holder never draws the others,
+so they return at once (see `ceilings`).
 
 The holder of a grant delegates parts of it to other routers (see `pool`). A
 part is normally settled with that holder. If the holder is gone, the part is
@@ -35,6 +37,7 @@
 """
 
 from collections.abc import Mapping
+import math
 import typing
 from typing import NamedTuple, TypedDict
 
@@ -85,6 +88,9 @@
   """Grant id to the tokens that its holder has reported as used."""
   ceilings: typing.NotRequired[dict[str, list[float]]]
   """Grant id to the holder's latest ceiling; see `ceilings.decode`."""
+  caps: typing.NotRequired[dict[str, int]]
+  """Grant id to the cap of that ceiling. A table of its own, which routers of
+  earlier versions keep unread."""
   out: typing.NotRequired[dict[str, dict[str, int]]]
   """Grant id of a stopped holder to the parts of it that other routers still
   hold, and their tokens."""
@@ -223,7 +229,10 @@
 
 
 class WriteOff(NamedTuple):
-  """Counts grant `gid` as lost because its holder is gone."""
+  """Counts grant `gid` as lost because its holder is gone.
+
+  The tokens above the cap of its ceiling return to the budget.
+  """
 
   gid: str
 
@@ -329,22 +338,31 @@
 def ceiling(ledger: Ledger, gid: str) -> ceilings_lib.Ceiling | None:
   """Returns the last ceiling that the holder of `gid` issued, if any."""
   raw = ledger.get("ceilings", {}).get(gid)
-  return None if raw is None else ceilings_lib.decode(raw)
+  if raw is None:
+    return None
+  return ceilings_lib.decode(raw, ledger.get("caps", {}).get(gid, math.inf))
 
 
 def _with_ceiling(ledger: Ledger, change: Grant | ReportUse) -> Ledger:
   """Returns `ledger` with the change's ceiling, unless a later one is stored.
 
   A report delayed by an unavailable KV may be applied after a later change of
-  the same holder and does not cover what the holder has drawn since.
+  the same holder and does not cover what the holder has drawn since. The cap of
+  a written-off grant is not raised, since the tokens above it were returned.
   """
-  new, old = change.ceiling, ceiling(ledger, change.gid)
+  gid, new, old = change.gid, change.ceiling, ceiling(ledger, change.gid)
   if new is None or (old is not None and old.issued > new.issued):
     return ledger
+  if gid in ledger["lost"] and old is not None and new.cap > old.cap:
+    return ledger
+  caps = _without(ledger.get("caps", {}), gid)
+  if new.cap < math.inf:
+    caps[gid] = int(new.cap)
   raw = ceilings_lib.encode(new)
   return {
       **ledger,
-      "ceilings": {**ledger.get("ceilings", {}), change.gid: raw},
+      "ceilings": {**ledger.get("ceilings", {}), gid: raw},
+      **({"caps": caps} if caps or "caps" in ledger else {}),
   }
 
 
@@ -499,7 +517,7 @@
   """Returns `ledger` without an ended grant's reported usage and ceiling."""
   kept = {
       table: _without(ledger[table], gid)
-      for table in ("billed", "ceilings")
+      for table in ("billed", "ceilings", "caps")
       if table in ledger
   }
   return {**ledger, **kept}
@@ -526,9 +544,25 @@
 def _(change: WriteOff, ledger: Ledger | None) -> Ledger | None:
   if ledger is None or change.gid not in ledger["grants"]:
     return None
+  kept = ledger["grants"][change.gid] - returnable(ledger, change.gid)
   grants = _without(ledger["grants"], change.gid)
-  tokens = ledger["grants"][change.gid]
-  return _add_lost({**ledger, "grants": grants}, {change.gid: tokens})
+  return _add_lost({**ledger, "grants": grants}, {change.gid: kept})
+
+
+def returnable(ledger: Ledger, gid: str, elapsed_s: float | None = None) -> int:
+  """Returns the tokens of a gone holder's grant that it cannot have drawn.
+
+  Args:
+    ledger: the ledger, which holds the grant or has it written off.
+    gid: the grant.
+    elapsed_s: an upper bound on the time since the holder's last ceiling; None
+      if it is unknown.
+  """
+  table, last_ceiling = _find_table(ledger, gid), ceiling(ledger, gid)
+  if table is None or last_ceiling is None:
+    return 0
+  undrawn = _granted(ledger, table, gid) - last_ceiling.allowed_after(elapsed_s)
+  return int(max(0, min(ledger[table][gid], undrawn)))
 
 
 @change_lib.apply.register
@@ -547,18 +581,15 @@
   The grant is reduced to what its holder may have drawn; the rest returns to
   the budget.
   """
-  last_ceiling = ceiling(ledger, gid)
   table = _find_table(ledger, gid)
-  elapsed_s = max_unreported_s(change, gid, last_ceiling)
-  ledger = {**ledger, "ceilings": _without(ledger["ceilings"], gid)}
+  elapsed_s = max_unreported_s(change, gid, ceiling(ledger, gid))
+  returned = returnable(ledger, gid, elapsed_s)
+  for name in ("ceilings", "caps"):
+    if name in ledger:
+      ledger = {**ledger, name: _without(ledger[name], gid)}
   if table is None:
     return ledger
-  left = ledger[table][gid]
-  if elapsed_s is not None:
-    undrawn = _granted(ledger, table, gid) - last_ceiling.allowed_after(
-        elapsed_s
-    )
-    left -= max(0, min(left, undrawn))
+  left = ledger[table][gid] - returned
   return _add_lost({**ledger, table: _without(ledger[table], gid)}, {gid: left})
 
 
--- a/mustardfall/budget/settling.py
+++ b/mustardfall/budget/settling.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import logging
 
 from mustardfall import errors
 from mustardfall.budget import allotment
@@ -14,6 +15,8 @@
 from mustardfall.membership import members as members_lib
 from mustardfall.membership import peers as peers_lib
 
+logger = logging.getLogger(__name__)
+
 _OWNER_RETENTION_S = 600.0
 """An owner absent for longer than this is dead, not paused, and needs no
 settlement any more."""
@@ -205,8 +208,8 @@
 
     A grant whose reply was lost may be written after this router gave it up. It
     belongs to this router but has no row, so it is settled as unused. A grant
-    of a router that is gone is written off, unless a later life of that router
-    can review it.
+    of a router that is gone is written off up to the cap of its ceiling, unless
+    a later life of that router can review it.
     """
     in_progress = self._settling_gids.get(budget, set())
     in_progress &= state["grants"].keys()
@@ -222,8 +225,24 @@
       elif self._members.has_gone(life) and not self._will_be_reviewed(
           state, gid
       ):
-        self.counts["grants_written_off"] += 1
-        self._writer.post(ledger.key(budget), ledger.WriteOff(gid))
+        self._write_off(budget, state, gid)
+
+  def _write_off(self, budget: str, state: ledger.Ledger, gid: str) -> None:
+    returned = ledger.returnable(state, gid)
+    self.counts["grants_written_off"] += 1
+    self.counts["tokens_returned"] += returned
+    logger.info(
+        "grant written off",
+        extra={
+            "budget": budget,
+            "gid": gid,
+            "held": state["grants"][gid],
+            "promise": ledger.ceiling(state, gid),
+            "returned": returned,
+            "headroom": ledger.headroom(state),
+        },
+    )
+    self._writer.post(ledger.key(budget), ledger.WriteOff(gid))
 
   def _will_be_reviewed(self, state: ledger.Ledger, gid: str) -> bool:
     """Whether a later life of the grant's holder will review it."""
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -74,6 +74,13 @@
   """After `ceiling_grace_s` the ceiling of an unused budget grows by this multiple
   of the holder's average draw per second. The multiple falls towards 1 as the
   budget is used."""
+  outage_s: float = pydantic.Field(default=30.0, ge=0)
+  """A ceiling grows for this long; after that a holder that cannot report draws
+  no more."""
+  outage_share: float = pydantic.Field(default=0.3, gt=0, le=1)
+  """Holders that cannot report draw together at most this share of a budget's
+  remaining tokens. This is what a budget loses with a host that never comes
+  back."""
   low_mark: float = pydantic.Field(default=0.25, ge=0, lt=1)
   """A budget is refilled in the background when its unused tokens on this
   router fall below this share of the size that a grant or part should have."""
--- a/tests/test_ceilings.py
+++ b/tests/test_ceilings.py
@@ -150,6 +150,76 @@
     self.assertEqual({}, after["ceilings"])
 
 
+class CapTest(testtools.TestCase):
+  """Grants of routers whose hosts do not come back, or not soon."""
+
+  _CEILING = ceilings.Ceiling(180, 2.0, 30.0, _at(50.0), cap=250)
+
+  def _written_off(self):
+    found = _granted(self._CEILING, used=100)
+    return change.apply(ledger.WriteOff("a:1:1"), found)
+
+  def test_tokens_above_the_cap_return_without_a_later_life(self):
+    """Guards against a budget that is lost with a host lost for good."""
+    after = self._written_off()
+    self.assertEqual((150, 750), (ledger.lost(after), ledger.headroom(after)))
+
+  def test_holder_draws_no_more_than_the_cap_however_long_it_is_cut_off(self):
+    """Guards against tokens used by a partitioned holder and granted again."""
+    table = allotment.Table("a:1", settings.Allotment())
+    table.add("b", "a:1:1", 600, 0.0)
+    table.add_ceiling("a:1:1", self._CEILING, 0.0)
+    table.update_ceiling("b", 1e6)
+    self.assertEqual(250, table.rows["a:1:1"].free)
+
+  def test_written_off_holder_cannot_raise_its_cap(self):
+    """Guards against returned tokens that their former holder uses, too."""
+    later = ceilings.Ceiling(200, 2.0, 30.0, _at(60.0), cap=400)
+    report = ledger.ReportUse("a:1:1", 120, {}, later)
+    after = change.apply(report, self._written_off())
+    self.assertEqual(self._CEILING, ledger.ceiling(after, "a:1:1"))
+    self.assertEqual((130, 750), (ledger.lost(after), ledger.headroom(after)))
+
+  def test_report_that_arrives_before_the_write_off_keeps_its_tokens(self):
+    """Guards against a write-off that is based on an outdated ceiling."""
+    later = ceilings.Ceiling(200, 2.0, 30.0, _at(60.0), cap=400)
+    found = _granted(self._CEILING, used=100)
+    found = change.apply(ledger.ReportUse("a:1:1", 120, {}, later), found)
+    after = change.apply(ledger.WriteOff("a:1:1"), found)
+    self.assertEqual((280, 600), (ledger.lost(after), ledger.headroom(after)))
+
+  def test_holder_that_returns_gets_the_rest_of_its_grant_billed_once(self):
+    """Guards against tokens that return twice, with and after a write-off."""
+    after = change.apply(ledger.Settle("a:1:1", 160), self._written_off())
+    self.assertEqual((160, 840), (after["spent"], ledger.headroom(after)))
+    self.assertEqual(({}, {}), (after["caps"], after["ceilings"]))
+
+  def test_later_life_returns_more_of_a_written_off_grant(self):
+    """Guards against a cap that hides what the clocks of the host show."""
+    reclaim = ledger.Reclaim("a:2", _at(51.5))
+    after = change.apply(reclaim, self._written_off())
+    self.assertEqual((80, 820), (ledger.lost(after), ledger.headroom(after)))
+
+  def test_cap_bounds_the_loss_where_the_clocks_give_no_bound(self):
+    """Guards against a whole grant lost as clocks contradict each other."""
+    reclaim = ledger.Reclaim("a:2", _at(0.4, 10.0))
+    after = change.apply(reclaim, _granted(self._CEILING, used=100))
+    self.assertEqual((150, 750), (ledger.lost(after), ledger.headroom(after)))
+
+  def test_cap_is_a_share_of_the_remaining_tokens(self):
+    """Guards against a holder that may use most of a budget without reports."""
+    config = settings.Allotment(outage_share=0.3, outage_s=30.0)
+    sizing = holding.SizingInput(1_000, 100, 200, 50.0, 0.0, 10.0, holders=1)
+    self.assertEqual(90, holding.outage_draw(sizing, config, 20))
+    self.assertEqual(120, holding.outage_draw(sizing, config, 120))
+    idle = sizing._replace(limit=100_000, headroom=90_000, rate=1.0)
+    slack_tokens = 20
+    self.assertEqual(
+        slack_tokens + holding.ceiling_growth(idle, config) * 30,
+        holding.outage_draw(idle, config, slack_tokens),
+    )
+
+
 class IssuedCeilingTest(testtools.TestCase):
 
   def setUp(self):
