Test endpoints that stop within the head of their answer

A report from another operator: an endpoint stopped within its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. That does not happen here: the exchange takes a connection that ends before the blank line for a failed attempt. The emulated server can now end a connection at any position of a head.

The product is unchanged. Tunnels through another router are not covered.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -32,6 +32,9 @@
   response_delay_s: float = 0.0
   reset_after_events: int | None = None
   """Closes the connection after this many events (0: before the head)."""
+  cut_head_at: int | None = None
+  """Position in the response head at which the connection ends; a negative one
+  counts from the end of the head."""
   partial_event: bool = False
   """Sends part of the next event before the connection is closed."""
   not_run: bool = False
@@ -307,7 +310,9 @@
     )
     parser.send(h11.EndOfMessage())
     keep = (
-        behaviour.reset_after_events is None and not behaviour.close_delimited
+        behaviour.reset_after_events is None
+        and behaviour.cut_head_at is None
+        and not behaviour.close_delimited
     )
     return keep and not request.cancelled
 
@@ -458,6 +463,9 @@
     await anyio.sleep(behaviour.response_delay_s)
     if behaviour.reset_after_events == 0:
       return
+    if behaviour.cut_head_at is not None:
+      await self._stream.send(self.encode_head()[: behaviour.cut_head_at])
+      return
     if behaviour.foreign_response_first:
       foreign_headers = {"request-id": "another", "response-signature": "s"}
       await self._stream.send(_head(200, foreign_headers, 3) + b"\r\nold")
@@ -480,19 +488,29 @@
       headers["content-encoding"] = "gzip"
     return headers | _statement_headers(self._behaviour)
 
-  async def _send_plain(self) -> None:
-    body = f"{self._id} {self._request.target}".encode() + bytes(
-        self._behaviour.padding
-    )
-    length = None if self._behaviour.close_delimited else len(body)
+  def encode_head(self) -> bytes:
+    """Returns the complete head of the response."""
+    if self._behaviour.events:
+      return self._encode_stream_head()
+    length = None if self._behaviour.close_delimited else len(self._body())
     head = _head(self._behaviour.status, self._headers(), length)
-    await self._stream.send(head + b"\r\n" + body)
+    return head + b"\r\n"
 
-  async def _send_stream_head(self) -> None:
+  def _body(self) -> bytes:
+    text = f"{self._id} {self._request.target}"
+    return text.encode() + bytes(self._behaviour.padding)
+
+  async def _send_plain(self) -> None:
+    await self._stream.send(self.encode_head() + self._body())
+
+  def _encode_stream_head(self) -> bytes:
     headers = {**self._headers(), "content-type": "text/event-stream"}
     if not self._behaviour.close_delimited:
       headers["transfer-encoding"] = "chunked"
-    await self._stream.send(_head(200, headers, None) + b"\r\n")
+    return _head(200, headers, None) + b"\r\n"
+
+  async def _send_stream_head(self) -> None:
+    await self._stream.send(self._encode_stream_head())
 
   async def _send_events(self) -> None:
     behaviour = self._behaviour
