Test streams that are taken up after all routers were killed

A report from another operator: streams taken up after all front hosts were killed were joined from two software versions. Here a stream that no router knows is refused with 503, and a router that has just started does not take the listed version for the only one that there was.

The product is unchanged.

--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -16,6 +16,7 @@
 _OLD, _NEW = "v1", "v2"
 _LISTING_S = 1.0
 """Time from the begin of a stream until it breaks off after two events."""
+_ATTEMPTS_AFTER_RESTART = 5
 _MIN_RATIO = 0.95
 """Least that resumptions go on, relative to new streams that begin."""
 _MAX_REFUSAL_S = 0.5
@@ -195,6 +196,45 @@
     self.assertEqual([{_OLD}] * 4, [caller.versions for caller in callers])
     self.assertTrue(all(caller.is_complete for caller in callers))
 
+  async def _resume_after_all_were_killed(self, env, keeps_old: bool) -> None:
+    """Kills all routers; checks that no stream goes on at the new version.
+
+    Args:
+      env: the environment.
+      keeps_old: whether the endpoint of the old version stays in service.
+    """
+    routers = await env.add_routers(2)
+    _begin_with_old(env)
+    callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(8)]
+    for number, caller in enumerate(callers):
+      await caller.attempt(routers[number % 2])
+    await _list_new_version(env)
+    if not keeps_old:
+      env.store.remove("servers/i-1")
+    _mend(env)
+    for gateway in env.gateways:
+      env.kill(gateway)
+    restarted = await env.add_gateway("router-again")
+    for _ in range(_ATTEMPTS_AFTER_RESTART):
+      for number, caller in enumerate(callers):
+        if not caller.is_complete:
+          named = {"resumes": ""} if number % 2 else {}
+          await caller.attempt(restarted, **named)
+      await anyio.sleep(0.3)
+    self.assertEqual([{_OLD}] * 8, [caller.versions for caller in callers])
+    later = {status for caller in callers for status in caller.statuses[1:]}
+    self.assertEqual({503}, later)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_all_routers_are_killed_beside_two_versions(self, env):
+    """Guards against streams joined from two versions after all records are lost."""
+    await self._resume_after_all_were_killed(env, keeps_old=True)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_all_routers_are_killed_after_the_old_version_left(self, env):
+    """Guards against streams that go on at the only version that is left."""
+    await self._resume_after_all_were_killed(env, keeps_old=False)
+
   @test_gateway.in_environment(servers=("i-1",))
   async def test_routers_without_datagrams_know_streams(self, env):
     """Guards against records that are lost where datagrams are."""
