--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -72,7 +72,7 @@
     self.started = False
     self.ended = False
     self.sent_bytes = 0
-    """Bytes of the response that were passed to the connection."""
+    """Bytes of the response whose sending has ended."""
 
   def hold(self, size: int) -> bool:
     """Allocates `size` bytes for a response; returns whether they fit."""
