Log how busy a router's host is, and report outcomes by team

Cause: no log line told a saturated host from a network or a budget that fails, sums over all teams hid the team that was not served, and a refusal for an unknown key did not say whose key it was.

Change: the delay of timers and the use of the link are measured in one place (host_load) and logged with each response and as they change; a report by team from the logs; digests of keys in refusals and in a line on each configuration that changes teams. No decision changes.

--- a/mustardfall/cli.py
+++ b/mustardfall/cli.py
@@ -20,6 +20,7 @@
 from mustardfall.catalogue import model
 from mustardfall.catalogue import store
 from mustardfall.kv import client as kv_client
+from mustardfall.proxy import team_outcomes
 from mustardfall.util import logging as log_setup
 
 _KV_DEFAULT = os.environ.get("MUSTARDFALL_KV", "http://127.0.0.1:2379")
@@ -232,6 +233,30 @@
   click.echo(whereabouts.to_table(found))
 
 
+@main.group()
+def requests() -> None:
+  """Reports on requests from the routers' logs."""
+
+
+@requests.command(name="teams")
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.File(errors="replace")
+)
+def requests_teams(logs: tuple[TextIO, ...]) -> None:
+  """Prints how often each team was served, from the routers' LOGS."""
+  responses = (
+      response
+      for log in logs
+      for response in team_outcomes.read_responses(
+          pathlib.PurePath(log.name).stem, log
+      )
+  )
+  teams = team_outcomes.count(responses)
+  if not teams:
+    raise click.ClickException("no line of the logs shows a response")
+  click.echo(team_outcomes.to_table(teams))
+
+
 @main.command()
 @click.option("--requests", "count", default=240, show_default=True)
 @click.option("--seed", default=7, show_default=True)
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -48,6 +48,7 @@
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
 from mustardfall.proxy import endpoint_statements as endpoint_statements_lib
 from mustardfall.proxy import forwarder as forwarder_lib
+from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import http_client
 from mustardfall.proxy import http_server
 from mustardfall.proxy import internal
@@ -82,6 +83,10 @@
 process returns them."""
 
 
+_MAX_LOGGED_TEAMS = 16
+"""Teams that are named in the log line on a new configuration."""
+
+
 class _InternalService(NamedTuple):
   """An internal port and its handler."""
 
@@ -192,6 +197,7 @@
     self.paths = endpoint_paths_lib.EndpointPaths(
         config, self.connection_pool, self.reach, self.exits, self.instruments
     )
+    self.host_load = host_load_lib.HostLoad(config, clock, self._busy)
     self.tunnel_server = tunnel_server_lib.TunnelServer(
         config,
         self.directory.endpoints.find_address,
@@ -200,6 +206,7 @@
         self.statements,
         self.connection_pool,
         self._resource_limiter,
+        self.host_load,
         self.instruments,
     )
     self.load_share = loadshare.LoadShare(
@@ -353,6 +360,7 @@
     old = self.directory.configuration
     if not self.directory.apply_configuration(new) or old is None:
       return
+    self._log_team_changes(old, new)
     for name, team in new.teams.items():
       before = old.teams.get(name)
       if before is None or team.prepaid == before.prepaid:
@@ -371,6 +379,18 @@
         # returned, and granted again if the new limit allows.
         self.accounts.pool.retire(name)
 
+  def _log_team_changes(
+      self, old: configuration.Configuration, new: configuration.Configuration
+  ) -> None:
+    changes = configuration.team_changes(old, new)
+    if changes:
+      extra = {
+          "version": new.version,
+          "count": len(changes),
+          "teams": [change._asdict() for change in changes[:_MAX_LOGGED_TEAMS]],
+      }
+      logger.info("teams changed", extra=extra)
+
   async def apply_endpoints(
       self,
       endpoint_list: list[endpoints.EndpointEntry],
@@ -438,6 +458,7 @@
           self.paths,
           self.reach,
           resumption_lib.Resumption(self.stream_keepers, self.directory),
+          self.host_load,
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
@@ -449,10 +470,11 @@
           saturation=saturation_limiter_lib.SaturationLimiter(
               self.config,
               self.clock,
-              lambda: self.tunnel_server.lag_s,
+              self.host_load,
               lambda: len(self.accounts.members.lives) > 1,
               self.instruments,
           ),
+          host_load=self.host_load,
       )
       # The callers' port is opened before the loops start: the router reports
       # readiness as soon as the loops have read the configuration.
@@ -473,6 +495,7 @@
           forwarder.run,
           self.paths.run,
           self.tunnel_server.run,
+          self.host_load.run,
           self.overhead.run,
           self._run_periodic_tasks,
       ):
--- a/mustardfall/proxy/admission.py
+++ b/mustardfall/proxy/admission.py
@@ -75,14 +75,16 @@
       raise refusals.no_configuration()
     route = config.match(request.authority, request.path)
     if route is None:
-      self._require_current_configuration(config.version)
-      raise refusals.no_route(config.version)
+      self._require_current_configuration(config.version, request.api_key)
+      raise refusals.no_route(config.version, self._directory.unconfirmed_s)
     team = None
     if not route.public:
       team = config.team_of(request.api_key)
       if team is None:
-        self._require_current_configuration(config.version)
-        raise refusals.unknown_key(config.version)
+        self._require_current_configuration(config.version, request.api_key)
+        raise refusals.unknown_key(
+            config.version, self._directory.unconfirmed_s, request.api_key
+        )
     service = config.services[self._choose_service(route)]
     team_name = team.name if team else ""
     timeout_s = route.timeout.total_seconds()
@@ -110,12 +112,12 @@
         ),
     )
 
-  def _require_current_configuration(self, version: int) -> None:
+  def _require_current_configuration(self, version: int, api_key: str) -> None:
     """Refuses with Retry-After if the configuration may be out of date."""
     age_s = self._directory.unconfirmed_s
     if age_s > _MAX_UNCONFIRMED_S:
       retry_after_s = self.jittered_retry_after(_MAX_UNCONFIRMED_S)
-      raise refusals.stale_configuration(version, age_s, retry_after_s)
+      raise refusals.stale_configuration(version, age_s, retry_after_s, api_key)
 
   def _choose_service(self, route: configuration.Route) -> str:
     if len(route.split) == 1:
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -27,6 +27,7 @@
 from mustardfall.proxy import endpoint_statements as endpoint_statements_lib
 from mustardfall.proxy import engine_room
 from mustardfall.proxy import exchange as exchange_lib
+from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import http_server
 from mustardfall.proxy import messages
 from mustardfall.proxy import refusals
@@ -104,6 +105,7 @@
     paths: connects to endpoints.
     reach: the endpoints that this router reaches directly.
     resumption: keeps streams at the version that began them.
+    host_load: how busy this router's host is, for the log.
   """
 
   def __init__(
@@ -123,6 +125,7 @@
       paths: endpoint_paths_lib.EndpointPaths,
       reach: reach_lib.Reach,
       resumption: resumption_lib.Resumption,
+      host_load: host_load_lib.HostLoad,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -141,7 +144,9 @@
     )
     members = accounts.members
     self._fleet_size = retries.FleetSize(clock, lambda: len(members.lives))
-    self._request_log = request_log_lib.RequestLog(clock, instruments)
+    self._request_log = request_log_lib.RequestLog(
+        clock, instruments, host_load
+    )
     self._attempt_timers = attempt_timers_lib.AttemptTimers(clock)
     self._random = random.Random()
     self._retry_budgets: dict[str, retries.RetryBudget] = {}
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -19,6 +19,7 @@
 from mustardfall import errors
 from mustardfall import settings
 from mustardfall.proxy import chunked_bodies
+from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import messages
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
 from mustardfall.proxy import saturation_limiter as saturation_limiter_lib
@@ -180,6 +181,7 @@
       process's descriptors limit the connections.
     sheds_connections: whether to close waiting connections when overloaded.
     saturation: turns callers to other routers while the processor is saturated.
+    host_load: counts the bytes of callers; None: they are not counted.
   """
 
   def __init__(
@@ -192,8 +194,10 @@
       resource_limiter: resource_limiter_lib.ResourceLimiter | None = None,
       sheds_connections: bool = False,
       saturation: saturation_limiter_lib.SaturationLimiter | None = None,
+      host_load: host_load_lib.HostLoad | None = None,
   ) -> None:
     self._saturation = saturation
+    self._host_load = host_load
     self._name = name
     self.resource_limiter = (
         resource_limiter
@@ -236,8 +240,8 @@
 
   def note_bytes(self, size: int) -> None:
     """Counts bytes that a caller has sent or is sent."""
-    if self._saturation is not None:
-      self._saturation.note_bytes(size)
+    if self._host_load is not None:
+      self._host_load.note_bytes(size)
 
   @property
   def is_leaving_connections(self) -> bool:
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+from mustardfall.routing import configuration
+
 
 class RefusalError(Exception):
   """Ends a request with an error response from the router itself.
@@ -41,22 +43,32 @@
 
 
 def stale_configuration(
-    version: int, age_s: float, retry_after_s: float
+    version: int, age_s: float, retry_after_s: float, api_key: str
 ) -> RefusalError:
   """The route or key is unknown here, but the configuration may be stale."""
-  facts = {"version": version, "age_s": round(age_s, 3)}
+  facts = {
+      "version": version,
+      "age_s": round(age_s, 3),
+      "key": configuration.key_digest(api_key),
+  }
   reason = "configuration may be out of date"
   return RefusalError(503, reason, retry_after_s, facts)
 
 
-def no_route(version: int) -> RefusalError:
+def no_route(version: int, age_s: float) -> RefusalError:
   """No route matches."""
-  return RefusalError(404, "no such route", facts={"version": version})
+  facts = {"version": version, "age_s": round(age_s, 3)}
+  return RefusalError(404, "no such route", facts=facts)
 
 
-def unknown_key(version: int) -> RefusalError:
-  """No team holds the API key."""
-  return RefusalError(401, "unknown API key", facts={"version": version})
+def unknown_key(version: int, age_s: float, api_key: str) -> RefusalError:
+  """No team holds the API key; its digest is logged."""
+  facts = {
+      "version": version,
+      "age_s": round(age_s, 3),
+      "key": configuration.key_digest(api_key),
+  }
+  return RefusalError(401, "unknown API key", facts=facts)
 
 
 def budget_exhausted(facts: Mapping[str, Any]) -> RefusalError:
--- a/mustardfall/proxy/request_log.py
+++ b/mustardfall/proxy/request_log.py
@@ -4,6 +4,7 @@
 import logging
 
 from mustardfall import metrics
+from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import messages
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
@@ -19,12 +20,17 @@
   Args:
     clock: the time source.
     instruments: counters and histograms.
+    host_load: how busy this router's host is.
   """
 
   def __init__(
-      self, clock: clock_lib.Clock, instruments: metrics.Instruments
+      self,
+      clock: clock_lib.Clock,
+      instruments: metrics.Instruments,
+      host_load: host_load_lib.HostLoad,
   ) -> None:
     self._clock = clock
+    self._host_load = host_load
     self._instruments = instruments
     self._sends: collections.Counter[str] = collections.Counter()
     instruments.observe_totals(
@@ -122,6 +128,7 @@
             "endpoint": context.endpoint if context else "",
             "resumes": request.resumes,
             "last_event": request.last_event,
+            **self._host_load.describe(),
         },
     )
     attributes = metric_attributes(context) if context else {}
@@ -165,6 +172,7 @@
             else 0,
             "events": context.sequencer.forwarded_events,
             "billed": context.used_tokens,
+            **self._host_load.describe(),
         },
     )
     attributes = metric_attributes(context)
--- a/mustardfall/proxy/tunnel_server.py
+++ b/mustardfall/proxy/tunnel_server.py
@@ -16,6 +16,7 @@
 from mustardfall import metrics
 from mustardfall import settings
 from mustardfall.proxy import connection_pool as connection_pool_lib
+from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
 from mustardfall.proxy import tunnels
 from mustardfall.routing import endpoints
@@ -30,10 +31,6 @@
 _ROOM_SHARE = 0.5
 """Share of the memory and connections of callers that tunnels may take, so that
 this router's own callers are served."""
-_LAG_INTERVAL_S = 0.1
-_LAG_WEIGHT = 0.2
-"""Weight of the newest delay in the moving average, which covers half a second. A
-host whose processor share is a quota stands still for parts of a tenth of one."""
 _MAX_LAG_S = 0.15
 """Mean delay of this router's own timers from which it opens no further tunnels:
 its processor is busy, and more work would make its own callers wait."""
@@ -59,6 +56,7 @@
     statements: which endpoints have said that they leave or want rest.
     connection_pool: closes the connections to endpoints.
     resource_limiter: limits connections and memory.
+    host_load: tells whether this router's processor is busy.
     instruments: exports counters.
   """
 
@@ -73,6 +71,7 @@
       statements: statements_lib.Table,
       connection_pool: connection_pool_lib.ConnectionPool,
       resource_limiter: resource_limiter_lib.ResourceLimiter,
+      host_load: host_load_lib.HostLoad,
       instruments: metrics.Instruments,
   ) -> None:
     self._config = config
@@ -82,11 +81,10 @@
     self._statements = statements
     self._connection_pool = connection_pool
     self._resource_limiter = resource_limiter
+    self._host_load = host_load
     self._tunnels: set[_Tunnel] = set()
     self._is_closing = False
     self._tasks: abc.TaskGroup | None = None
-    self._lag_s = 0.0
-    """How late timers of this process are, moving average."""
     self._counts: collections.Counter[str] = collections.Counter()
     instruments.observe_totals(
         "mustardfall.tunnels", "", "tunnels served, by outcome", self._counts
@@ -106,28 +104,15 @@
     listeners = await sockets.listen("tunnels", host, port)
     async with anyio.create_task_group() as tasks:
       self._tasks = tasks
-      tasks.start_soon(self._measure_lag)
       for listener in listeners:
         tasks.start_soon(
             sockets.accept, "tunnels", listener, self._serve_connection, tasks
         )
 
-  async def _measure_lag(self) -> None:
-    while True:
-      due_at = anyio.current_time() + _LAG_INTERVAL_S
-      await anyio.sleep(_LAG_INTERVAL_S)
-      late_s = anyio.current_time() - due_at
-      self._lag_s = smooth_lag_s(self._lag_s, late_s)
-
-  @property
-  def lag_s(self) -> float:
-    """Mean delay of this process's timers, seconds."""
-    return self._lag_s
-
   @property
   def is_busy(self) -> bool:
     """Whether this router's processor is too busy for further tunnels."""
-    return self._lag_s > _MAX_LAG_S
+    return self._host_load.lag_s > _MAX_LAG_S
 
   async def close(self) -> None:
     """Opens no further tunnels, and has the open ones used no more."""
@@ -336,11 +321,6 @@
         return  # the endpoint may have responded before it closed
 
 
-def smooth_lag_s(mean_s: float, late_s: float) -> float:
-  """Returns the mean delay of timers after another one was late."""
-  return mean_s + _LAG_WEIGHT * (late_s - mean_s)
-
-
 async def _read_head(
     stream: abc.SocketStream, parser: h11.Connection
 ) -> h11.Request:
--- a/mustardfall/routing/configuration.py
+++ b/mustardfall/routing/configuration.py
@@ -6,6 +6,7 @@
 
 import datetime
 import enum
+import hashlib
 from typing import NamedTuple
 
 
@@ -91,6 +92,19 @@
   """Tokens that the team may use in total; None: it has no budget."""
 
 
+class TeamChange(NamedTuple):
+  """What a version of the configuration changes for a team's requests."""
+
+  team: str
+  keys: int
+  """API keys that the team has now; 0: none of its requests is accepted."""
+  added: list[str]
+  """Digests of some of the keys that were added."""
+  removed: list[str]
+  """Digests of some of the keys that were removed."""
+  priority: int | None
+
+
 class Limits(NamedTuple):
   """Limits on the size and duration of callers' requests."""
 
@@ -109,6 +123,14 @@
 """In force until the first configuration has been read."""
 
 
+_MAX_LOGGED_KEYS = 4
+
+
+def key_digest(api_key: str) -> str:
+  """Returns a short hash that names an API key in logs."""
+  return hashlib.blake2b(api_key.encode(), digest_size=4).hexdigest()
+
+
 class Configuration:
   """One version of the configuration, indexed for look-ups.
 
@@ -166,3 +188,30 @@
   def team_of(self, api_key: str) -> Team | None:
     """Returns the team that `api_key` belongs to, if any."""
     return self._by_key.get(api_key)
+
+
+def team_changes(old: Configuration, new: Configuration) -> list[TeamChange]:
+  """Returns the teams whose API keys or priority a version changes."""
+  changes = []
+  for name in sorted(old.teams.keys() | new.teams.keys()):
+    before, after = old.teams.get(name), new.teams.get(name)
+    old_keys = set(before.api_keys) if before else set()
+    new_keys = set(after.api_keys) if after else set()
+    priority = after.priority if after else None
+    was_priority = before.priority if before else None
+    if old_keys == new_keys and priority == was_priority:
+      continue
+    changes.append(
+        TeamChange(
+            name,
+            len(new_keys),
+            _digests(new_keys - old_keys),
+            _digests(old_keys - new_keys),
+            priority,
+        )
+    )
+  return changes
+
+
+def _digests(api_keys: set[str]) -> list[str]:
+  return sorted(map(key_digest, api_keys))[:_MAX_LOGGED_KEYS]
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -11,6 +11,7 @@
 from mustardfall import settings
 from mustardfall.bench import fleet
 from mustardfall.bench.virtual import loop
+from mustardfall.proxy import host_load
 from mustardfall.proxy import tunnel_server
 from mustardfall.proxy import tunnels
 from mustardfall.routing import endpoints
@@ -159,7 +160,7 @@
   def _mean_s(self, *late_s):
     mean_s = 0.0
     for one_s in late_s:
-      mean_s = tunnel_server.smooth_lag_s(mean_s, one_s)
+      mean_s = host_load.smooth_lag_s(mean_s, one_s)
     return mean_s
 
   def test_one_late_timer_does_not_make_an_exit_refuse(self):
--- a/tests/test_router_saturation.py
+++ b/tests/test_router_saturation.py
@@ -16,6 +16,7 @@
 
 from mustardfall import metrics
 from mustardfall import settings
+from mustardfall.proxy import host_load
 from mustardfall.proxy import saturation_limiter
 from mustardfall.routing import router_saturation
 from mustardfall.util import clock as clock_lib
@@ -116,10 +117,12 @@
         limits=settings.Limits(link_mbps=link_mbps),
     )
     self.clock = clock_lib.FakeClock()
+    self.host_load = host_load.HostLoad(config, self.clock)
+    self.host_load._lag_s = lag_s
     return saturation_limiter.SaturationLimiter(
         config,
         self.clock,
-        lambda: lag_s,
+        self.host_load,
         lambda: others,
         metrics.Instruments("r"),
         random.Random(1),
@@ -144,10 +147,15 @@
     served = []
     size = 6_000
     per_s = offered * 625_000 / size
+    measured_at = self.clock.monotonic()
     for number in range(int(seconds * per_s)):
       self.clock.advance(datetime.timedelta(seconds=1 / per_s))
+      elapsed_s = self.clock.monotonic() - measured_at
+      if elapsed_s >= 0.25:
+        self.host_load.measure_rate(elapsed_s)
+        measured_at += elapsed_s
       if not limiter.closes_unread():
-        limiter.note_bytes(size)
+        self.host_load.note_bytes(size)
         served.append(number / per_s)
     later = [at for at in served if at > seconds / 2]
     return len(later) * size / 625_000 / (seconds / 2)
@@ -187,7 +195,8 @@
     """Makes the first gateway take its processor for saturated."""
     limiter = env.gateway.http_server._saturation
     limiter._is_enabled = True
-    limiter._lag_s = lambda: 0.06
+    env.gateway.host_load.note_delay = lambda late_s: None
+    env.gateway.host_load._lag_s = 0.06
     limiter._has_others = lambda: True
 
   @test_gateway.in_environment()
