Decode each item of a store's list by itself

Callers saw: while one item of the list of servers had a value that is no base64, no router followed the list; servers that had left got requests and new ones none.

Cause: the items of a page were decoded together, so that one that is unreadable failed the read. Class: what other writers put into the store was checked as a whole and not an entry at a time.

Change: an item without a readable key is left out, one without a readable value is empty (the decoders of entries log it as unusable); the watch does the same. Values must be base64 without other characters.

Measured: test_odd_item_does_not_hide_others (six odd items, each alone and all at once, read and watched) failed before and passes.

--- a/mustardfall/emulator/store.py
+++ b/mustardfall/emulator/store.py
@@ -78,6 +78,8 @@
     self._compacted_revision = 0
     self._leases: dict[int, tuple[float, float]] = {}
     self._lease_ids = itertools.count(100)
+    self.odd_items: list[Any] = []
+    """Added as they are to lists of items and changes; set by tests."""
 
   # Direct access for tests.
 
@@ -196,8 +198,9 @@
     keys = sorted(
         key for key in self.items if key.startswith(prefix) and key > after
     )
+    items = [self._describe(key) for key in keys[:_PAGE_SIZE]]
     return {
-        "items": [self._describe(key) for key in keys[:_PAGE_SIZE]],
+        "items": [*items[:1], *self.odd_items, *items[1:]],
         "has_more": len(keys) > _PAGE_SIZE,
         "store_revision": self.revision,
     }
@@ -214,6 +217,7 @@
           if rev > after and key.startswith(fields["prefix"])
       ]
       if events or self._clock.monotonic() >= until:
+        events[1:1] = self.odd_items
         return 200, {"events": events, "store_revision": self.revision}
       await anyio.sleep(_WATCH_POLL_S)
 
--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 import json
 import logging
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 import urllib.parse
 
 import anyio
@@ -30,6 +30,8 @@
 """Added to the waiting time of a watch to get the timeout of its call. A
 connection can go silent without being closed."""
 
+_MAX_LOGGED_ERROR = 200
+"""Characters of an error in a log line on an item that is unreadable."""
 _MAX_TXN_ENTRIES = 32
 """Maximum number of keys in one transaction."""
 
@@ -59,13 +61,15 @@
 
 
 class _RangeResponse(_Response):
-  items: list[_Item]
+  items: list[Any]
+  """Each is decoded by itself, as an `_Item`."""
   has_more: Any = False
   store_revision: int
 
 
 class _WatchResponse(_Response):
-  events: list[_Item]
+  events: list[Any]
+  """As above."""
   store_revision: int
 
 
@@ -88,6 +92,13 @@
 _Model = TypeVar("_Model", bound=_Response)
 
 
+class _DecodedItem(NamedTuple):
+  """An item of a list, and the record in it."""
+
+  item: _Item
+  record: protocol.Record
+
+
 def _decode_record(item: _Item) -> protocol.Record:
   """Decodes an item.
 
@@ -95,7 +106,7 @@
     errors.KvUnknownError: its value is not valid base64.
   """
   try:
-    value = base64.b64decode(item.value or "")
+    value = base64.b64decode(item.value or "", validate=True)
   except ValueError as exc:
     raise errors.KvUnknownError(
         f"value of key {item.key!r} is not valid base64: {exc}"
@@ -103,6 +114,30 @@
   return protocol.Record(item.key, value, item.rev, 0)
 
 
+def _decode_items(raw: list[Any], target: str) -> list[_DecodedItem]:
+  """Decodes the items of a list; other writers' mistakes do not hide the rest.
+
+  An item without a readable key is left out. One without a readable value is
+  empty, so that what was at its key before does not stay in force.
+  """
+  items = []
+  for one in raw:
+    try:
+      item = _Item.model_validate(one)
+      items.append(_DecodedItem(item, _decode_record(item)))
+      continue
+    except (ValueError, errors.KvUnknownError) as exc:
+      error = str(exc)[:_MAX_LOGGED_ERROR]
+    key = one.get("key") if isinstance(one, dict) else None
+    logger.error(
+        "item unreadable", extra={"call": target, "key": key, "error": error}
+    )
+    if isinstance(key, str):
+      removed = _Item(key=key, removed=one.get("removed"))
+      items.append(_DecodedItem(removed, protocol.Record(key, b"", 0, 0)))
+  return items
+
+
 def _build_target(path: str, **fields: object) -> str:
   return f"{path}?{urllib.parse.urlencode(fields)}"
 
@@ -241,10 +276,11 @@
       reply = await self._call("GET", target, bypass_breaker=True)
       page = self._parse(reply, target, _RangeResponse)
       revision = revision or page.store_revision
-      records += [_decode_record(item) for item in page.items]
-      if not page.has_more or not page.items or records[-1].key <= after:
+      found = [one.record for one in _decode_items(page.items, target)]
+      records += found
+      if not page.has_more or not found or found[-1].key <= after:
         return revision, records
-      after = records[-1].key
+      after = found[-1].key
 
   async def put(self, key: str, value: bytes, lease: int = 0) -> int:
     """Writes `value` at `key`; returns the new revision."""
@@ -361,7 +397,7 @@
       )
     changes = self._parse(reply, target, _WatchResponse)
     events = [
-        protocol.Event(bool(event.removed), _decode_record(event))
-        for event in changes.events
+        protocol.Event(bool(one.item.removed), one.record)
+        for one in _decode_items(changes.events, target)
     ]
     return max(after, changes.store_revision), events
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -87,6 +87,32 @@
     _, records = await client.get_prefix("p/")
     self.assertEqual(120, len(records))
 
+  @with_store
+  async def test_odd_item_does_not_hide_others(self, server, client):
+    """Guards against a list that cannot be read for the sake of one item."""
+    odd = [
+        {"key": "list/b", "value": "not base64!", "rev": 4},
+        {"key": "list/c", "value": 3, "rev": 4},
+        {"key": "list/d", "value": "e30=", "rev": "4"},
+        {"key": 5, "value": "e30=", "rev": 4},
+        "no item",
+        None,
+    ]
+    server.put("list/a", {"n": 1})
+    server.put("list/z", {"n": 2})
+    for item in (*odd, odd):
+      server.odd_items = item if isinstance(item, list) else [item]
+      _, records = await client.get_prefix("list/")
+      found = {r.key: r.value for r in records}
+      self.assertEqual(b'{"n": 1}', found["list/a"])
+      self.assertEqual(b'{"n": 2}', found["list/z"])
+      others = {key: found[key] for key in found if key[5:] not in "az"}
+      self.assertEqual({b""}, set(others.values()) | {b""})
+      _, events = await client.poll("list/", 0, 0.2)
+      keys = [event.record.key for event in events]
+      found = [key for key in keys if key[5:] in "az"]
+      self.assertEqual(["list/a", "list/z"], found)
+
   @with_store
   async def test_watch_continues_after_a_read_and_fails_once_compacted(
       self, server, client
