Take only the digits 0 to 9 in addresses and callers' headers

Callers saw: 2 of 12 requests served while a server was listed with a port in other digits (U+0661 U+0662): the address passed the check, and connecting to it raised UnicodeEncodeError, which closed callers' connections without an answer.

Cause: \d and int() take all Unicode digits, int() and float() also underscores, signs and white space. The same held for Token-Usage, Prompt-Prefix, Deadline-Ms and Last-Event-Id, where an endpoint may read another number than the router has billed.

Change: ASCII digits in patterns and one parser of counts (util/numbers.py); addresses are checked with ipaddress, ports from 1 on.

--- a/mustardfall/platform/documents.py
+++ b/mustardfall/platform/documents.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 import datetime
+import ipaddress
 import logging
 from typing import Annotated, Any, Literal, NamedTuple, TypeVar
 
@@ -26,7 +27,7 @@
 differs from all fields of the configuration."""
 SERVERS_PREFIX = "servers/"
 
-_ADDRESS_PATTERN = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
+_ADDRESS_PATTERN = r"^([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}$"
 _HEADER_VALUE_PATTERN = r"^[\x21-\x7e]+$"
 """Visible ASCII characters, which a header value holds without encoding."""
 _MAX_PORT = 65_535
@@ -72,9 +73,11 @@
 
   @pydantic.field_validator("address")
   @classmethod
-  def _check_port(cls, address: str) -> str:
-    if int(address.rpartition(":")[2]) > _MAX_PORT:
-      raise ValueError(f"port is above {_MAX_PORT}")
+  def _check_address(cls, address: str) -> str:
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) <= _MAX_PORT:
+      raise ValueError(f"port is not between 1 and {_MAX_PORT}")
     return address
 
 
--- a/mustardfall/platform/headers.py
+++ b/mustardfall/platform/headers.py
@@ -8,6 +8,7 @@
 from mustardfall.proxy import messages
 from mustardfall.routing import rate_limits
 from mustardfall.routing import statements
+from mustardfall.util import numbers
 from mustardfall.util import retry_after
 
 _REQUEST_ID = b"request-id"
@@ -121,11 +122,10 @@
 def _parse_number(value: bytes | None, name: str) -> float | None:
   if value is None:
     return None
-  try:
-    number = float(value)
-  except ValueError as exc:
-    raise errors.RejectedRequestError(f"{name} is no number") from exc
-  if not math.isfinite(number) or number < 0:
+  if not retry_after.DECIMAL_NUMBER.fullmatch(value):
+    raise errors.RejectedRequestError(f"{name} is no number")
+  number = float(value)
+  if not math.isfinite(number):
     raise errors.RejectedRequestError(f"{name} is out of range")
   return number
 
@@ -142,20 +142,22 @@
     return None
   prompt, _, output = value.partition(b",")
   try:
-    usage = messages.Usage(int(prompt), int(output))
+    return messages.Usage(
+        numbers.parse_count(prompt), numbers.parse_count(output)
+    )
   except ValueError as exc:
     raise errors.RejectedRequestError("token usage makes no sense") from exc
-  if min(usage) < 0:
-    raise errors.RejectedRequestError("token usage is negative")
-  return usage
 
 
 def _parse_prompt_parts(value: bytes | None) -> tuple[messages.PromptPart, ...]:
   if not value:
     return ()
   try:
-    pairs = (item.strip().split(":") for item in value.decode().split(","))
-    return tuple(messages.PromptPart(id_, int(n)) for id_, n in pairs)
+    pairs = (item.strip().split(b":") for item in value.split(b","))
+    return tuple(
+        messages.PromptPart(id_.decode("ascii"), numbers.parse_count(count))
+        for id_, count in pairs
+    )
   except ValueError as exc:
     raise errors.RejectedRequestError("prompt parts make no sense") from exc
 
--- a/tests/test_server_entries.py
+++ b/tests/test_server_entries.py
@@ -41,7 +41,20 @@
 _INVALID_VALUES = {
     "service": strategies.sampled_from([None, 3, ["pool"], {}]),
     "address": strategies.sampled_from(
-        [None, 80, "", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:99999", ["a"]]
+        [
+            None,
+            80,
+            "",
+            "10.0.0.1",
+            "10.0.0.1:x",
+            "10.0.0.1:99999",
+            "10.0.0.1:0",
+            "10.0.0.1:\u0661\u0662",
+            "\u0661\u0660.0.0.1:80",
+            "10.0.0.256:80",
+            "10.0.0.1:80\n",
+            ["a"],
+        ]
     ),
     "zone": strategies.sampled_from([None, 1, []]),
     "version": strategies.sampled_from([None, 1, {}]),
@@ -174,6 +187,15 @@
     fixture.store.write("a", ENTRY)
     self.assertEqual(["a"], fixture.read())
 
+  def test_each_odd_value_of_a_field_makes_one_entry_invalid(self):
+    """Guards against an odd value that is taken for an address, or hides others."""
+    for field, strategy in _INVALID_VALUES.items():
+      for value in strategy.elements:
+        fixture = _Fixture()
+        fixture.store.write("a", ENTRY)
+        fixture.store.write("b", ENTRY | {field: value})
+        self.assertEqual(["a"], fixture.read(), (field, value))
+
   def test_entry_nested_too_deeply_for_the_parser(self):
     fixture = _Fixture()
     fixture.store.write("a", ENTRY)
