Take streams up without Resumes only by a list from after the request

Callers saw: a stream that had begun at an endpoint of a new version broke off, was taken up at another router and went on at an endpoint of the old version.

Cause: a caller that does not name the request that began its stream is bound to the only listed version. The list could be up to 1.5 s old. A router that is out of step, or has just not read the list yet, does not know the version that others have begun streams at meanwhile. Class: what is true as of a list is taken to be true as of now.

Change: if one version is listed, the router waits for a list from after the arrival of the request (lists are read twice a second), at most 1 s, and looks again; otherwise it refuses with 503 at once, as before. After a standstill of the process of 0.25 s it refuses for 1 s: datagrams that had been waiting seem new, and so do the lists that they confirm.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -465,7 +465,9 @@
           self._endpoint_statements,
           self.paths,
           self.reach,
-          resumption_lib.Resumption(self.stream_keepers, self.directory),
+          resumption_lib.Resumption(
+              self.stream_keepers, self.directory, self.host_load
+          ),
           self.host_load,
       )
       self.http_server = http_server.HttpServer(
--- a/mustardfall/proxy/host_load.py
+++ b/mustardfall/proxy/host_load.py
@@ -32,6 +32,8 @@
 """Mean delay from which it counts as saturated: a whole one of the shortest
 latency objectives."""
 _MIN_LOG_INTERVAL_S = 1.0
+_STANDSTILL_S = 0.25
+"""Delay of one timer from which the process has stood still."""
 
 
 class Level(enum.Enum):
@@ -76,6 +78,7 @@
     self._passed_bytes = 0
     """Bytes of requests and responses since the last measurement."""
     self._utilisation = 0.0
+    self._stood_still_at = -float("inf")
     self._logged = Level.ON_TIME
     self._logged_at = -float("inf")
 
@@ -84,6 +87,11 @@
     """Mean delay of this process's timers, seconds."""
     return self._lag_s
 
+  @property
+  def running_s(self) -> float:
+    """Seconds since the process last stood still."""
+    return self._clock.monotonic() - self._stood_still_at
+
   @property
   def link_utilisation(self) -> float:
     """Bytes of requests and responses a second, relative to the link's rate."""
@@ -117,6 +125,8 @@
   def note_delay(self, late_s: float) -> None:
     """Records how late a timer was."""
     self._lag_s = smooth_lag_s(self._lag_s, late_s)
+    if late_s >= _STANDSTILL_S:
+      self._stood_still_at = self._clock.monotonic()
     self._log_change()
 
   def measure_rate(self, elapsed_s: float) -> None:
--- a/mustardfall/proxy/resumption.py
+++ b/mustardfall/proxy/resumption.py
@@ -4,6 +4,7 @@
 import logging
 
 from mustardfall.membership import stream_keepers as stream_keepers_lib
+from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import refusals
 from mustardfall.proxy import request_context as request_context_lib
 from mustardfall.routing import configuration
@@ -23,6 +24,13 @@
 _VERSION_RETRY_S = 1.0
 """The same where no endpoint of the version is listed. One that has crashed is
 back after one or two seconds."""
+_MAX_LIST_WAIT_S = 1.0
+"""Longest wait for a list of endpoints from after a request arrived. Lists are read
+twice a second."""
+_MIN_RUNNING_S = 1.0
+"""How long the process must have been running without a standstill. Datagrams that
+arrived meanwhile seem to have been sent only now, and so do the lists in them."""
+_MAX_LOGGED_S = 1e6
 _MAX_LOGGED_ENTRIES = 8
 
 
@@ -32,13 +40,16 @@
   Args:
     keepers: keeps the records of streams.
     directory: provides the endpoints and the configuration.
+    host_load: tells whether the process has stood still.
   """
 
   def __init__(
       self,
       keepers: stream_keepers_lib.StreamKeepers,
       directory: directory_lib.Directory,
+      host_load: host_load_lib.HostLoad,
   ) -> None:
+    self._host_load = host_load
     self._keepers = keepers
     self._directory = directory
 
@@ -63,7 +74,7 @@
     if request.last_event is None and not request.resumes:
       return
     if not request.resumes:
-      self._bind_to_sole_version(context, jitter(_UNKNOWN_RETRY_S))
+      await self._bind_to_sole_version(context, jitter(_UNKNOWN_RETRY_S))
       return
     key = stream_holders.key_of(_team(context), request.resumes)
     lookup = await self._keepers.find(key)
@@ -94,7 +105,7 @@
         },
     )
 
-  def _bind_to_sole_version(
+  async def _bind_to_sole_version(
       self,
       context: request_context_lib.RequestContext,
       retry_after_s: float,
@@ -102,20 +113,22 @@
     """Binds a stream of which the caller does not name the beginning.
 
     It is known what began it if the route leads to one service, all of whose
-    endpoints have had one version for as long as the caller may have waited.
+    endpoints have had one version for as long as the caller may have waited, until
+    the request arrived: others may know of a new version earlier, begin the stream
+    there and lose it.
 
     Raises:
       refusals.RefusalError: it is not known.
     """
-    services = {share.service for share in context.route.split}
     for_s = _left_s(context)
-    version = None
-    if len(services) == 1:
-      version = self._directory.sole_version(context.service.name, for_s)
+    version = await self._find_sole_version(context, for_s)
+    running_s = self._host_load.running_s
     facts = {
         "resumes": "",
         "known_by": "server list",
         "for_s": round(for_s, 3),
+        "list_age_s": round(min(self._directory.list_age_s, _MAX_LOGGED_S), 3),
+        "running_s": round(min(running_s, _MAX_LOGGED_S), 3),
         "versions": self._versions(context.route),
     }
     if version is None:
@@ -132,6 +145,23 @@
         },
     )
 
+  async def _find_sole_version(
+      self, context: request_context_lib.RequestContext, for_s: float
+  ) -> str | None:
+    """Returns the only version of a route's endpoints; None if it is not known."""
+    service = context.service.name
+    if len({share.service for share in context.route.split}) != 1:
+      return None
+    if self._directory.sole_version(service, for_s) is None:
+      return None
+    if not await self._directory.wait_for_list(
+        context.arrived_at, min(_MAX_LIST_WAIT_S, for_s)
+    ):
+      return None
+    if self._host_load.running_s < _MIN_RUNNING_S:
+      return None
+    return self._directory.sole_version(service, for_s)
+
   def _find_origin(
       self, route: configuration.Route, record: stream_records.StreamRecord
   ) -> endpoints.Row | None:
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -10,6 +10,8 @@
 import datetime
 import logging
 
+import anyio
+
 from mustardfall import settings
 from mustardfall.routing import configuration
 from mustardfall.routing import endpoints
@@ -52,6 +54,8 @@
     """When a list was last applied, monotonic seconds."""
     self._list_as_of = -float("inf")
     """When the newest applied list was the list, monotonic seconds."""
+    self._list_applied: anyio.Event | None = None
+    """Set when a list is applied; None if nobody waits for it."""
     self.in_force_since: datetime.datetime | None = None
     self._confirmed_at = -float("inf")
 
@@ -117,8 +121,29 @@
     self.endpoints.note_leaving(self._list_as_of)
     self.endpoints.note_versions(now)
     self._list_as_of = max(self._list_as_of, as_of)
+    if self._list_applied is not None:
+      self._list_applied.set()
+      self._list_applied = None
     return changed
 
+  async def wait_for_list(self, as_of: float, timeout_s: float) -> bool:
+    """Waits for a list that was the list at a time, or later.
+
+    Args:
+      as_of: monotonic seconds.
+      timeout_s: how long to wait, seconds.
+
+    Returns:
+      Whether such a list was applied in time.
+    """
+    with anyio.move_on_after(timeout_s):
+      while self._list_as_of < as_of:
+        if self._list_applied is None:
+          self._list_applied = anyio.Event()
+        await self._list_applied.wait()
+      return True
+    return False
+
   @property
   def list_age_s(self) -> float:
     """Seconds since the newest list that was applied was the list."""
