--- a/mustardfall/proxy/link_limiter.py
+++ b/mustardfall/proxy/link_limiter.py
@@ -95,6 +95,8 @@
   def update(self) -> None:
     """Decides anew from what is measured now."""
     before = self._state
+    if before.phase is link_relief.Phase.OPEN:
+      self._failed_checks = 0
     if not self._has_others():
       self._state = link_relief.State()
     else:
