--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -457,7 +457,7 @@
       "platform": {"address": f"127.0.0.1:{store_port}"},
       "limits": limits or {},
   }
-  own = ROUTER_SETTINGS | {"proxy": proxy or {}}
+  own = ROUTER_SETTINGS if proxy is None else ROUTER_SETTINGS | {"proxy": proxy}
   return process_settings.decode(given, own)
 
 
