Skip a stored verdict that is nested too deeply for the parser

Cause: RecursionError was not among the errors of a malformed entry of quarantine/ in the store; the loop that reads the verdicts failed with it and started again each tick, and no stored verdict was applied.

Measured: test_malformed_entries_are_skipped with such an entry failed before and passes.

--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -467,7 +467,7 @@
             float(stored.crashes),
             stored.is_part is True,
         )
-      except (TypeError, ValueError) as exc:
+      except (TypeError, ValueError, RecursionError) as exc:
         extra = {"entry": record.key, "error": repr(exc)}
         logger.error("verdict unreadable", extra=extra)
         continue
