Bound the wait for a list by the time that the request may take

A stream that is resumed without Resumes waits for a list of endpoints for half of its time at most, so that it is refused before its deadline also where that is shorter than two seconds.

--- a/mustardfall/proxy/resumption.py
+++ b/mustardfall/proxy/resumption.py
@@ -27,6 +27,8 @@
 _MAX_LIST_WAIT_S = 1.0
 """Longest wait for a list of endpoints from after a request arrived. Lists are read
 twice a second."""
+_LIST_WAIT_SHARE = 0.5
+"""Longest such wait, as a share of the time that the request may take."""
 _MIN_RUNNING_S = 1.0
 """How long the process must have been running without a standstill. Datagrams that
 arrived meanwhile seem to have been sent only now, and so do the lists in them."""
@@ -154,9 +156,9 @@
       return None
     if self._directory.sole_version(service, for_s) is None:
       return None
-    if not await self._directory.wait_for_list(
-        context.arrived_at, min(_MAX_LIST_WAIT_S, for_s)
-    ):
+    time_s = context.deadline - context.arrived_at
+    wait_s = min(_MAX_LIST_WAIT_S, time_s * _LIST_WAIT_SHARE)
+    if not await self._directory.wait_for_list(context.arrived_at, wait_s):
       return None
     if self._host_load.running_s < _MIN_RUNNING_S:
       return None
