Ask further routers after a start until one knows something

Callers saw: of requests with a part that crashes endpoints, some are sent for up to a second after two thirds of the routers restart together, although the others have quarantined the part.

Cause: a router that has just started asks two others, once. If both started with it, or the datagrams are lost, it learns by the periodic gossip only, here 0.5 to 0.95 s after its start.

Change: the router asks two more others every 0.1 s until it is told facts, ten times at most. This holds for verdicts, rate limits, statements and brittle endpoints.

--- a/mustardfall/bench/virtual/blame_fleet.py
+++ b/mustardfall/bench/virtual/blame_fleet.py
@@ -255,6 +255,7 @@
         fleet.store,
         clock,
         fleet.post,
+        random.Random(fleet.rng.random()),
     )
     instruments = _Instruments()
     self.permits = permits_lib.Permits(
--- a/mustardfall/bench/virtual/limits.py
+++ b/mustardfall/bench/virtual/limits.py
@@ -465,6 +465,7 @@
         self.port,
         self.clock,
         rate_limits.MAX_UPDATES_PER_DATAGRAM,
+        random.Random(fleet.rng.random()),
     )
     self.brittle = rate_limits.Table(self.clock, lambda kind: True)
     self.brittle_gossip = gossip_lib.Gossip(
@@ -474,6 +475,7 @@
         self.port,
         self.clock,
         rate_limits.MAX_UPDATES_PER_DATAGRAM,
+        random.Random(fleet.rng.random()),
     )
     self.limits = limited_endpoints.LimitedEndpoints(
         self.directory.endpoints,
--- a/mustardfall/bench/virtual/statement_fleet.py
+++ b/mustardfall/bench/virtual/statement_fleet.py
@@ -147,6 +147,7 @@
         self.port,
         self.clock,
         statements.MAX_FACTS_PER_DATAGRAM,
+        rng,
     )
     is_withheld = self.statements.is_withheld
     if fleet.policy == "unread":
--- a/mustardfall/membership/gossip.py
+++ b/mustardfall/membership/gossip.py
@@ -1,8 +1,9 @@
 """Spreads facts that one router has learned to all others.
 
 A new fact is sent to all routers at once, twice. Each router also sends facts
-that it knows to two others each second, since datagrams may be lost, and a
-router that has just started asks two others for all that they know.
+that it knows to two others each second, since datagrams may be lost. A router
+that has just started asks the others for all that they know, two at a time, until
+it is told something: those that it asks first may have started with it.
 """
 
 from collections.abc import Iterable
@@ -23,6 +24,8 @@
 """Interval between two rounds of gossip."""
 _START_POLL_S = 0.1
 """Interval at which a router looks for others after its start."""
+_MAX_QUESTION_ROUNDS = 10
+"""Rounds in which a router asks others after its start."""
 _FANOUT_ROUTERS = 2
 """Receivers in a round, and so the mean number of senders to each router."""
 _RESEND_DELAY_S = 0.05
@@ -62,6 +65,7 @@
     datagrams: carries the facts.
     clock: the time source.
     max_facts: the most facts that fit into one datagram.
+    rng: draws receivers; None: a source of its own.
   """
 
   def __init__(
@@ -72,6 +76,7 @@
       datagrams: datagrams_lib.Datagrams,
       clock: clock_lib.Clock,
       max_facts: int,
+      rng: random.Random | None = None,
   ) -> None:
     self._kind = kind
     self._table = table
@@ -79,11 +84,14 @@
     self._datagrams = datagrams
     self._clock = clock
     self._max_facts = max_facts
+    self._random = rng or random.Random()
     self._unsent: dict[str, None] = {}
     """Keys of facts to be published, in order."""
     self._unsent_added = anyio.Event()
     self._published_at: dict[str, float] = {}
     """When facts were last published, for `_MIN_REPEAT_S`."""
+    self._was_told = False
+    """Whether another router has sent facts."""
     datagrams.connect_with_sender(kind, self._handle)
 
   def publish(self, key: str) -> None:
@@ -106,6 +114,7 @@
     async with anyio.create_task_group() as tasks:
       tasks.start_soon(self._publish_new)
       tasks.start_soon(self._gossip)
+      tasks.start_soon(self._ask)
 
   async def _publish_new(self) -> None:
     await self._wait_for_others()
@@ -136,21 +145,33 @@
     while not self._members.others:
       await anyio.sleep(_START_POLL_S)
 
+  async def _ask(self) -> None:
+    """Asks others for their facts, a few at a time, until one knows some."""
+    await self._wait_for_others()
+    others = self._members.others
+    order = self._random.sample(others, len(others))
+    question = deltas.pack(None)
+    for number in range(_MAX_QUESTION_ROUNDS):
+      first = number * _FANOUT_ROUTERS % len(order)
+      asked = order[first : first + _FANOUT_ROUTERS]
+      await self._datagrams.send(self._kind, question, asked)
+      await anyio.sleep(_START_POLL_S)
+      if self._was_told:
+        return
+
   async def _gossip(self) -> None:
     """Sends known facts to a few random routers in each round."""
     await self._wait_for_others()
-    question = deltas.pack(None)
-    await self._datagrams.send(self._kind, question, self._receivers())
     while True:
       await anyio.sleep(_INTERVAL_S)
       keys = self._table.keys()
       if keys:
-        sample = random.sample(keys, min(self._max_facts, len(keys)))
+        sample = self._random.sample(keys, min(self._max_facts, len(keys)))
         await self._send(sample, self._receivers())
 
   def _receivers(self) -> list[members_lib.Member]:
     others = self._members.others
-    return random.sample(others, min(_FANOUT_ROUTERS, len(others)))
+    return self._random.sample(others, min(_FANOUT_ROUTERS, len(others)))
 
   async def _send(
       self, keys: list[str], receivers: Iterable[members_lib.Member]
@@ -175,5 +196,6 @@
       for content in contents[:_MAX_ANSWER_DATAGRAMS]:
         self._datagrams.enqueue_to(self._kind, content, sender)
       return
+    self._was_told = self._was_told or bool(facts)
     for fact in facts:
       self._table.apply(fact)
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -87,6 +87,7 @@
     kv: stores verdicts for routers that start later.
     clock: the time source.
     post: calls another router.
+    rng: draws receivers and waits; None: a source of its own.
   """
 
   def __init__(
@@ -98,6 +99,7 @@
       kv: protocol.Store,
       clock: clock_lib.Clock,
       post: peers.Post,
+      rng: random.Random | None = None,
   ) -> None:
     self._table = table
     self._members = members
@@ -105,6 +107,7 @@
     self._notices = notices
     self._kv = kv
     self._clock = clock
+    self._random = rng or random.Random()
     self._gossip = gossip_lib.Gossip(
         datagrams_lib.Kind.VERDICT,
         self,
@@ -112,6 +115,7 @@
         datagrams,
         clock,
         _MAX_VERDICTS_PER_DATAGRAM,
+        self._random,
     )
     self._unstored: list[quarantine.QuarantineUpdate] = []
     """New verdicts of this router that are not yet stored."""
@@ -199,7 +203,7 @@
       called = [m for m in receivers if datagrams.heard_s(m) > _SILENCE_S]
     elif datagrams.heard_s() > _SILENCE_S:
       count = min(_MAX_CALLED_ROUTERS, len(receivers))
-      called = random.sample(receivers, count)
+      called = self._random.sample(receivers, count)
     else:
       called = []
     for member in called:
@@ -323,7 +327,7 @@
   def _note_outdated(self, key: str) -> None:
     """Has a success published that another router does not know."""
     # Many routers may know of one. The first to send it spares the others that.
-    wait_s = random.uniform(0, _ANSWER_SPREAD_S * len(self._members.lives))
+    wait_s = self._random.uniform(0, _ANSWER_SPREAD_S * len(self._members.lives))
     self._outdated.setdefault(key, self._clock.monotonic() + wait_s)
     self._outdated_added.set()
 
