Report ready only once a list of endpoints is known

Callers saw: right after the start of a router a request is refused with 503, "no endpoint free", although its endpoints are idle.

Cause: the router reported ready when it knew the configuration. The list of endpoints is read at the same time and is applied 10 to 20 ms later; with many entries that cannot be used, later. A request in between finds no endpoint.

Evidence: the log of such a request, 5 ms after "registered", with no connection tried.

Change: `Gateway.ready` also asks for a list, which may be empty.

The fixture of two router processes moves to tests/processcase.py.

--- a/mustardfall/emulator/store.py
+++ b/mustardfall/emulator/store.py
@@ -87,6 +87,10 @@
     """Writes a JSON value, as an operator or a server would."""
     self._write(key, base64.b64encode(json.dumps(value).encode()).decode(), 0)
 
+  def put_encoded(self, key: str, value: str) -> None:
+    """Writes a value in base64, or a text that is none, as others may."""
+    self._write(key, value, 0)
+
   def remove(self, key: str) -> None:
     """Removes a key."""
     self.revision += 1
--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -424,7 +424,10 @@
   @property
   def ready(self) -> bool:
     """Whether the load balancer should send callers to this router."""
-    return self.directory.configuration is not None and not self.stopping
+    is_informed = (
+        self.directory.configuration is not None and self.directory.is_listed
+    )
+    return is_informed and not self.stopping
 
   async def run(
       self,
--- a/mustardfall/routing/directory.py
+++ b/mustardfall/routing/directory.py
@@ -96,6 +96,11 @@
     """Seconds since the configuration was last known to be the newest."""
     return self._clock.monotonic() - self._confirmed_at
 
+  @property
+  def is_listed(self) -> bool:
+    """Whether a list of endpoints was applied; it may be empty."""
+    return self._list_as_of > -float("inf")
+
   def apply_endpoints(
       self,
       hosts: list[endpoints.EndpointEntry],
--- a/tests/processcase.py
+++ b/tests/processcase.py
@@ -239,3 +239,85 @@
     return run
 
   return decorate
+
+
+class RouterPair:
+  """Two routers in processes of their own, before the emulated platform."""
+
+  def __init__(self, tasks) -> None:
+    self.store = store_lib.Store(clock_lib.SystemClock())
+    self.routers: list[Router] = []
+    self.servers: dict[str, server_lib.Server] = {}
+    """By their ids."""
+    self._tasks = tasks
+
+  async def start(self, folder: pathlib.Path) -> None:
+    """Starts the platform and the routers."""
+    store_port = fleet.free_port()
+    self.store.put("op/config", platformcase.configuration(prepaid=10**9))
+    self._tasks.start_soon(self.store.serve, store_port)
+    self.add_server("i-1", "v1")
+    port_range = [fleet.free_port()]
+    for number in range(2):
+      place = folder / f"router-{number}"
+      place.mkdir()
+      router = Router(place, store_port)
+      host = f"127.0.0.{number + 2}"
+      ports = {
+          role: f"{host}:{fleet.free_port()}"
+          for role in ("front", "ready", "control")
+      }
+      router.settings |= {
+          "node": f"front-{number}",
+          "ip": host,
+          "port_range": port_range,
+          "listen": ports,
+      }
+      router.start()
+      self.routers.append(router)
+    for router in self.routers:
+      await router.wait_until_ready()
+
+  def add_server(self, id_: str, version: str) -> server_lib.Server:
+    """Starts and lists a server."""
+    server = server_lib.Server(id_, version)
+    self.servers[id_] = server
+    port = fleet.free_port()
+    self._tasks.start_soon(server.serve, port)
+    self.list_server(id_, port, version)
+    return server
+
+  def list_server(
+      self, id_: str, port: int, version: str, state: str = "ready"
+  ) -> None:
+    """Writes a server's entry."""
+    entry = server_lib.make_registration(
+        f"127.0.0.1:{port}", state=state, version=version
+    )
+    self.store.put(f"servers/{id_}", entry)
+
+  async def call(
+      self, path: str, id_: str, router: Router, **more: str
+  ) -> platformcase.Response:
+    """Makes one request on a new connection."""
+    host, _, port = router.settings["listen"]["front"].rpartition(":")
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+      caller = platformcase.Caller(stream)
+      await caller.send(path, id_, **more)
+      return await caller.receive()
+
+
+@contextlib.asynccontextmanager
+async def running_pair():
+  """Runs the platform and two routers; yields a `RouterPair`."""
+  with tempfile.TemporaryDirectory() as folder:
+    async with anyio.create_task_group() as tasks:
+      pair = RouterPair(tasks)
+      try:
+        await pair.start(pathlib.Path(folder))
+        yield pair
+      finally:
+        for router in pair.routers:
+          router.signal(signal.SIGCONT)
+          await router.stop()
+        tasks.cancel_scope.cancel()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -525,3 +525,27 @@
       self.assertEqual([False], seen)
 
     anyio.run(go)
+
+  def test_not_ready_before_the_list_of_servers_is_known(self):
+    """Guards against requests that are refused for want of servers after a start."""
+
+    async def go():
+      seen = []
+
+      def _delay_lists(gateway):
+        apply = gateway.apply_endpoints
+
+        async def _apply_later(*args):
+          while gateway.directory.configuration is None:
+            await anyio.sleep(0.01)
+          await anyio.sleep(0.3)
+          seen.append(gateway.ready)
+          await apply(*args)
+
+        gateway.apply_endpoints = _apply_later
+
+      async with platformcase.running(started=_delay_lists) as env:
+        self.assertTrue(env.gateway.ready)
+      self.assertFalse(seen[0])
+
+    anyio.run(go)
--- a/tests/test_stale_routers.py
+++ b/tests/test_stale_routers.py
@@ -5,18 +5,12 @@
 """
 
 import contextlib
-import pathlib
 import signal
-import tempfile
 from unittest import mock
 
 import anyio
 import testtools
 
-from mustardfall.bench import fleet
-from mustardfall.emulator import server as server_lib
-from mustardfall.emulator import store as store_lib
-from mustardfall.util import clock as clock_lib
 from tests import platformcase
 from tests import processcase
 from tests import test_gateway
@@ -79,87 +73,15 @@
     await self._check(env, resumes="")
 
 
-class _Processes:
-  """Two routers in processes of their own, before the emulated platform."""
-
-  def __init__(self, tasks) -> None:
-    self.store = store_lib.Store(clock_lib.SystemClock())
-    self.routers: list[processcase.Router] = []
-    self._tasks = tasks
-
-  async def start(self, folder: pathlib.Path) -> None:
-    """Starts the platform and the routers."""
-    store_port = fleet.free_port()
-    self.store.put("op/config", platformcase.configuration(prepaid=10**9))
-    self._tasks.start_soon(self.store.serve, store_port)
-    self.old = self.add_server("i-1", "v1")
-    port_range = [fleet.free_port()]
-    for number in range(2):
-      place = folder / f"router-{number}"
-      place.mkdir()
-      router = processcase.Router(place, store_port)
-      host = f"127.0.0.{number + 2}"
-      ports = {
-          role: f"{host}:{fleet.free_port()}"
-          for role in ("front", "ready", "control")
-      }
-      router.settings |= {
-          "node": f"front-{number}",
-          "ip": host,
-          "port_range": port_range,
-          "listen": ports,
-      }
-      router.start()
-      self.routers.append(router)
-    for router in self.routers:
-      await router.wait_until_ready()
-
-  def add_server(self, id_: str, version: str) -> server_lib.Server:
-    """Starts and lists a server."""
-    server = server_lib.Server(id_, version)
-    server.behaviour.events = _EVENTS
-    port = fleet.free_port()
-    self._tasks.start_soon(server.serve, port)
-    self.list_server(id_, port, version)
-    return server
-
-  def list_server(
-      self, id_: str, port: int, version: str, state: str = "ready"
-  ) -> None:
-    """Writes a server's entry."""
-    entry = server_lib.make_registration(
-        f"127.0.0.1:{port}", state=state, version=version
-    )
-    self.store.put(f"servers/{id_}", entry)
-
-  async def call(
-      self, path: str, id_: str, router: processcase.Router, **more: str
-  ) -> platformcase.Response:
-    """Makes one request on a new connection."""
-    host, _, port = router.settings["listen"]["front"].rpartition(":")
-    async with await anyio.connect_tcp(host, int(port)) as stream:
-      caller = platformcase.Caller(stream)
-      await caller.send(path, id_, **more)
-      return await caller.receive()
-
-
 class StandstillTest(testtools.TestCase):
 
   def _check(self, stopped_s: float, crashes: bool, **more: str) -> None:
     """Takes streams up at a router that has stood still for some time."""
 
     async def go():
-      with anyio.fail_after(60), tempfile.TemporaryDirectory() as folder:
-        async with anyio.create_task_group() as tasks:
-          env = _Processes(tasks)
-          try:
-            await env.start(pathlib.Path(folder))
-            await self._play(env, stopped_s, crashes, more)
-          finally:
-            for router in env.routers:
-              router.signal(signal.SIGCONT)
-              await router.stop()
-          tasks.cancel_scope.cancel()
+      with anyio.fail_after(60):
+        async with processcase.running_pair() as env:
+          await self._play(env, stopped_s, crashes, more)
 
     anyio.run(go)
 
@@ -169,8 +91,10 @@
     stale.signal(signal.SIGSTOP)
     began_at = anyio.current_time()
     new = env.add_server("i-new", "v2")
+    for server in env.servers.values():
+      server.behaviour.events = _EVENTS
     new.behaviour.reset_after_events = 2
-    env.list_server("i-1", env.old.port, "v1", "draining")
+    env.list_server("i-1", env.servers["i-1"].port, "v1", "draining")
     callers = [platformcase.StreamCaller(env, f"s{n}") for n in range(40)]
     for caller in callers:
       if anyio.current_time() > began_at + stopped_s - 0.05:
