--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -327,7 +327,9 @@
   def _note_outdated(self, key: str) -> None:
     """Has a success published that another router does not know."""
     # Many routers may know of one. The first to send it spares the others that.
-    wait_s = self._random.uniform(0, _ANSWER_SPREAD_S * len(self._members.lives))
+    wait_s = self._random.uniform(
+        0, _ANSWER_SPREAD_S * len(self._members.lives)
+    )
     self._outdated.setdefault(key, self._clock.monotonic() + wait_s)
     self._outdated_added.set()
 
--- a/mustardfall/platform/store.py
+++ b/mustardfall/platform/store.py
@@ -30,7 +30,7 @@
 """Added to the waiting time of a watch to get the timeout of its call. A
 connection can go silent without being closed."""
 
-_MAX_LOGGED_ERROR = 200
+_MAX_LOGGED_ERROR_CHARS = 200
 """Characters of an error in a log line on an item that is unreadable."""
 _MAX_TXN_ENTRIES = 32
 """Maximum number of keys in one transaction."""
@@ -127,7 +127,7 @@
       items.append(_DecodedItem(item, _decode_record(item)))
       continue
     except (ValueError, errors.KvUnknownError) as exc:
-      error = str(exc)[:_MAX_LOGGED_ERROR]
+      error = str(exc)[:_MAX_LOGGED_ERROR_CHARS]
     key = one.get("key") if isinstance(one, dict) else None
     logger.error(
         "item unreadable", extra={"call": target, "key": key, "error": error}
