Count a router's own delay after a rest once in Retry-After

Cause: a router sends its first request up to half a rest after the rest's end, so that not all routers come at once. Callers were spread over as long a time as was left until then, so the delay counted twice, and more in larger fleets.

Change: `Withheld` also says when the rest ends; callers return between the router's first request and a rest's length after its end.

--- a/mustardfall/routing/statements.py
+++ b/mustardfall/routing/statements.py
@@ -61,6 +61,8 @@
   """`leaving`, `resting` or `recovering` (after a rest)."""
   left_s: float | None
   """Seconds until it may be sent; None: not in the endpoint's present life."""
+  rest_left_s: float | None = None
+  """Seconds until the endpoint's rest ends; None: it does not rest."""
 
 
 @dataclasses.dataclass
@@ -114,7 +116,11 @@
     if now - statement.leaving_at >= leaving_use_s:
       return Withheld("leaving", None)
   if now < statement.resume_at:
-    return Withheld("resting", statement.resume_at - now)
+    return Withheld(
+        "resting",
+        statement.resume_at - now,
+        max(0.0, statement.rest_until - now),
+    )
   if not statement.is_recovering or statement.credit > 0:
     return None
   left_s = statement.sent_at + _TRIAL_TIMEOUT_S - now
@@ -126,18 +132,23 @@
 ) -> float:
   """Returns when a caller may return that no endpoint takes now, seconds.
 
-  Callers return one by one, and not before the first rest ends.
+  Callers return one by one, not before this router sends requests again, and
+  not later than a rest's length after its end.
 
   Args:
     reasons: why requests are withheld from each endpoint.
     max_unknown_s: the longest time where no endpoint says when.
     draw: a random number from 0 to 1.
   """
-  lefts = [reason.left_s for reason in reasons if reason.left_s is not None]
-  if not lefts:
+  timed = [reason for reason in reasons if reason.left_s is not None]
+  if not timed:
     return max_unknown_s * (1 + draw) / 2
-  earliest_s = min(lefts)
-  return earliest_s + draw * max(_MIN_RETURN_S, _RETURN_RATIO * earliest_s)
+  first = min(timed, key=lambda reason: reason.left_s)
+  earliest_s, rest_s = first.left_s, first.rest_left_s
+  if rest_s is None:
+    rest_s = earliest_s
+  latest_s = max(earliest_s + _MIN_RETURN_S, (1 + _RETURN_RATIO) * rest_s)
+  return earliest_s + draw * (latest_s - earliest_s)
 
 
 class Table:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -259,6 +259,15 @@
     ]
     self.assertEqual((2.0, 4.0), (min(times), max(times)))
 
+  def test_callers_return_within_twice_the_rest_of_a_late_router(self):
+    """Guards against counting a router's own delay after a rest twice."""
+    statement = statements.Statement(
+        "v1", "r", 0.0, rest_until=30.0, resume_at=33.0
+    )
+    reasons = [statements.find_reason(statement, 0.0, 1.0)]
+    times = [statements.retry_after_s(reasons, 1.0, draw) for draw in (0, 1)]
+    self.assertEqual([33.0, 60.0], times)
+
   def test_callers_return_soon_where_all_endpoints_leave(self):
     reasons = [statements.Withheld("leaving", None)]
     self.assertEqual(0.5, statements.retry_after_s(reasons, 1.0, 0.0))
