Answer HEAD requests that the router refuses without a body

Cause: the text of the response was encoded as its body. h11 raises for a body in the answer to HEAD, after the head was encoded and before it was sent.

Change: the response to HEAD has the length of the text, and not the text.

Measured: two new tests failed before, with no byte of an answer; they pass.

--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -91,14 +91,18 @@
   async def respond(
       self, status: int, headers: list[messages.Header], body: bytes = b""
   ) -> None:
-    """Sends a complete response, also if the request has been cancelled."""
+    """Sends a complete response, also if the request has been cancelled.
+
+    The response to a HEAD request has the length of the body, and not the body.
+    """
     self.started = True
     length = (b"content-length", b"%d" % len(body))
     head = h11.Response(
         status_code=status,
         headers=[*headers, length, *self._connection_headers()],
     )
-    await self._finish(head, h11.Data(data=body), h11.EndOfMessage())
+    data = () if self._connection.is_head else (h11.Data(data=body),)
+    await self._finish(head, *data, h11.EndOfMessage())
 
   async def start(self, status: int, headers: list[messages.Header]) -> None:
     """Sends the head of a response whose body follows in chunks.
@@ -368,6 +372,8 @@
     self._caller_closed = False
     self.closes_after_response = False
     """Whether the connection is closed after the current response."""
+    self.is_head = False
+    """Whether the current request's method is HEAD."""
     self._drawn_in = 0
     """The round in which the connection was last drawn; see `LinkLimiter`."""
 
@@ -404,6 +410,7 @@
     head = await self._read_head()
     if head is None:
       return False
+    self.is_head = head.method == b"HEAD"
     self._allocate(resource_limiter_lib.REQUEST_OVERHEAD_BYTES)
     request = self._decode(head)
     body = await self._read_body(head)
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -106,14 +106,19 @@
     self.parser = h11.Connection(h11.CLIENT)
 
   async def send(
-      self, path: str, id_: str, body: bytes = b"", **more: str
+      self,
+      path: str,
+      id_: str,
+      body: bytes = b"",
+      method: str = "POST",
+      **more: str,
   ) -> None:
     """Sends a request; `more` are further headers, with `_` for `-`."""
     named = {"host": HOST, "request-id": id_, "credential": KEY}
     named |= {"deadline-ms": "2000"}
     named |= {k.replace("_", "-"): v for k, v in more.items()}
     named["content-length"] = str(len(body))
-    request = h11.Request(method="POST", target=path, headers=[*named.items()])
+    request = h11.Request(method=method, target=path, headers=[*named.items()])
     data = self.parser.send(request)
     if body:
       data += self.parser.send(h11.Data(data=body))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -404,6 +404,34 @@
     self.assertEqual((200, True), (response.status, response.is_complete))
 
 
+class HeadRequestTest(testtools.TestCase):
+
+  @in_environment()
+  async def test_refused_head_request_is_answered(self, env):
+    """Guards against closing the connection instead of a response without body."""
+    env.servers["i-1"].behaviour.response_delay_s = 3.0
+    async with env.caller() as caller:
+      for number, status, more in (
+          (0, 401, {"credential": "unknown"}),
+          (1, 404, {"host": "unknown.example"}),
+          (2, 504, {"deadline_ms": "300"}),
+          (3, 504, {"deadline_ms": "300"}),
+      ):
+        await caller.send("/look/a", f"h{number}", method="HEAD", **more)
+        response = await caller.receive()
+        seen = response.status, response.body, response.is_complete
+        self.assertEqual((status, b"", True), seen)
+        self.assertTrue(int(response.headers["content-length"]) > 0)
+
+  @in_environment()
+  async def test_head_request_with_an_oversized_body_is_answered(self, env):
+    """Guards against the same where the request is rejected unread."""
+    async with env.caller() as caller:
+      await caller.send("/look/a", "h", b"x" * 70_000, method="HEAD")
+      response = await caller.receive()
+    self.assertEqual((413, True), (response.status, response.is_complete))
+
+
 class StopTest(testtools.TestCase):
 
   @in_environment()
