Test streams at several routers with old lists, and through tunnels

The report on streams joined of two versions named cut-off and standing hosts; two cases were not tried: two routers with an old list at a time, and one that also reaches the servers only through others. Each with `Resumes` and without.

A cut in one direction is still not tried.

--- a/tests/test_stale_routers.py
+++ b/tests/test_stale_routers.py
@@ -11,6 +11,7 @@
 import anyio
 import testtools
 
+from mustardfall.emulator import network as network_lib
 from tests import platformcase
 from tests import processcase
 from tests import test_gateway
@@ -35,13 +36,12 @@
 
 class StaleListTest(testtools.TestCase):
 
-  async def _check(self, env, **more):
-    """Takes streams of a new version up at a router that does not know it."""
-    for server in env.servers.values():
-      server.behaviour.events = _EVENTS
-    stale, fresh = env.gateway, (await env.add_routers(1))[0]
+  async def _check(self, env, stale, fresh, **more):
+    """Takes streams of a new version up at routers that do not know it."""
     await anyio.sleep(_LISTED_S)
-    with _out_of_step(stale):
+    with contextlib.ExitStack() as out_of_step:
+      for router in stale:
+        out_of_step.enter_context(_out_of_step(router))
       began_at = anyio.current_time()
       new = env.add_server("i-new", "v2")
       new.behaviour.events = _EVENTS
@@ -57,20 +57,68 @@
         caller = platformcase.StreamCaller(env, f"s{due_s}")
         await caller.attempt(fresh)
         self.assertEqual({"v2"}, caller.versions)
-        await caller.attempt(stale, **more)
+        for router in stale:
+          await caller.attempt(router, **more)
         callers.append(caller)
     joined = [c.versions for c in callers if len(c.versions) > 1]
     self.assertEqual([], joined, [c.statuses for c in callers])
 
+  async def _check_one(self, env, **more):
+    """Checks one router with an old list beside one with a new list."""
+    for server in env.servers.values():
+      server.behaviour.events = _EVENTS
+    fresh = (await env.add_routers(1))[0]
+    await self._check(env, [env.gateway], fresh, **more)
+
+  async def _check_fleet(self, env, stale_count, cut=None, **more):
+    """Checks three routers, of which some have an old list.
+
+    Args:
+      env: the environment.
+      stale_count: the number of routers with an old list.
+      cut: how these are cut off from the servers, so that they use tunnels.
+      more: headers of the resumptions.
+    """
+    for server in env.servers.values():
+      server.behaviour.events = _EVENTS
+    routers = await env.add_routers(3)
+    stale, fresh = routers[:stale_count], routers[-1]
+    if cut is not None:
+      for router in stale:
+        env.network.cut(router.config.name, cut)
+    await self._check(env, stale, fresh, **more)
+
   @test_gateway.in_environment(servers=("i-1",))
   async def test_stream_that_names_its_begin_is_not_joined(self, env):
     """Guards against a stream of two versions at a router with an old list."""
-    await self._check(env)
+    await self._check_one(env)
 
   @test_gateway.in_environment(servers=("i-1",))
   async def test_stream_that_names_no_begin_is_not_joined(self, env):
     """Guards against the same where only the last event is named."""
-    await self._check(env, resumes="")
+    await self._check_one(env, resumes="")
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_streams_at_several_routers_with_old_lists(self, env):
+    """Guards against an old list that a second router confirms."""
+    await self._check_fleet(env, 2)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_streams_without_begin_at_several_routers(self, env):
+    """Guards against the same where only the last event is named."""
+    await self._check_fleet(env, 2, resumes="")
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_streams_through_tunnels_of_a_router_with_an_old_list(
+      self, env
+  ):
+    """Guards against tunnels to a server of the old version."""
+    await self._check_fleet(env, 1, network_lib.Cut.RESET)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_streams_without_begin_through_tunnels(self, env):
+    """Guards against the same where only the last event is named."""
+    await self._check_fleet(env, 1, network_lib.Cut.RESET, resumes="")
 
 
 class StandstillTest(testtools.TestCase):
