--- a/mustardfall/membership/gossip.py
+++ b/mustardfall/membership/gossip.py
@@ -24,8 +24,9 @@
 """Interval between two rounds of gossip."""
 _START_POLL_S = 0.1
 """Interval at which a router looks for others after its start."""
+_QUESTION_INTERVAL_S = 0.1
+"""Interval between two rounds in which a router asks others after its start."""
 _MAX_QUESTION_ROUNDS = 10
-"""Rounds in which a router asks others after its start."""
 _FANOUT_ROUTERS = 2
 """Receivers in a round, and so the mean number of senders to each router."""
 _RESEND_DELAY_S = 0.05
@@ -155,7 +156,7 @@
       first = number * _FANOUT_ROUTERS % len(order)
       asked = order[first : first + _FANOUT_ROUTERS]
       await self._datagrams.send(self._kind, question, asked)
-      await anyio.sleep(_START_POLL_S)
+      await anyio.sleep(_QUESTION_INTERVAL_S)
       if self._was_told:
         return
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -66,7 +66,7 @@
 
 
 def _entries(sound: dict) -> dict[str, str]:
-  """Returns odd entries by key, in base64 but for the last ones."""
+  """Returns odd entries by key, in base64 but for two of them."""
   values = [json.dumps(sound | {"extra": 10**400}).encode(), *_ODD_TEXTS]
   for field, odd in _ODD_FIELDS.items():
     values += [json.dumps(sound | {field: value}).encode() for value in odd]
