--- a/tests/test_stale_routers.py
+++ b/tests/test_stale_routers.py
@@ -34,6 +34,15 @@
     yield
 
 
+@contextlib.contextmanager
+def _deaf(gateway):
+  """Loses the datagrams to a router, and not those that it sends."""
+  names = ("_note_heard", "_handle")
+  ignored = {name: lambda *args: None for name in names}
+  with mock.patch.multiple(gateway.datagrams, **ignored):
+    yield
+
+
 class StaleListTest(testtools.TestCase):
 
   async def _check(self, env, stale, fresh, **more):
@@ -70,13 +79,16 @@
     fresh = (await env.add_routers(1))[0]
     await self._check(env, [env.gateway], fresh, **more)
 
-  async def _check_fleet(self, env, stale_count, cut=None, **more):
+  async def _check_fleet(
+      self, env, stale_count, cut=None, is_deaf=False, **more
+  ):
     """Checks three routers, of which some have an old list.
 
     Args:
       env: the environment.
       stale_count: the number of routers with an old list.
       cut: how these are cut off from the servers, so that they use tunnels.
+      is_deaf: whether they hear no datagram, while the others hear theirs.
       more: headers of the resumptions.
     """
     for server in env.servers.values():
@@ -86,7 +98,10 @@
     if cut is not None:
       for router in stale:
         env.network.cut(router.config.name, cut)
-    await self._check(env, stale, fresh, **more)
+    with contextlib.ExitStack() as losses:
+      for router in stale if is_deaf else ():
+        losses.enter_context(_deaf(router))
+      await self._check(env, stale, fresh, **more)
 
   @test_gateway.in_environment(servers=("i-1",))
   async def test_stream_that_names_its_begin_is_not_joined(self, env):
@@ -120,6 +135,16 @@
     """Guards against the same where only the last event is named."""
     await self._check_fleet(env, 1, network_lib.Cut.RESET, resumes="")
 
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_streams_at_a_router_that_only_sends(self, env):
+    """Guards against a cut in one direction that hides a new version."""
+    await self._check_fleet(env, 1, is_deaf=True)
+
+  @test_gateway.in_environment(servers=("i-1",))
+  async def test_streams_without_begin_at_a_router_that_only_sends(self, env):
+    """Guards against the same where only the last event is named."""
+    await self._check_fleet(env, 1, is_deaf=True, resumes="")
+
 
 class StandstillTest(testtools.TestCase):
 
