Count failed connections to unknown endpoints only where none is known

Cause: a router takes itself for cut off once it has failed to reach four endpoints since it last opened a connection. Dead entries that are listed together are tried one after the other, while the kept connections to the servers need no new one.

Change: failed connections to endpoints that this router has never reached are no evidence of a cut while it knows others that it has; in doubt it tries these first. A router that has reached none decides as before.

Measured: 3 of the 4 new tests fail on the code before (the fourth keeps the old rule). The 40 tests of cuts, detours and reach pass.

--- a/mustardfall/proxy/endpoint_paths.py
+++ b/mustardfall/proxy/endpoint_paths.py
@@ -185,9 +185,8 @@
       return
     done = self._trials[kind] = anyio.Event()
     try:
-      rows = self._reach.untried_rows(kind)
       await self._probe(
-          self._random.sample(rows, min(_TRIED_ENDPOINTS, len(rows)))
+          self._reach.draw_untried(kind, _TRIED_ENDPOINTS, self._random)
       )
     finally:
       del self._trials[kind]
--- a/mustardfall/routing/reach.py
+++ b/mustardfall/routing/reach.py
@@ -3,7 +3,8 @@
 A connection that cannot be opened says little by itself: the endpoint may have
 ended, or this router may be cut off from it. The attempts at all endpoints of a
 kind together tell these apart: a router that fails to reach several of them, and
-has reached none since, is cut off until it reaches one again.
+has reached none since, is cut off until it reaches one again. Endpoints that it has
+never reached are no evidence beside others that it has: their entries may be wrong.
 
 An endpoint may also be cut off alone: one that this router failed to reach while
 another router reached it is taken for cut off until a connection to it succeeds.
@@ -12,6 +13,7 @@
 from collections.abc import Iterable
 import enum
 import logging
+import random
 from typing import Any, NamedTuple
 
 from mustardfall.routing import endpoints
@@ -40,6 +42,10 @@
   """Endpoints in the list."""
   unreached: int
   """Endpoints that were not reached lately, while no other one was."""
+  known: int = 0
+  """Endpoints in the list that this router has reached at some time."""
+  lost: int = 0
+  """Of the unreached endpoints, those that are known."""
 
 
 class State(enum.Enum):
@@ -55,7 +61,8 @@
   """Returns whether a router reaches the endpoints of a kind."""
   if evidence.unreached <= 0 or evidence.listed <= 0:
     return State.REACHED
-  if evidence.unreached >= min(_CUT_ENDPOINTS, evidence.listed):
+  may_be_cut = evidence.lost > 0 or not evidence.known
+  if may_be_cut and evidence.unreached >= min(_CUT_ENDPOINTS, evidence.listed):
     return State.CUT
   if evidence.unreached >= _SUSPICIOUS_ENDPOINTS:
     return State.SUSPECTED
@@ -89,6 +96,8 @@
   def __init__(self) -> None:
     self.reached_at: float | None = None
     """When a new connection to any of them was last opened."""
+    self.known: dict[str, None] = {}
+    """Lives to which a connection was opened at some time."""
     self.failures: dict[str, Failure] = {}
     """By the endpoint's life (one run of its process)."""
     self.cut_since: float | None = None
@@ -141,6 +150,7 @@
     kind = self._kind(row.kind)
     now = self._clock.monotonic()
     kind.reached_at = now
+    kind.known[row.life] = None
     kind.failures.pop(row.life, None)
     kind.unconfirmed.pop(row.life, None)
     kind.detoured.pop(row.life, None)
@@ -185,10 +195,19 @@
 
   def _evidence(self, kind: str) -> Evidence:
     rows, known = self.rows_of(kind), self._kind(kind)
-    failures = (known.failures.get(row.life) for row in rows)
     reached_at = -float("inf") if known.reached_at is None else known.reached_at
-    unreached = sum(f is not None and f.last_at > reached_at for f in failures)
-    return Evidence(len(rows), unreached)
+    unreached = [
+        row.life
+        for row in rows
+        if row.life in known.failures
+        and known.failures[row.life].last_at > reached_at
+    ]
+    return Evidence(
+        len(rows),
+        len(unreached),
+        sum(row.life in known.known for row in rows),
+        sum(life in known.known for life in unreached),
+    )
 
   def _judge(self, kind: str) -> State:
     return judge(self._evidence(kind))
@@ -207,6 +226,18 @@
         or now - failures[row.life].last_at >= _FAILURE_MEMORY_S
     ]
 
+  def draw_untried(
+      self, kind: str, count: int, rng: random.Random
+  ) -> list[endpoints.Row]:
+    """Draws endpoints whose outcome shows whether this router is cut off.
+
+    Those that it has reached before say most, and come first.
+    """
+    rows, known = self.untried_rows(kind), self._kind(kind).known
+    rng.shuffle(rows)
+    rows.sort(key=lambda row: row.life not in known)
+    return rows[:count]
+
   def note_reached_by_other(self, row: endpoints.Row, router: str) -> None:
     """Records that another router reached an endpoint."""
     kind = self._kind(row.kind)
@@ -309,6 +340,7 @@
     for kind in self._kinds.values():
       _drop_unlisted(kind.detoured, self._table)
       _drop_unlisted(kind.failures, self._table)
+      _drop_unlisted(kind.known, self._table)
       _drop_unlisted(kind.unconfirmed, self._table)
 
   def describe(self, kind: str) -> dict[str, Any]:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -44,6 +44,15 @@
     ]
     self.assertEqual(sorted(states), states)
 
+  def test_endpoints_that_were_never_reached_are_no_cut(self):
+    """Guards against a detour because of wrong entries beside sound ones."""
+    for unreached in range(2, 20):
+      evidence = reach_lib.Evidence(20, unreached, known=1)
+      self.assertEqual(reach_lib.State.SUSPECTED, reach_lib.judge(evidence))
+      evidence = evidence._replace(lost=1)
+      is_cut = reach_lib.judge(evidence) is reach_lib.State.CUT
+      self.assertEqual(unreached >= 4, is_cut)
+
 
 class ReachTest(testtools.TestCase):
 
@@ -72,6 +81,34 @@
     self.assertFalse(reach.is_cut("pool"))
     self.assertFalse(reach.is_detoured(rows["e8"]))
 
+  def test_wrong_entries_that_are_tried_in_a_row_are_no_cut(self):
+    """Guards against a cut inferred from entries at which nobody ever listened."""
+    reach, rows = self._reach(9)
+    reach.note_connected(rows["e8"])
+    for n in range(7):
+      reach.note_failed(rows[f"e{n}"], "refused")
+    self.assertFalse(reach.is_cut("pool"))
+    self.assertTrue(reach.is_suspected("pool"))
+    reach.note_failed(rows["e8"], "refused")
+    self.assertTrue(reach.is_cut("pool"))
+
+  def test_router_that_has_reached_none_is_cut(self):
+    """Guards against requests that try dead paths after a start without a link."""
+    reach, rows = self._reach(9)
+    for n in range(4):
+      reach.note_failed(rows[f"e{n}"], "refused")
+    self.assertTrue(reach.is_cut("pool"))
+
+  @hypothesis.given(strategies.integers().map(random.Random))
+  def test_endpoints_reached_before_are_tried_first(self, rng):
+    """Guards against a doubt that is resolved by entries that say nothing."""
+    reach, rows = self._reach(20)
+    for name in ("e3", "e17"):
+      reach.note_connected(rows[name])
+    drawn = [row.name for row in reach.draw_untried("pool", 3, rng)]
+    self.assertEqual({"e3", "e17"}, set(drawn[:2]))
+    self.assertEqual(3, len(set(drawn)))
+
   def test_failures_before_a_connection_are_no_evidence(self):
     """Guards against a cut inferred from failures that are long over."""
     reach, rows = self._reach(9)
