Start routers in tests once the emulated store listens

Cause: the fixtures start the store and a router as tasks beside each other. If the store's port opens 0.02 s later, the router's first call fails, it counts as started without the store and grants no tokens until the list of routers has been unchanged for 0.4 s (Members.is_settled, intended); the first generation gets 429. In the first test no stream has begun then, so that the third attempt begins one.

Change: the store and the servers of the emulator report when their ports are open, and the fixtures wait for the store. Checks are as before.

--- a/mustardfall/emulator/__main__.py
+++ b/mustardfall/emulator/__main__.py
@@ -123,13 +123,13 @@
   settings = _settings(store_port)
   front = settings["listen"]["front"]
   async with anyio.create_task_group() as tg:
-    tg.start_soon(store.serve, store_port)
+    await tg.start(store.serve, store_port)
     for number in range(_SERVER_COUNT):
       server = server_lib.Server(f"i-{number}")
       server.behaviour.events = _EVENTS_PER_STREAM
       server.behaviour.event_interval_s = 0.01
       port = fleet.free_port()
-      tg.start_soon(server.serve, port)
+      await tg.start(server.serve, port)
       entry = server_lib.make_registration(f"127.0.0.1:{port}")
       store.put(f"servers/i-{number}", entry)
     async with _router(command, settings):
--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -200,8 +200,16 @@
     """Set once the server has crashed and closed its port."""
     self._scope = anyio.CancelScope()
 
-  async def serve(self, port: int) -> None:
-    """Serves on the loopback interface until cancelled."""
+  async def serve(
+      self,
+      port: int,
+      *,
+      task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+  ) -> None:
+    """Serves on the loopback interface until cancelled.
+
+    Reports as started once the port is open.
+    """
     self.port = port
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", local_port=port
@@ -210,6 +218,7 @@
       async with listener:
         self._listener = listener
         self.started.set()
+        task_status.started()
         await listener.serve(self._serve_connection)
 
   async def crash(self) -> None:
--- a/mustardfall/emulator/store.py
+++ b/mustardfall/emulator/store.py
@@ -9,6 +9,7 @@
 import urllib.parse
 
 import anyio
+from anyio import abc
 
 from mustardfall.proxy import http_server
 from mustardfall.proxy import internal
@@ -259,12 +260,21 @@
     self._leases[lease] = (ttl_s, self._clock.monotonic() + ttl_s)
     return 200, {"ttl_ms": int(ttl_s * 1000)}
 
-  async def serve(self, port: int) -> None:
-    """Serves on the loopback interface until cancelled."""
+  async def serve(
+      self,
+      port: int,
+      *,
+      task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+  ) -> None:
+    """Serves on the loopback interface until cancelled.
+
+    Reports as started once the port is open: calls that fail before that make a
+    router wait before it grants tokens.
+    """
     served = http_server.HttpServer(
         internal.Dialect(),
         self.handle,
         lambda: configuration.DEFAULT_LIMITS,
         clock_lib.SystemClock(),
     )
-    await served.serve("127.0.0.1", port)
+    await served.serve("127.0.0.1", port, task_status=task_status)
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -476,7 +476,7 @@
   store_port = fleet.free_port()
   async with anyio.create_task_group() as tg:
     env._tasks = tg
-    tg.start_soon(env.store.serve, store_port)
+    await tg.start(env.store.serve, store_port)
     env.configure(**fields)
     for id_ in servers:
       env.add_server(id_)
--- a/tests/processcase.py
+++ b/tests/processcase.py
@@ -214,8 +214,8 @@
   with tempfile.TemporaryDirectory() as folder:
     router = Router(pathlib.Path(folder), store_port)
     async with anyio.create_task_group() as tg:
-      tg.start_soon(store.serve, store_port)
-      tg.start_soon(server.serve, server_port)
+      await tg.start(store.serve, store_port)
+      await tg.start(server.serve, server_port)
       try:
         yield Environment(router, store, server)
       finally:
@@ -255,7 +255,7 @@
     """Starts the platform and the routers."""
     store_port = fleet.free_port()
     self.store.put("op/config", platformcase.configuration(prepaid=10**9))
-    self._tasks.start_soon(self.store.serve, store_port)
+    await self._tasks.start(self.store.serve, store_port)
     self.add_server("i-1", "v1")
     port_range = [fleet.free_port()]
     for number in range(2):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -32,8 +32,7 @@
       client = client_lib.Store(f"127.0.0.1:{port}", http_client, clock)
       with anyio.fail_after(20):
         async with anyio.create_task_group() as tg:
-          tg.start_soon(server.serve, port)
-          await anyio.sleep(0.05)
+          await tg.start(server.serve, port)
           await test(self, server, client)
           tg.cancel_scope.cancel()
 
--- a/tests/test_uneven_callers.py
+++ b/tests/test_uneven_callers.py
@@ -143,13 +143,13 @@
   store.put("op/config", configuration)
   with tempfile.TemporaryDirectory() as folder:
     async with anyio.create_task_group() as tasks:
-      tasks.start_soon(store.serve, store_port)
+      await tasks.start(store.serve, store_port)
       for number in range(servers):
         server = server_lib.Server(f"i-{number}")
         server.behaviour.events = 6
         server.behaviour.event_interval_s = 0.01
         port = fleet.free_port()
-        tasks.start_soon(server.serve, port)
+        await tasks.start(server.serve, port)
         entry = server_lib.make_registration(f"127.0.0.1:{port}")
         store.put(f"servers/i-{number}", entry)
       routers = _Fleet(pathlib.Path(folder), store_port)
