Quarantine requests that are alike for a short time at first

Cause: crashes of endpoints are counted for each request that they ran, by a hash of the whole request. Callers of a team that send the same request share that hash, so that three endpoints that end by themselves within the time of their first answers quarantine the team, for as long as a request that one caller repeats. Parts of prompts, which many requests share as well, have had a short first quarantine and trials since they are counted.

Change: a request of which an endpoint ran several like ones when it ended is shared, as parts are: 15 s at first, doubled with each further crash, then one trial at a time; a crash amid its answers counts by half. A request that one caller repeats runs at one endpoint at a time and is treated as before. The log line has is_shared.

--- a/mustardfall/proxy/crash_guard.py
+++ b/mustardfall/proxy/crash_guard.py
@@ -72,7 +72,7 @@
       refusals.RefusalError: it must not be sent to any now.
     """
     context.endpoint_crashed = False
-    context.trial = await self._trials.begin(context.request.id, context.parts)
+    context.trial = await self._trials.begin(context.request.id, context.units)
     self.refuse_quarantined(context)
 
   def end_attempt(self, context: request_context_lib.RequestContext) -> None:
--- a/mustardfall/routing/quarantine.py
+++ b/mustardfall/routing/quarantine.py
@@ -30,9 +30,9 @@
 QUARANTINE_S = 600.0
 """How long a request is quarantined, and the longest quarantine of a part.
 After that, a single further crash quarantines it again."""
-_FIRST_PART_QUARANTINE_S = 15.0
-"""The first quarantine of a part, which concerns many requests; doubled with
-each further crash."""
+_FIRST_SHARED_QUARANTINE_S = 15.0
+"""The first quarantine of a unit that concerns many requests: a part, or a request
+of which several like ones run at once; doubled with each further crash."""
 _RETENTION_S = 120.0
 """How long a crash counts against a unit, and a success speaks for it."""
 _SAME_CAUSE_S = 0.1
@@ -40,8 +40,8 @@
 losing power. They count once against a unit that ran on several of the
 endpoints."""
 _WRITING_WEIGHT = 0.5
-"""Weight of a crash against a part if the endpoint had been writing the answer:
-it had processed the prompt."""
+"""Weight of a crash against a shared unit if the endpoint had been writing the
+answer: it had processed the prompt."""
 _MAX_WEAK_ENDPOINTS = 4
 """Crashes of so many endpoints weigh less for that. Further ones count whole: that
 a unit recurs says more than when the endpoints crashed."""
@@ -136,12 +136,18 @@
   return Standing.CLEAR
 
 
-def term_s(crashes: float, is_part: bool, policy: Policy) -> float:
-  """Returns how long a unit is quarantined, seconds."""
-  if not is_part:
+def term_s(crashes: float, is_shared: bool, policy: Policy) -> float:
+  """Returns how long a unit is quarantined, seconds.
+
+  Args:
+    crashes: see `Record`.
+    is_shared: whether many requests have the unit.
+    policy: the crashes at which standings change.
+  """
+  if not is_shared:
     return QUARANTINE_S
   further = min(max(0.0, crashes - policy.crash_limit), 16.0)
-  return min(QUARANTINE_S, _FIRST_PART_QUARANTINE_S * 2**further)
+  return min(QUARANTINE_S, _FIRST_SHARED_QUARANTINE_S * 2**further)
 
 
 class CrashReport(NamedTuple):
@@ -262,8 +268,10 @@
   """One suspected or quarantined unit."""
 
   team: str
-  endpoints: set[str] = dataclasses.field(default_factory=set)
-  """Endpoints that crashed while they ran it."""
+  endpoints: dict[str, float] = dataclasses.field(default_factory=dict)
+  """Endpoints that crashed while they ran it, and for how long, seconds."""
+  has_like_requests: bool = False
+  """Whether an endpoint ran several requests with it when it crashed."""
   requests: set[str] = dataclasses.field(default_factory=set)
   """Keys of requests with it that ran there; empty: it is a request."""
   crash_log: list[_Crash] = dataclasses.field(default_factory=list)
@@ -299,6 +307,11 @@
   def was_quarantined(self) -> bool:
     return self.quarantined_until > -float("inf")
 
+  @property
+  def is_shared(self) -> bool:
+    """Whether many requests have the unit."""
+    return self.is_part or self.has_like_requests
+
   @property
   def record(self) -> Record:
     """The input of `judge`."""
@@ -372,7 +385,7 @@
     if row.quarantined_until > now:
       return Standing.QUARANTINED
     if row.was_quarantined:
-      return Standing.OPEN if row.is_part else Standing.CLEAR
+      return Standing.OPEN if row.is_shared else Standing.CLEAR
     if now - row.last_crash_at > _RETENTION_S:
       return Standing.CLEAR
     if row.told_open:
@@ -416,15 +429,18 @@
     since_last_s = now - row.last_crash_at
     if since_last_s > _RETENTION_S and not row.was_quarantined:
       self._reset(report.fingerprint, row)
+    if row.endpoints.get(report.endpoint, report.ran_s) != report.ran_s:
+      # Each report is sent twice; those of several requests differ in this.
+      row.has_like_requests = True
     if report.endpoint in row.endpoints or row.quarantined_until > now:
       return False
-    row.endpoints.add(report.endpoint)
+    row.endpoints[report.endpoint] = report.ran_s
     if len(row.endpoints) > _MAX_ENDPOINTS_PER_ROW:
-      row.endpoints.pop()
+      del row.endpoints[next(iter(row.endpoints))]
     # A request that ran for less time than has passed since the last crash was
     # sent after that crash, so this one has a cause of its own.
     if since_last_s > min(_SAME_CAUSE_S, report.ran_s):
-      is_weak = row.is_part and report.was_writing
+      is_weak = row.is_shared and report.was_writing
       is_weak = is_weak and len(row.endpoints) <= _MAX_WEAK_ENDPOINTS
       is_weak = is_weak and not row.has_relapsed
       row.log_crash(now, _WRITING_WEIGHT if is_weak else 1.0)
@@ -444,7 +460,8 @@
     """Forgets the crashes that a unit explains in the other rows of its team."""
     for key in list(self._keys_by_team[culprit.team]):
       row = self._rows[key]
-      is_explained = row.endpoints and row.endpoints <= culprit.endpoints
+      is_explained = row.endpoints.keys() <= culprit.endpoints.keys()
+      is_explained = is_explained and bool(row.endpoints)
       if is_explained and not row.was_quarantined:
         self._drop(key)
 
@@ -453,7 +470,7 @@
     row.endpoints.clear()
     row.requests.clear()
     row.crash_log.clear()
-    row.was_isolated = row.told_open = False
+    row.was_isolated = row.told_open = row.has_like_requests = False
     row.is_proven = row.is_proven or self.is_proven(key)
 
   def crash_count(self, fingerprint_: str) -> float:
@@ -611,7 +628,7 @@
   ) -> None:
     """Quarantines a unit; `left_s` is None if this router found it."""
     if left_s is None:
-      left_s = term_s(row.crashes, row.is_part, self._policy)
+      left_s = term_s(row.crashes, row.is_shared, self._policy)
     row.quarantined_until = self._clock.monotonic() + left_s
     self._blamed.pop(key, None)
     self._blamed[key] = None
@@ -621,6 +638,7 @@
         extra={
             "fingerprint": key,
             "is_part": row.is_part,
+            "is_shared": row.is_shared,
             "team": row.team,
             "crashes": row.crashes,
             "endpoints": sorted(row.endpoints),
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,15 +5,22 @@
 that run at the same time or later must still be served.
 """
 
+from unittest import mock
+
 import anyio
 import testtools
 
 from mustardfall.emulator import server as server_lib
+from mustardfall.routing import quarantine
+from tests import platformcase
 from tests import test_gateway
 
 _MAX_CRASHES = 3
 """Servers that may crash before the request is quarantined."""
 _POISON = b"crash"
+_CRASH_INTERVAL_S = 0.4
+_QUARANTINE_S = 1.0
+"""First quarantine of requests that are alike, instead of 15 s."""
 
 
 class CrashingRequestTest(testtools.TestCase):
@@ -113,3 +120,62 @@
       async with env.caller() as caller:
         await caller.send("/look/a", f"sound-{number}", **more)
         self.assertEqual(200, (await caller.receive()).status, more)
+
+
+class LikeRequestsTest(testtools.TestCase):
+  """A team's callers send the same request while servers crash by themselves."""
+
+  async def _call(self, env, number, responses):
+    async with env.caller() as caller:
+      named = {"token_usage": "100,100", "model": "m"}
+      await caller.send("/text/a", f"s{number}", **named)
+      responses.append(await caller.receive())
+
+  async def _crash_in_a_row(self, env, count):
+    await anyio.sleep(_CRASH_INTERVAL_S)
+    for server in list(env.servers.values())[:count]:
+      await server.crash()
+      env.store.remove(f"servers/{server.id}")
+      await anyio.sleep(_CRASH_INTERVAL_S)
+
+  async def _crash_under_like_requests(self, env, count, behaviour):
+    """Crashes servers in a row that run a team's requests; the others are well."""
+    for server in env.servers.values():
+      server.behaviour = behaviour
+    responses: list[platformcase.Response] = []
+    async with anyio.create_task_group() as tasks:
+      for number in range(24):
+        tasks.start_soon(self._call, env, number, responses)
+      await self._crash_in_a_row(env, count)
+      tasks.cancel_scope.cancel()
+    for server in env.servers.values():
+      server.behaviour = server_lib.Behaviour(events=3)
+
+  async def _check_served(self, env):
+    responses: list[platformcase.Response] = []
+    for number in range(24):
+      await self._call(env, f"after{number}", responses)
+    self.assertEqual([200] * 24, [response.status for response in responses])
+
+  @test_gateway.in_environment(servers=tuple(f"i-{n}" for n in range(8)))
+  async def test_team_is_served_after_crashes_amid_its_streams(self, env):
+    """Guards against a team refused for minutes as its streams are alike."""
+    streaming = server_lib.Behaviour(events=60, event_interval_s=0.1)
+    await self._crash_under_like_requests(env, 4, streaming)
+    await self._check_served(env)
+
+  @test_gateway.in_environment(servers=tuple(f"i-{n}" for n in range(8)))
+  async def test_team_is_served_soon_after_crashes_before_its_answers(
+      self, env
+  ):
+    """Guards against a team refused for minutes as its requests are alike."""
+    term = mock.patch.object(
+        quarantine, "_FIRST_SHARED_QUARANTINE_S", _QUARANTINE_S
+    )
+    with term:
+      reading = server_lib.Behaviour(events=3, response_delay_s=8.0)
+      await self._crash_under_like_requests(env, 4, reading)
+      self.assertEqual(1, len(env.gateway.quarantine.keys()))
+      await anyio.sleep(_QUARANTINE_S * 4)
+      await self._check_served(env)
+    self.assertEqual([], env.gateway.quarantine.keys())
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -48,6 +48,38 @@
     self.assertTrue(self._crash("x", "again"))
     self.assertTrue(self.table.remaining_s("x") > 0)
 
+  def test_like_requests_are_quarantined_for_a_short_time(self):
+    """Guards against a team refused for minutes as endpoints crash in a row."""
+    for n in range(3):
+      self._advance(1.0)
+      for ran_s in (0.2, 0.3, 0.3):
+        self._crash("x", f"e{n}", ran_s=ran_s)
+    self.assertEqual(15.0, self.table.remaining_s("x"))
+    self._advance(16.0)
+    self.assertEqual(["x"], self.table.open_units(["x"]))
+    self.table.note_success("x")
+    self.assertEqual([], self.table.open_units(["x"]))
+
+  def test_like_requests_that_crash_endpoints_again_wait_longer(self):
+    """Guards against a request with many callers that crashes endpoints for ever."""
+    for n in range(3):
+      self._advance(1.0)
+      for ran_s in (0.2, 0.3):
+        self._crash("x", f"e{n}", ran_s=ran_s)
+    for n in range(3, 12):
+      self._advance(self.table.remaining_s("x") + 1)
+      self.assertTrue(self._crash("x", f"e{n}"))
+    self.assertEqual(quarantine.QUARANTINE_S, self.table.remaining_s("x"))
+
+  def test_report_that_arrives_twice_does_not_make_a_request_shared(self):
+    """Guards against short quarantines of a request that one caller repeats."""
+    for n in range(3):
+      self._advance(1.0)
+      for _ in range(2):
+        self._crash("x", f"e{n}")
+    self.assertEqual(quarantine.QUARANTINE_S, self.table.remaining_s("x"))
+    self.assertEqual([], self.table.open_units(["x"]))
+
   def test_crash_reported_by_many_routers_counts_once(self):
     for _ in range(9):
       self._advance(0.2)
