Report the worst team in the model of budgets

Change: results have the covered and falsely refused requests of each team, the table of mustardfall experiment budgets the share served of the worst one.

A quarter of all is asked.

--- a/mustardfall/bench/experiment.py
+++ b/mustardfall/bench/experiment.py
@@ -93,6 +93,7 @@
 _METRICS: dict[str, Callable[[simulation.Result], float]] = {
     "refused %": lambda r: 100 * r.refused / r.requests,
     "falsely %": lambda r: 100 * r.falsely / r.requests,
+    "worst team served %": lambda r: 100 * r.worst_team_share,
     "of it cut %": lambda r: 100 * r.falsely_cut / r.requests,
     "turned back %": lambda r: 100 * r.turned_back / r.requests,
     "lost %": lambda r: 100 * r.lost,
--- a/mustardfall/bench/virtual/simulation.py
+++ b/mustardfall/bench/virtual/simulation.py
@@ -31,6 +31,20 @@
 another host."""
 
 
+class TeamOutcome(NamedTuple):
+  """What happened to the requests of one team that its budget covered."""
+
+  covered: int
+  """Number of them, without those that found no router."""
+  refused: int
+  """Those of them that were refused finally."""
+
+  @property
+  def served_share(self) -> float:
+    """Part of them that was served."""
+    return 1 - self.refused / self.covered if self.covered else 1.0
+
+
 class Result(NamedTuple):
   """The outcome of a simulated day."""
 
@@ -60,6 +74,20 @@
   """False refusals by second of the day."""
   causes: dict[str, int]
   """Number of false refusals by cause; see `_refusal_cause`."""
+  teams: dict[str, TeamOutcome]
+  """By team. Sums over all teams do not show one that is hardly served."""
+
+  @property
+  def worst_team_share(self) -> float:
+    """Served part of the covered requests of the team that is served least."""
+    return min(team.served_share for team in self.teams.values())
+
+  @property
+  def served_share(self) -> float:
+    """Served part of the covered requests of all teams."""
+    covered = sum(team.covered for team in self.teams.values())
+    refused = sum(team.refused for team in self.teams.values())
+    return TeamOutcome(covered, refused).served_share
 
 
 class _BudgetUsage:
@@ -92,6 +120,9 @@
     self._false_refusals_by_cause: collections.Counter[str] = (
         collections.Counter()
     )
+    self._covered_by_team: collections.Counter[str] = collections.Counter()
+    self._refused_by_team: collections.Counter[str] = collections.Counter()
+    """False refusals."""
     self._overspend = 0
     self._active_faults = 0
     self._fleet: hosts_lib.Fleet = None
@@ -125,6 +156,7 @@
     budget = self._budgets[request.team]
     covered = budget.covers(request.max_tokens)
     self._counts["requests"] += 1
+    self._covered_by_team[request.team] += covered
     timeout_s = request.timeout_s
     host, retry_s = self._choose_host(request.host), 0.0
     for attempt in range(2):
@@ -142,11 +174,13 @@
       host = self._choose_host(None, avoid=host)
     if cause == _NO_ROUTER:
       self._counts["no router"] += 1
+      self._covered_by_team[request.team] -= covered
       return
     self._counts["refused"] += 1
     if covered:
       self._false_refusals_by_cause[cause] += 1
       self._counts["falsely"] += 1
+      self._refused_by_team[request.team] += 1
       self._counts["falsely cut"] += bool(self._active_faults)
       self._false_refusals_by_s[int(request.at_s)] += 1
 
@@ -363,6 +397,12 @@
         transactions=dict(self._fleet.total_transactions()),
         seconds=dict(self._false_refusals_by_s),
         causes=dict(self._false_refusals_by_cause),
+        teams={
+            team: TeamOutcome(
+                self._covered_by_team[team], self._refused_by_team[team]
+            )
+            for team in self._budgets
+        },
     )
 
   def _lost_tokens(self, team: str) -> int:
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -51,6 +51,51 @@
     self.assertEqual(0, simulation.simulate(day, _DEPLOYED, 1).falsely)
 
 
+class TeamsTest(testtools.TestCase):
+  """Teams beside each other on a day with faults of many kinds."""
+
+  _LEAST_RATIO = 0.25
+  """Least that a team is served, relative to all."""
+
+  def _play(self, hosts, requests_per_s, seed):
+    events = [
+        days.StoreRefusal(at_s=2.5, for_s=9.0, share=0.33),
+        days.Partition(at_s=5.2, for_s=8.4),
+        days.Kill(at_s=12.0, for_s=3.0, share=0.16, power=True),
+        days.LimitIncrease(at_s=16.0, rank=1),
+        days.Partition(at_s=17.5, for_s=8.0, share=0.3, peers=True),
+        days.LimitIncrease(at_s=21.0, rank=2),
+        days.Partition(at_s=24.0, for_s=8.7),
+        days.Kill(at_s=34.0, for_s=0.6, power=True),
+    ]
+    day = days.Day(
+        name="all faults",
+        hosts=tuple(f"host-{number}" for number in range(hosts)),
+        requests_s=requests_per_s,
+        events=events,
+    )
+    return simulation.simulate(day, _DEPLOYED, seed)
+
+  def test_no_team_is_hardly_served_while_others_are(self):
+    """Guards against a budget whose tokens are out of reach, beside others."""
+    for hosts, requests_per_s, seeds in ((9, 29.0, (1, 2, 3)), (78, 60.0, (1,))):
+      for seed in seeds:
+        result = self._play(hosts, requests_per_s, seed)
+        least = self._LEAST_RATIO * result.served_share
+        self.assertTrue(
+            result.worst_team_share >= least, (hosts, seed, result.teams)
+        )
+        self.assertEqual(0, result.overspend)
+
+  def test_outcomes_of_teams_add_up(self):
+    """Guards against figures of teams that count a request twice."""
+    result = self._play(9, 29.0, 4)
+    refused = sum(team.refused for team in result.teams.values())
+    covered = sum(team.covered for team in result.teams.values())
+    self.assertEqual(result.falsely, refused)
+    self.assertTrue(refused <= covered <= result.requests - result.unserved)
+
+
 class StoreCallsTest(testtools.TestCase):
   """Calls to the store in a fleet that is too large for all to read alike."""
 
