--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -78,7 +78,10 @@
 
   def test_no_team_is_hardly_served_while_others_are(self):
     """Guards against a budget whose tokens are out of reach, beside others."""
-    for hosts, requests_per_s, seeds in ((9, 29.0, (1, 2, 3)), (78, 60.0, (1,))):
+    for hosts, requests_per_s, seeds in (
+        (9, 29.0, (1, 2, 3)),
+        (78, 60.0, (1,)),
+    ):
       for seed in seeds:
         result = self._play(hosts, requests_per_s, seed)
         least = self._LEAST_RATIO * result.served_share
