Reject numbers out of range in calls and datagrams of other routers

Cause: an integer of some hundred digits is valid JSON and raises OverflowError when it becomes a float, which neither the receiving loop of datagrams nor the handler of calls takes for malformed: the loop ends and is started again, the call's connection is closed without an answer. A report of a crash with NaN or a negative time would have made the crash count for ever or never, since successes are compared with it.

Change: OverflowError counts as malformed in datagrams, calls and stored verdicts, and RecursionError in calls; a report's time must be finite and not negative. In reach.py names are made distinct, without a change in what is decided.

Measured: the new test on a process failed before and passes, as the other one of invalid calls and datagrams does; tests of verdicts, reach and quarantine pass.

--- a/mustardfall/membership/datagrams.py
+++ b/mustardfall/membership/datagrams.py
@@ -21,6 +21,7 @@
 _MALFORMED = (
     AttributeError,
     LookupError,
+    OverflowError,
     RecursionError,
     TypeError,
     ValueError,
--- a/mustardfall/membership/verdicts.py
+++ b/mustardfall/membership/verdicts.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Sequence
 import json
 import logging
+import math
 import random
 from typing import Any, NamedTuple
 
@@ -356,11 +357,14 @@
     fingerprint, team, endpoint, ran_s, *more = fields
     was_writing, unproven_count, *parts = more or (False, 0)
     names.check(fingerprint, team, endpoint, *parts)
+    ran_s = float(ran_s)
+    if not 0.0 <= ran_s < math.inf:
+      raise ValueError(f"a request that ran for {ran_s} s")
     report = quarantine.CrashReport(
         fingerprint,
         team,
         endpoint,
-        float(ran_s),
+        ran_s,
         was_writing=was_writing is True,
     )
     suspects = quarantine.Suspects(
@@ -473,7 +477,7 @@
             float(stored.crashes),
             stored.is_part is True,
         )
-      except (TypeError, ValueError, RecursionError) as exc:
+      except (OverflowError, RecursionError, TypeError, ValueError) as exc:
         extra = {"entry": record.key, "error": repr(exc)}
         logger.error("verdict unreadable", extra=extra)
         continue
--- a/mustardfall/proxy/internal.py
+++ b/mustardfall/proxy/internal.py
@@ -82,7 +82,14 @@
       return
     try:
       result = await handler(json.loads(body or b"{}"))
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except (
+        AttributeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as exc:
       logger.warning(
           "peer call malformed",
           extra={"path": request.path, "error": repr(exc)},
--- a/mustardfall/routing/reach.py
+++ b/mustardfall/routing/reach.py
@@ -96,7 +96,7 @@
   def __init__(self) -> None:
     self.reached_at: float | None = None
     """When a new connection to any of them was last opened."""
-    self.known: dict[str, None] = {}
+    self.reached_lives: dict[str, None] = {}
     """Lives to which a connection was opened at some time."""
     self.failures: dict[str, Failure] = {}
     """By the endpoint's life (one run of its process)."""
@@ -150,7 +150,7 @@
     kind = self._kind(row.kind)
     now = self._clock.monotonic()
     kind.reached_at = now
-    kind.known[row.life] = None
+    kind.reached_lives[row.life] = None
     kind.failures.pop(row.life, None)
     kind.unconfirmed.pop(row.life, None)
     kind.detoured.pop(row.life, None)
@@ -193,20 +193,20 @@
     logger.warning("cut off from endpoints", extra=extra)
     return True
 
-  def _evidence(self, kind: str) -> Evidence:
-    rows, known = self.rows_of(kind), self._kind(kind)
-    reached_at = -float("inf") if known.reached_at is None else known.reached_at
+  def _evidence(self, name: str) -> Evidence:
+    rows, kind = self.rows_of(name), self._kind(name)
+    reached_at = -float("inf") if kind.reached_at is None else kind.reached_at
     unreached = [
         row.life
         for row in rows
-        if row.life in known.failures
-        and known.failures[row.life].last_at > reached_at
+        if row.life in kind.failures
+        and kind.failures[row.life].last_at > reached_at
     ]
     return Evidence(
         len(rows),
         len(unreached),
-        sum(row.life in known.known for row in rows),
-        sum(life in known.known for life in unreached),
+        sum(row.life in kind.reached_lives for row in rows),
+        sum(life in kind.reached_lives for life in unreached),
     )
 
   def _judge(self, kind: str) -> State:
@@ -233,9 +233,9 @@
 
     Those that it has reached before say most, and come first.
     """
-    rows, known = self.untried_rows(kind), self._kind(kind).known
+    rows, reached = self.untried_rows(kind), self._kind(kind).reached_lives
     rng.shuffle(rows)
-    rows.sort(key=lambda row: row.life not in known)
+    rows.sort(key=lambda row: row.life not in reached)
     return rows[:count]
 
   def note_reached_by_other(self, row: endpoints.Row, router: str) -> None:
@@ -340,7 +340,7 @@
     for kind in self._kinds.values():
       _drop_unlisted(kind.detoured, self._table)
       _drop_unlisted(kind.failures, self._table)
-      _drop_unlisted(kind.known, self._table)
+      _drop_unlisted(kind.reached_lives, self._table)
       _drop_unlisted(kind.unconfirmed, self._table)
 
   def describe(self, kind: str) -> dict[str, Any]:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -440,6 +440,30 @@
       self.assertTrue(served >= 6, served)
       tg.cancel_scope.cancel()
 
+  @processcase.in_environment()
+  async def test_numbers_out_of_range_in_calls_and_datagrams(self, env):
+    """Guards against a number too large for a float that ends the receiving loop."""
+    env.router.start()
+    await env.router.wait_until_ready()
+    control = env.router.settings["listen"]["control"].rpartition(":")[2]
+    address = ("127.0.0.1", env.router.settings["port_range"][0])
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+      for number in (str(10**400), "1e999", "-1", "NaN"):
+        udp.sendto(b's["f","t","e",%s]' % number.encode(), address)
+        fact = json.dumps([["f", "t", 0]]).replace("0", number)
+        udp.sendto(b"v" + zlib.compress(fact.encode()), address)
+        body = b'{"reports": [["f","t","e",%s]]}' % number.encode()
+        async with await anyio.connect_tcp("127.0.0.1", int(control)) as stream:
+          head = b"POST /peer/blame HTTP/1.1\r\nhost: x\r\n"
+          length = b"content-length: %d\r\n\r\n" % len(body)
+          await stream.send(head + length + body)
+          with anyio.fail_after(2.0):
+            self.assertIn(b"HTTP/1.1 400", await stream.receive())
+    response = await env.call("/text/a", "last", token_usage="100,50")
+    self.assertEqual(200, response.status, env.router.log[-3000:])
+    self.assertNotIn("loop failed", env.router.log)
+    self.assertNotIn("connection failed", env.router.log)
+
   @processcase.in_environment()
   async def test_invalid_calls_and_datagrams(self, env):
     # Invalid calls on the port for other routers, and invalid datagrams.
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -253,7 +253,8 @@
   @in_fleet
   async def test_malformed_entries_are_skipped(self, fleet):
     await fleet.crash_endpoints("x", quarantine.CRASH_LIMIT)
-    odd = (b"", b"3", b"[1]", b"[1, 2, {}]", b"\xff", b"[" * 100_000)
+    odd = [b"", b"3", b"[1]", b"[1, 2, {}]", b"\xff", b"[" * 100_000]
+    odd.append(json.dumps(["f", "t", 10**400]).encode())
     for number, value in enumerate(odd):
       key = f"{verdicts_lib.PREFIX}{number}"
       fleet.store.records[key] = protocol.Record(key, value, 1, 0)
