--- a/review/platform2.py
+++ b/review/platform2.py
@@ -306,6 +306,7 @@
     self.events = 0
     """Events of a streamed response; 0: plain responses."""
     self.event_s = 0.05
+    self.keep_alive_s = 15
     self.runs = {}
     """By request id: begin and end of its run; the end is None while it runs."""
     self._server = None
@@ -386,7 +387,7 @@
     run.append([self._record.now(), None, headers, body])
     named = (
         f"request-id: {id_}\r\nresponse-signature: sig.{self.id}.{id_}\r\n"
-        "server-load: 1,0,64\r\nkeep-alive: timeout=15\r\n"
+        f"server-load: 1,0,64\r\nkeep-alive: timeout={self.keep_alive_s}\r\n"
     )
     if self.events:
       await self._stream(headers, writer, named)
