Serve or refuse each request that comes while a router stops

Requests late in the grace period were passed on and cut off at its end; new connections were closed without a response.

Cause: a request counted as in flight once its body had been read. With none in flight the router returned its budgets, for some 50 to 300 ms, while it went on passing on requests that became complete; then it cancelled them. What was still at an endpoint at the end of the grace was cut off after the budgets had been returned.

Change: a request is open from its head to the end of its response. proxy/draining.py decides, as a pure function of the moment of the stop and the request's deadline and objective, whether it is served, refused as not run, waited for or given up; the HTTP server asks for bodies that arrive, the forwarder before each attempt. Budgets are returned after the last open request, and further requests get 503. At the end the port is closed, the connections that wait at it are accepted, and first requests are answered. Requests still at an endpoint at the end of the grace get 504.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -43,6 +43,7 @@
 from mustardfall.proxy import cold_start_limiter as cold_start_limiter_lib
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import crash_guard as crash_guard_lib
+from mustardfall.proxy import draining
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
@@ -84,6 +85,10 @@
 process returns them."""
 
 
+_MIN_FINISH_S = 0.05
+_MAX_FINISH_S = 0.6
+"""Least and most time for the last responses after the budgets were returned. It
+covers the time for which closed connections are still read."""
 _INTERNAL_BUFFER_BYTES = 65_536
 """Size of the receive and send buffers of internal connections. Documents of
 some MB are sent to routers in other regions, whose packets take long."""
@@ -324,6 +329,7 @@
     )
     self._dialect = dialect
     self.stopping = False
+    self._drain = draining.Drain(clock)
     self.http_server: http_server.HttpServer | None = None
 
   def _reaches(self, kind: str) -> bool:
@@ -476,6 +482,7 @@
               self.stream_keepers, self.directory, self.host_load
           ),
           self.host_load,
+          self._drain,
       )
       self.http_server = http_server.HttpServer(
           self._dialect,
@@ -494,6 +501,8 @@
           host_load=self.host_load,
           link_limiter=self.link_limiter,
           connections=self.config.connections,
+          drain=self._drain,
+          estimate_need=forwarder.estimate_need,
       )
       # The callers' port is opened before the loops start: the router reports
       # readiness as soon as the loops have read the configuration.
@@ -530,7 +539,7 @@
       self._serve_internal(tasks, ready)
       logger.info("started", extra={"listen": listen.port})
       await stop.wait()
-      await self._stop(self.http_server, stop_s)
+      await self._stop(self.http_server, forwarder, stop_s)
       tasks.cancel_scope.cancel()
 
   def _serve_internal(
@@ -616,23 +625,37 @@
       await self.connection_pool.close_expired()
       last = now
 
-  async def _stop(self, server: http_server.HttpServer, stop_s: float) -> None:
-    """Finishes the requests in flight and returns the budgets."""
+  async def _stop(
+      self,
+      server: http_server.HttpServer,
+      forwarder: forwarder_lib.Forwarder,
+      stop_s: float,
+  ) -> None:
+    """Finishes the open requests, then returns the budgets.
+
+    The budgets are returned after the last request, since it may draw on them.
+    """
     stops_at = self.clock.monotonic() + stop_s
+    budget_return_s = stop_s * _BUDGET_RETURN_SHARE
+    schedule = draining.Schedule(
+        min(_DRAIN_DELAY_S, stop_s / 2), stop_s - budget_return_s
+    )
     self.stopping = True
-    logger.info("stopping", extra={"in_flight": server.in_flight})
-    await anyio.sleep(min(_DRAIN_DELAY_S, stop_s / 2))
+    self._drain.start(schedule)
+    extra = {"in_flight": len(server.open_requests), **schedule._asdict()}
+    logger.info("stopping", extra=extra)
+    await anyio.sleep(schedule.notice_s)
     server.start_draining()
     await self.tunnel_server.close()
-    budget_return_s = stop_s * _BUDGET_RETURN_SHARE
-    remaining_s = stops_at - self.clock.monotonic() - budget_return_s
-    drained = await server.wait_until_drained(max(0.0, remaining_s))
+    drained = await server.wait_until_drained(forwarder.give_up)
     with anyio.move_on_after(max(0.1, stops_at - self.clock.monotonic())):
       try:
         await self.accounts.return_allotments()
       except Exception:  # noqa: BLE001  the restarted process returns them
         logger.exception("budgets not returned to the store")
       await self.accounts.writer.flush(budget_return_s)
+    left_s = max(_MIN_FINISH_S, stops_at - self.clock.monotonic())
+    await server.finish(min(_MAX_FINISH_S, left_s))
     logger.info(
         "stopped",
         extra={
--- a/mustardfall/proxy/connection_table.py
+++ b/mustardfall/proxy/connection_table.py
@@ -43,6 +43,8 @@
   )
   waiting: anyio.CancelScope | None = None
   """Ends the wait for a request; None: a request is being served."""
+  is_new: bool = True
+  """Whether it has brought no request."""
   idle_since: float = 0.0
   """When it began to wait for a request, monotonic seconds."""
   sending_since: float | None = None
@@ -84,6 +86,8 @@
     """Connections with bytes sent ahead, or a response that is being sent."""
     self._pipelined_bytes = 0
     """Bytes sent ahead on all connections."""
+    self.new_count = 0
+    """Connections that have brought no request."""
 
   async def run(self) -> None:
     """Closes connections whose peers take nothing, until cancelled."""
@@ -97,10 +101,18 @@
     allocations = [limiter.new_allocation() for _ in range(3)]
     row = Row(stream, *allocations)
     row.allocation.add_connection()
+    self.new_count += 1
     return row
 
+  def note_request(self, row: Row) -> None:
+    """Records that a connection has brought a request."""
+    if row.is_new:
+      row.is_new = False
+      self.new_count -= 1
+
   def remove(self, row: Row) -> None:
     """Removes a connection that has ended."""
+    self.note_request(row)
     self._forget(row)
     row.free()
 
@@ -187,9 +199,9 @@
       self._holders.pop(row, None)
 
   def end_waits(self) -> None:
-    """Ends the wait for a request of each connection."""
+    """Ends the wait for a further request of each connection."""
     for row in list(self._idle):
-      if row.waiting is not None:
+      if row.waiting is not None and not row.is_new:
         row.waiting.cancel()
 
   def close_stalled(self, timeout_s: float | None = None) -> None:
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -7,6 +7,7 @@
 
 from collections.abc import AsyncIterator, Iterator
 import contextlib
+import logging
 import random
 
 import anyio
@@ -21,6 +22,7 @@
 from mustardfall.proxy import attempt_timers as attempt_timers_lib
 from mustardfall.proxy import connection_pool as connection_pool_lib
 from mustardfall.proxy import crash_guard as crash_guard_lib
+from mustardfall.proxy import draining
 from mustardfall.proxy import endpoint_limiter as endpoint_limiter_lib
 from mustardfall.proxy import endpoint_paths as endpoint_paths_lib
 from mustardfall.proxy import endpoint_selector as endpoint_selector_lib
@@ -44,6 +46,8 @@
 from mustardfall.routing import statements as statements_lib
 from mustardfall.util import clock as clock_lib
 
+logger = logging.getLogger(__name__)
+
 _OK = 200
 _FIRST_NON_SUCCESS = 300
 """Statuses from 300 on are not successful."""
@@ -106,6 +110,7 @@
     reach: the endpoints that this router reaches directly.
     resumption: keeps streams at the version that began them.
     host_load: how busy this router's host is, for the log.
+    drain: the stop of the process.
   """
 
   def __init__(
@@ -126,6 +131,7 @@
       reach: reach_lib.Reach,
       resumption: resumption_lib.Resumption,
       host_load: host_load_lib.HostLoad,
+      drain: draining.Drain,
   ) -> None:
     self._config = config
     self._clock = clock
@@ -139,6 +145,7 @@
     self._paths = paths
     self._reach = reach
     self._resumption = resumption
+    self._drain = drain
     self._admission = admission_lib.Admission(
         config, clock, directory, accounts, tasks, instruments
     )
@@ -150,6 +157,8 @@
     self._attempt_timers = attempt_timers_lib.AttemptTimers(clock)
     self._random = random.Random()
     self._retry_budgets: dict[str, retries.RetryBudget] = {}
+    self._contexts: set[request_context_lib.RequestContext] = set()
+    """The requests that are being served."""
 
   async def run(self) -> None:
     """Ends waits for slow endpoints until cancelled."""
@@ -164,11 +173,13 @@
     """Responds to one request; cancelled when its caller disconnects."""
     try:
       context = self._admission.admit(request, body, responder)
+      self._refuse_if_too_late(context)
       await self._resumption.bind(context, self._admission.jittered_retry_after)
       self._retry_budget(context.service.name).deposit()
     except refusals.RefusalError as refusal:
       await self._refuse(request, responder, refusal)
       return
+    self._contexts.add(context)
     try:
       self._crash_guard.refuse_quarantined(context)
       await self._serve(context)
@@ -178,8 +189,52 @@
       self._request_log.log_end(context, "caller_left", 0)
       raise
     finally:
+      self._contexts.remove(context)
       self._admission.bill(context)
 
+  def estimate_need(self, request: messages.Request) -> draining.Need:
+    """Returns the time that a request takes; none if it has no route."""
+    config = self._directory.configuration
+    route = config and config.match(request.authority, request.path)
+    if route is None:
+      return draining.Need(0.0, 0.0)
+    longest_s = route.timeout.total_seconds()
+    if request.caller_timeout_s is not None:
+      longest_s = min(longest_s, request.caller_timeout_s)
+    return draining.Need(longest_s, route.objective.total_seconds())
+
+  def _refuse_if_too_late(
+      self, context: request_context_lib.RequestContext
+  ) -> None:
+    """Refuses a request that may not end before the router stops.
+
+    Raises:
+      refusals.RefusalError: it is refused, and not at an endpoint.
+    """
+    if self._is_too_late(context):
+      retry_after_s = self._admission.jittered_retry_after(
+          draining.RETRY_AFTER_S
+      )
+      raise refusals.stopping(retry_after_s, self._drain.left_s)
+
+  def _is_too_late(self, context: request_context_lib.RequestContext) -> bool:
+    need = draining.Need(
+        context.deadline - self._clock.monotonic(),
+        context.route.objective.total_seconds(),
+    )
+    head_read_at = context.responder.head_read_at
+    action = self._drain.decide(draining.Stage.READ, head_read_at, need)
+    return action is draining.Action.REFUSE
+
+  def give_up(self) -> None:
+    """Ends the requests that are served, with their final responses.
+
+    Complete responses that callers are still taking are left as they are.
+    """
+    for context in self._contexts:
+      context.expire()
+    logger.info("requests given up", extra={"count": len(self._contexts)})
+
   def _retry_budget(self, service: str) -> retries.RetryBudget:
     budget = self._retry_budgets.get(service)
     if budget is None:
@@ -220,9 +275,11 @@
         await self._crash_guard.admit(context)
         placement = await self._endpoint_selector.select(context)
         self._crash_guard.refuse_quarantined(context)
-        if placement is None:
+        is_too_late = context.attempts_sent and self._is_too_late(context)
+        if placement is None or is_too_late:
           await self._finish_unserved(context)
           return
+        self._refuse_if_too_late(context)
         await self._attempt(context, placement)
         return
       except _RetryableError as exc:
@@ -243,7 +300,7 @@
       return False
     if context.is_cut_off or context.failed_connects >= _MAX_FAILED_CONNECTS:
       return False
-    if self._crash_guard.is_blame_open(context):
+    if self._crash_guard.is_blame_open(context) or self._is_too_late(context):
       return False
     if not self._endpoint_selector.has_candidate(context):
       return False
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -19,9 +19,11 @@
 from mustardfall import settings
 from mustardfall.proxy import chunked_bodies
 from mustardfall.proxy import connection_table
+from mustardfall.proxy import draining
 from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import link_limiter as link_limiter_lib
 from mustardfall.proxy import messages
+from mustardfall.proxy import open_requests
 from mustardfall.proxy import receive_buffer
 from mustardfall.proxy import resource_limiter as resource_limiter_lib
 from mustardfall.proxy import saturation_limiter as saturation_limiter_lib
@@ -72,6 +74,8 @@
 
   def __init__(self, connection: "_CallerConnection") -> None:
     self._connection = connection
+    self.head_read_at = 0.0
+    """When the head of the request had been read, monotonic seconds."""
     self.started = False
     self.ended = False
     self.sent_bytes = 0
@@ -144,6 +148,7 @@
     self.sent_bytes += await self._connection.send(*events)
 
   def _connection_headers(self) -> list[messages.Header]:
+    self._connection.note_response()
     return (
         [(b"connection", b"close")]
         if self._connection.closes_after_response
@@ -170,6 +175,11 @@
 Handler = Callable[[messages.Request, bytes, Responder], Awaitable[None]]
 
 
+def _estimate_no_need(request: messages.Request) -> draining.Need:
+  del request
+  return draining.Need(0.0, 0.0)
+
+
 class HttpServer:
   """Accepts connections and calls the handler for each request on them.
 
@@ -186,6 +196,8 @@
     host_load: counts the bytes of callers; None: they are not counted.
     link_limiter: has connections closed while the link is full.
     connections: limits of what is held for the peer of each connection.
+    drain: the stop of the process; None: requests are served until the end.
+    estimate_need: estimates the time that a request takes; None: it takes none.
   """
 
   def __init__(
@@ -201,6 +213,8 @@
       host_load: host_load_lib.HostLoad | None = None,
       link_limiter: link_limiter_lib.LinkLimiter | None = None,
       connections: settings.Connections | None = None,
+      drain: draining.Drain | None = None,
+      estimate_need: open_requests.EstimateNeed | None = None,
   ) -> None:
     self._saturation = saturation
     self._host_load = host_load
@@ -217,8 +231,18 @@
     self.clock = clock
     self.draining = False
     self.in_flight = 0
+    """Requests that have been read completely and are being served."""
     self.is_drain_ending = False
     """Whether the time for draining ends soon."""
+    self._drain = drain or draining.Drain(clock)
+    self.open_requests = open_requests.OpenRequests(
+        self._drain,
+        clock,
+        estimate_need or _estimate_no_need,
+        lambda: self.connections.new_count,
+    )
+    self._accepting = anyio.CancelScope()
+    self._port_closed = anyio.Event()
     self.config = connections or settings.Connections()
     self.connections = connection_table.ConnectionTable(
         name, self.resource_limiter, clock, self.config
@@ -239,11 +263,19 @@
     task_status.started()
     async with anyio.create_task_group() as tasks:
       tasks.start_soon(self.connections.run)
+      with self._accepting:
+        await self._accept(listeners, tasks)
+      self._port_closed.set()
+
+  async def _accept(
+      self, listeners: list[abc.SocketListener], tasks: abc.TaskGroup
+  ) -> None:
+    async with anyio.create_task_group() as accepting:
       for listener in listeners:
         queue = None
         if self._sheds_connections:
           queue = accept_queue.AcceptQueue(self._name, listener)
-        tasks.start_soon(
+        accepting.start_soon(
             sockets.accept,
             self._name,
             listener,
@@ -295,19 +327,37 @@
     self.draining = True
     self.connections.end_waits()
 
-  async def wait_until_drained(self, timeout_s: float) -> bool:
-    """Waits for requests in flight; returns whether all of them ended.
+  async def wait_until_drained(self, give_up: Callable[[], None]) -> bool:
+    """Waits for the open requests; returns whether all of them ended in time.
+
+    Those of callers that take no response are ended. Afterwards no request is
+    served any more.
 
-    Those of callers that take no response are ended.
+    Args:
+      give_up: called if the time has run out; ends the requests being served.
     """
-    final_at = anyio.current_time() + timeout_s - _FINAL_DRAIN_S
+    has_drained = await self.open_requests.wait(self._end_stalled)
+    if not has_drained:
+      give_up()
+      await self.open_requests.wait_for_final_responses()
+    self._drain.close()
+    return has_drained
+
+  def _end_stalled(self) -> None:
+    self.is_drain_ending = self._drain.left_s <= _FINAL_DRAIN_S
+    stall_s = _FINAL_STALL_S if self.is_drain_ending else None
+    self.connections.close_stalled(stall_s)
+
+  async def finish(self, timeout_s: float) -> None:
+    """Closes the port, and waits for the last responses to be sent.
+
+    Args:
+      timeout_s: seconds; then connections may be closed without a response.
+    """
+    self._accepting.cancel()
     with anyio.move_on_after(timeout_s):
-      while self.in_flight:
-        self.is_drain_ending = anyio.current_time() >= final_at
-        stall_s = _FINAL_STALL_S if self.is_drain_ending else None
-        self.connections.close_stalled(stall_s)
-        await anyio.sleep(0.02)
-    return not self.in_flight
+      await self._port_closed.wait()
+      await self.open_requests.wait_until_answered()
 
 
 class _CallerConnection:
@@ -339,6 +389,8 @@
     """Whether the current request's method is HEAD."""
     self._drawn_in = 0
     """The round in which the connection was last drawn; see `LinkLimiter`."""
+    self._open_request: open_requests.OpenRequest | None = None
+    """The current request, from its head to the end of its response."""
 
   def _new_parser(self) -> h11.Connection:
     return h11.Connection(
@@ -354,6 +406,11 @@
       self._head_bytes.clear()
     await self._close_lingering()
 
+  def note_response(self) -> None:
+    """Notes that the head of a response is about to be sent."""
+    if self._server.draining:
+      self.closes_after_response = True
+
   async def _serve_one(self) -> bool:
     """Serves one request, or refuses it; returns whether another may follow."""
     responder = Responder(self)
@@ -364,6 +421,9 @@
       return False
     finally:
       self._row.request.close()
+      if self._open_request is not None:
+        self._server.open_requests.close(self._open_request)
+        self._open_request = None
 
   async def _serve_next(self, responder: Responder) -> bool:
     head = await self._read_head()
@@ -372,7 +432,12 @@
     self.is_head = head.method == b"HEAD"
     self._allocate(resource_limiter_lib.REQUEST_OVERHEAD_BYTES)
     request = self._decode(head)
-    body = await self._read_body(head)
+    self._open_request = self._server.open_requests.open(request)
+    self._server.connections.note_request(self._row)
+    responder.head_read_at = self._open_request.head_read_at
+    self._server.open_requests.check(self._open_request)
+    with self._server.open_requests.reading(self._open_request):
+      body = await self._read_body(head)
     self._note_pipelined()
     is_moved, self._drawn_in = self._server.draw_close(self._drawn_in)
     self.closes_after_response = (
@@ -433,12 +498,18 @@
 
   async def _wait_for_bytes(self, timeout_s: float) -> bool:
     """Waits for the first bytes of a request; returns whether any arrived."""
-    if self._server.draining:
+    if self._server.draining and not self._may_bring_request():
       return False
     with self._server.connections.waiting_for_request(self._row, timeout_s):
       await self._receive()
+    if not self._buffer and sockets.is_readable(self._stream):
+      await self._receive()  # bytes arrived as the wait was ended
     return bool(self._buffer)
 
+  def _may_bring_request(self) -> bool:
+    """Whether a request is read although the server drains."""
+    return self._row.is_new or sockets.is_readable(self._stream)
+
   async def _receive(self) -> None:
     """Reads once from the connection."""
     try:
@@ -641,6 +712,7 @@
     if self._caller_closed:
       return
     with (
+        self._server.open_requests.closing(),
         contextlib.suppress(anyio.EndOfStream, *_DISCONNECT_ERRORS),
         anyio.move_on_after(_LINGER_S),
     ):
--- a/mustardfall/proxy/refusals.py
+++ b/mustardfall/proxy/refusals.py
@@ -146,6 +146,12 @@
   return RefusalError(503, "not sent in time", retry_after_s)
 
 
+def stopping(retry_after_s: float, left_s: float) -> RefusalError:
+  """The router stops before the request would surely end."""
+  facts = {"left_s": round(left_s, 3)}
+  return RefusalError(503, "router stops", retry_after_s, facts)
+
+
 def timed_out() -> RefusalError:
   """The deadline passed while an endpoint was processing the request."""
   return RefusalError(504, "no answer in time")
--- a/mustardfall/proxy/request_context.py
+++ b/mustardfall/proxy/request_context.py
@@ -38,7 +38,7 @@
     return self.limit.endpoint
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class RequestContext:
   """An admitted request and the state of its attempts."""
 
@@ -136,6 +136,12 @@
     if self.deadline_scope is not None:
       self.deadline_scope.deadline = math.inf
 
+  def expire(self) -> None:
+    """Ends the work on the request as its deadline does."""
+    scope = self.deadline_scope
+    if scope is not None and scope.deadline != math.inf:
+      scope.deadline = -math.inf
+
   def note_events(self) -> None:
     """Records that events of the current endpoint are passed on."""
     if self.event_versions[-1:] != [self.version]:
--- a/mustardfall/util/sockets.py
+++ b/mustardfall/util/sockets.py
@@ -194,6 +194,8 @@
 ) -> None:
   """Accepts connections until cancelled, also after a failed accept.
 
+  Those that wait when it is cancelled are served too, if `tasks` still runs.
+
   Args:
     purpose: what the port is for; logged.
     listener: the open port.
@@ -203,21 +205,25 @@
   """
   listening = listener.extra(abc.SocketAttribute.raw_socket)
   async with listener:
-    while True:
-      if queue is not None:
-        queue.shed()
-      try:
-        stream = await tcp.accept(listening)
-      except OSError as exc:
-        logger.warning(
-            "connection not accepted",
-            extra={"serves": purpose, "error": str(exc)},
-        )
-        await anyio.sleep(_ACCEPT_RETRY_S)
-        continue
-      if queue is not None:
-        queue.note_accepted()
-      tasks.start_soon(serve, stream)
+    try:
+      while True:
+        if queue is not None:
+          queue.shed()
+        try:
+          stream = await tcp.accept(listening)
+        except OSError as exc:
+          logger.warning(
+              "connection not accepted",
+              extra={"serves": purpose, "error": str(exc)},
+          )
+          await anyio.sleep(_ACCEPT_RETRY_S)
+          continue
+        if queue is not None:
+          queue.note_accepted()
+        tasks.start_soon(serve, stream)
+    finally:
+      for stream in tcp.accept_waiting(listening):
+        tasks.start_soon(serve, stream)
 
 
 def is_refused(exc: BaseException | None) -> bool:
--- a/mustardfall/util/tcp.py
+++ b/mustardfall/util/tcp.py
@@ -161,6 +161,18 @@
       await anyio.wait_readable(listener)
 
 
+def accept_waiting(listener: socket.socket) -> list[TcpStream]:
+  """Returns the connections that wait at a listening socket.
+
+  Closing the socket would reset them.
+  """
+  streams = []
+  with contextlib.suppress(OSError):
+    while True:
+      streams.append(TcpStream(listener.accept()[0]))
+  return streams
+
+
 async def connect(host: str, port: int) -> TcpStream:
   """Opens a connection.
 
