Wait for responses that pass through a stopping router's tunnels

A request of another router, sent through a tunnel, was cut off when the router at the tunnel's other end stopped, also in the middle of the grace period.

Cause: a stop announced that tunnels are not used again, and then waited for the requests of its own callers only. The announcements were sent one after the other, each for as long as a router that does not read held it up.

Change: tunnels whose response is awaited, or had bytes within the last second, are waited for until the end of the drain. A tunnel whose end was announced is closed after its response and not kept idle. Announcements are sent beside each other, for 0.2 s at most.

Evidence: test_response_while_the_exit_stops fails on (connection reset) and passes now.

--- a/mustardfall/gateway.py
+++ b/mustardfall/gateway.py
@@ -654,6 +654,7 @@
       except Exception:  # noqa: BLE001  the restarted process returns them
         logger.exception("budgets not returned to the store")
       await self.accounts.writer.flush(budget_return_s)
+    await self.tunnel_server.wait_until_unused(self._drain.left_s)
     left_s = max(_MIN_FINISH_S, stops_at - self.clock.monotonic())
     await server.finish(min(_MAX_FINISH_S, left_s))
     logger.info(
--- a/mustardfall/proxy/connection_pool.py
+++ b/mustardfall/proxy/connection_pool.py
@@ -163,7 +163,9 @@
         else idle_timeout_s - _IDLE_MARGIN_S
     )
     idle = self._idle.setdefault(connection.address, collections.deque())
-    if keep_s <= 0 or len(idle) >= _MAX_IDLE_PER_ADDRESS:
+    # The router at the other end of a tunnel may have announced its stop.
+    is_spent = bool(connection.via) and sockets.is_readable(connection.stream)
+    if keep_s <= 0 or is_spent or len(idle) >= _MAX_IDLE_PER_ADDRESS:
       await self.discard(connection)
       return
     connection.used = True
--- a/mustardfall/proxy/tunnel_server.py
+++ b/mustardfall/proxy/tunnel_server.py
@@ -39,6 +39,12 @@
 _MAX_LAG_S = 0.15
 """Mean delay of this router's own timers from which it opens no further tunnels:
 its processor is busy, and more work would make its own callers wait."""
+_ANNOUNCE_S = 0.2
+"""Longest time for telling other routers that no tunnel may be used again."""
+_PAUSE_S = 1.0
+"""Pause in a response after which it counts as complete. Other routers resume a
+stream elsewhere after such a pause."""
+_POLL_INTERVAL_S = 0.02
 _STATUSES = {
     "unknown": 404,
     tunnels.REFUSED: tunnels.BAD_GATEWAY,
@@ -140,8 +146,23 @@
   async def close(self) -> None:
     """Opens no further tunnels, and has the open ones used no more."""
     self._is_closing = True
-    for tunnel in list(self._tunnels):
-      await tunnel.announce_close()
+    with anyio.move_on_after(_ANNOUNCE_S):
+      async with anyio.create_task_group() as tasks:
+        for tunnel in self._tunnels:
+          tasks.start_soon(tunnel.announce_close)
+
+  async def wait_until_unused(self, timeout_s: float) -> None:
+    """Waits for the responses that pass through tunnels.
+
+    Args:
+      timeout_s: seconds; then they are cut off.
+    """
+    with anyio.move_on_after(timeout_s):
+      while any(tunnel.is_in_use for tunnel in self._tunnels):
+        await anyio.sleep(_POLL_INTERVAL_S)
+    count = sum(tunnel.is_in_use for tunnel in self._tunnels)
+    if count:
+      logger.info("tunnels cut off", extra={"count": count})
 
   def stop_reuse(self, address: str) -> None:
     """Has open tunnels to an endpoint used for no further request."""
@@ -322,6 +343,10 @@
     self._scope = anyio.CancelScope()
     self._used_at = anyio.current_time()
     """When bytes last passed, seconds of the event loop's clock."""
+    self._awaits_response = False
+    """Whether the last bytes went to the endpoint."""
+    self._responded_at = self._used_at
+    """When the endpoint last sent bytes, or the tunnel was opened."""
     self._sending_since: dict[abc.ByteStream, float] = {}
     """When sends that have not ended began, by connection."""
 
@@ -329,6 +354,12 @@
     """Returns the seconds since bytes have passed."""
     return anyio.current_time() - self._used_at
 
+  @property
+  def is_in_use(self) -> bool:
+    """Whether a response is awaited, or brought bytes a moment ago."""
+    pause_s = anyio.current_time() - self._responded_at
+    return self._awaits_response or pause_s < _PAUSE_S
+
   def stalled_s(self) -> float:
     """Returns for how long one side has not taken what is sent to it."""
     now = anyio.current_time()
@@ -378,6 +409,8 @@
         return
       except (anyio.BrokenResourceError, anyio.ClosedResourceError):
         return  # without the end frame, so that no response looks complete
+      self._awaits_response = False
+      self._responded_at = anyio.current_time()
       await self._send_frame(tunnels.encode_frame(data))
 
   async def _pass_to_endpoint(self, scope: anyio.CancelScope) -> None:
@@ -391,6 +424,7 @@
       ):
         scope.cancel()  # the other router has given the request up
         return
+      self._awaits_response = True
       try:
         await self._send(self._endpoint, data)
       except (anyio.BrokenResourceError, anyio.ClosedResourceError):
--- a/tests/test_tunnel_server.py
+++ b/tests/test_tunnel_server.py
@@ -5,6 +5,7 @@
 import anyio
 import testtools
 
+from mustardfall.bench import fleet
 from mustardfall.proxy import tunnels
 from tests import test_gateway
 
@@ -48,6 +49,35 @@
     await env.wait_until(lambda: not router.tunnel_server.open_count)
     await tunnel.aclose()
 
+  @test_gateway.in_environment()
+  async def test_response_while_the_exit_stops(self, env):
+    """Guards against responses of others that a stopping router cuts off."""
+    stop = anyio.Event()
+    exit_ = await env.add_gateway(
+        "router-2", stop, host="127.0.0.2", port_range=(fleet.free_port(),)
+    )
+    config = exit_.config
+    env.servers["i-1"].behaviour.response_delay_s = 0.5
+    tunnel = await self._open(
+        env, f"{config.peer_listen.host}:{config.tunnel_port}"
+    )
+    stop.set()
+    await anyio.sleep(0.8)
+    request = (
+        b"GET /look/a HTTP/1.1\r\nhost: x\r\nrequest-id: r1\r\n"
+        b"expect-instance: i-1\r\n\r\n"
+    )
+    await tunnel.send(request)
+    received = b""
+    with anyio.fail_after(2.0):
+      while b"i-1 /look/a" not in received:
+        received += await tunnel.receive()
+    self.assertTrue(tunnel.is_closing)
+    closed_at = anyio.current_time()
+    await tunnel.aclose()
+    await env.wait_until(lambda: env.gateway_stopped)
+    self.assertTrue(anyio.current_time() - closed_at < 0.5)
+
   @test_gateway.in_environment()
   async def test_tunnels_beside_silent_connections(self, env):
     """Guards against routers refused in place of silent connections."""
