Keep a failed connection failed for each later receive

Callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response (MIXED; report of the users).

Cause: the system reports an error of a connection once, to sending or to receiving, and an orderly end afterwards. TcpStream._send_rest and Exchange._send take the error, relying on receiving to show it.

Change: TcpStream remembers a failure. What arrived before is still received, then BrokenResourceError is raised in place of EndOfStream. The emulated server can answer early, before it has read the request.

The state is in the transport, so that each reader of a connection has it.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -47,6 +47,9 @@
   also of a stream."""
   reset: bool = False
   """Resets the connection at the end, as if the server had crashed."""
+  answer_after_bytes: int | None = None
+  """Bytes of a request body after which it sends a part of its response, without
+  a length, and ends the connection; None: it reads the whole body."""
   unsigned: bool = False
   padding: int = 0
   """Bytes appended to the body of a plain response."""
@@ -187,6 +190,8 @@
     self.endless_answers: list[EndlessAnswer] = []
     """Answers without end that the router has closed."""
     self.connections = 0
+    self.early_answers = 0
+    """Responses that it began before it had read the request."""
     self._running = 0
     self._waiting: collections.deque[anyio.Event] = collections.deque()
     """Requests that wait for a slot; set when they get one."""
@@ -261,6 +266,9 @@
         head = event
       elif isinstance(event, h11.Data):
         body += event.data
+        if head is not None and self._answers_early(body):
+          await self._send_early_part(stream, head)
+          return None
       elif isinstance(event, h11.EndOfMessage) and head is not None:
         headers = {k.decode(): v.decode() for k, v in head.headers}
         return ReceivedRequest(
@@ -273,6 +281,20 @@
       else:
         return None
 
+  def _answers_early(self, body: bytearray) -> bool:
+    least = self.behaviour.answer_after_bytes
+    return least is not None and len(body) >= least
+
+  async def _send_early_part(
+      self, stream: abc.SocketStream, head: h11.Request
+  ) -> None:
+    headers = {
+        "request-id": dict(head.headers).get(b"request-id", b"").decode(),
+        "response-signature": f"signed-by-{self.id}",
+    }
+    self.early_answers += 1
+    await stream.send(_head(200, headers, None) + b"\r\nPART")
+
   async def _serve_one(
       self, stream: abc.SocketStream, parser: h11.Connection
   ) -> bool:
--- a/mustardfall/util/tcp.py
+++ b/mustardfall/util/tcp.py
@@ -32,6 +32,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     self._socket = sock
     self._is_closed = False
+    self._has_failed = False
+    """Whether the system has reported an error of the connection. It reports each
+    only once, to sending or receiving, and an orderly end afterwards."""
     self._unsent = memoryview(b"")
     """Bytes that were passed to `send` and not taken by the system."""
     self._send_lock = anyio.Lock(fast_acquire=True)
@@ -52,7 +55,7 @@
 
     Raises:
       anyio.EndOfStream: the peer has ended the connection.
-      anyio.BrokenResourceError: the connection failed.
+      anyio.BrokenResourceError: the connection failed, now or before.
       anyio.ClosedResourceError: `aclose` was called.
     """
     if self._has_waited:
@@ -70,9 +73,11 @@
         self._has_waited = True
       except OSError as exc:
         raise self._error() from exc
-    if not data:
-      raise anyio.EndOfStream
-    return data
+    if data:
+      return data
+    if self._has_failed:
+      raise anyio.BrokenResourceError
+    raise anyio.EndOfStream
 
   async def _wait_until_readable(self) -> None:
     """Waits for bytes; meanwhile sends what a cancelled `send` has left.
@@ -89,7 +94,7 @@
       tasks.cancel_scope.cancel()
 
   async def _send_rest(self) -> None:
-    # The error shows in what is received.
+    # `receive` raises the error after the bytes that have arrived.
     with contextlib.suppress(
         anyio.BrokenResourceError, anyio.ClosedResourceError
     ):
@@ -143,6 +148,7 @@
   def _error(self) -> Exception:
     if self._is_closed:
       return anyio.ClosedResourceError()
+    self._has_failed = True
     return anyio.BrokenResourceError()
 
 
--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -1,14 +1,17 @@
 """Tests of TCP connections that keep no bytes in the process."""
 
 import socket
+import struct
 
 import anyio
+from anyio import abc
 import testtools
 
 from mustardfall.util import tcp
 
 _BUFFER_BYTES = 16_384
 _SENT_BYTES = 20_000_000
+_RAW_SOCKET = abc.SocketAttribute.raw_socket
 
 
 class TcpStreamTest(testtools.TestCase):
@@ -102,6 +105,69 @@
 
     self._run(test)
 
+  async def _receive_until_end(self, stream) -> tuple[bytes, type]:
+    """Returns what is received, and the error that ends it."""
+    received = bytearray()
+    try:
+      while True:
+        received += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError) as exc:
+      return bytes(received), type(exc)
+
+  def _reset_peer(self, peer) -> None:
+    linger = struct.pack("ii", 1, 0)
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    peer.close()
+
+  def test_reset_that_a_send_reports(self):
+    """Guards against a reset connection that seems to end in order."""
+
+    async def test(stream, peer):
+      peer.send(b"part")
+      with anyio.move_on_after(0.02):
+        await stream.send(b"x" * _SENT_BYTES)
+      self._reset_peer(peer)
+      await anyio.wait_readable(stream.extra(_RAW_SOCKET))
+      with testtools.ExpectedException(anyio.BrokenResourceError):
+        await stream.send(b"more")
+      for _ in range(2):
+        found = await self._receive_until_end(stream)
+        self.assertEqual(anyio.BrokenResourceError, found[1])
+
+    self._run(test)
+
+  def test_reset_while_the_rest_is_sent(self):
+    """Guards against the same where bytes are sent beside a receive."""
+
+    async def test(stream, peer):
+      with anyio.move_on_after(0.02):
+        await stream.send(b"x" * _SENT_BYTES)
+      peer.send(b"part")
+      async with anyio.create_task_group() as tasks:
+        tasks.start_soon(self._reset_later, peer)
+        received, error = await self._receive_until_end(stream)
+      self.assertEqual(anyio.BrokenResourceError, error, received)
+
+    for _ in range(20):
+      self._run(test)
+
+  async def _reset_later(self, peer) -> None:
+    await anyio.sleep(0.005)
+    self._reset_peer(peer)
+
+  def test_orderly_end_after_all_was_sent(self):
+    """Guards against an orderly end that is taken for a reset."""
+
+    async def test(stream, peer):
+      await stream.send(b"request")
+      self.assertEqual(b"request", peer.recv(100))
+      peer.send(b"response")
+      peer.close()
+      found = await self._receive_until_end(stream)
+      self.assertEqual((b"response", anyio.EndOfStream), found)
+
+    self._run(test)
+
   def test_peer_that_reads_slowly(self):
     """Guards against bytes that are lost, or sent twice, to a slow peer."""
 
