Reject responses in which a header line begins with a blank

Cause: the HTTP parser joins a line that begins with a blank or a tab to the line before. A field, such as the length, vanishes in the value of another. Heads of callers were searched for such lines, heads of responses were not.

Change: proxy/heads.py checks a complete head as received, before it is parsed, for callers, endpoints, the store and other routers alike; also the trailers of callers. The emulated server sends invalid answers of many kinds (emulator/malformed.py).

Status 000 and 099, and names with a blank within or behind, a control byte, NUL, DEL or none, are rejected by the parser before and after.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -15,6 +15,8 @@
 from anyio import abc
 import h11
 
+from mustardfall.emulator import malformed
+
 _READ_BYTES = 65_536
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a connection resets it."""
@@ -67,6 +69,8 @@
   """If set, sends bytes without end, of this kind of `endless_bytes`."""
   endless_interval_s: float = 0.0
   """Pause between these."""
+  malformed: str = ""
+  """If set, it sends an invalid answer, of this kind of `malformed`."""
   leaving: str | None = None
   """Value of the `Server-Leaving` header; None: the header is left out."""
   retry_after: str | None = None
@@ -312,6 +316,11 @@
       self.received.append(request)
       await self._send_without_end(stream, request, behaviour)
       return False
+    if behaviour.malformed:
+      self.received.append(request)
+      id_ = request.headers.get("request-id", "")
+      await stream.send(malformed.encode(behaviour.malformed, id_))
+      return False
     if behaviour.not_run or is_full:
       headers = {"not-executed": "1", **_request_id_header(request)}
       headers |= _statement_headers(behaviour)
--- a/mustardfall/proxy/chunked_bodies.py
+++ b/mustardfall/proxy/chunked_bodies.py
@@ -7,6 +7,7 @@
 import re
 
 from mustardfall import errors
+from mustardfall.proxy import heads
 
 _HEADER = rb"([0-9A-Fa-f]{1,20})(?:;[^\r\n]*)?[ \t]*\r\n"
 _FIRST_HEADER = re.compile(_HEADER)
@@ -28,14 +29,17 @@
     """Bytes of the current chunk that were not received yet."""
     self._is_last = False
     """Whether the last chunk was received; trailers and requests follow."""
+    self._trailers = heads.Section(is_trailers=True)
 
   def feed(self, received: bytes) -> bytes:
     """Returns the next bytes for the parser; none if more must be received.
 
     Raises:
-      errors.RejectedRequestError: the bytes are no chunks.
+      errors.RejectedRequestError: the bytes are no chunks, or the trailers are
+        invalid.
     """
     if self._is_last:
+      self._check_trailers(received)
       return received
     data = self._incomplete + received
     pieces: list[bytes] = []
@@ -57,10 +61,17 @@
     rest = data[position:]
     self._incomplete = b"" if self._is_last else rest
     self._check_incomplete()
+    if self._is_last:
+      self._check_trailers(rest)
     merged = b"".join(pieces)
     out = b"%x\r\n%b\r\n" % (len(merged), merged) if merged else b""
     return out + (b"0\r\n" + rest if self._is_last else b"")
 
+  def _check_trailers(self, received: bytes) -> None:
+    fault = self._trailers.find_fault(received)
+    if fault:
+      raise errors.RejectedRequestError(fault)
+
   def _check_incomplete(self) -> None:
     """Raises an error if no chunk header can begin with the bytes received."""
     header = self._incomplete
--- a/mustardfall/proxy/exchange.py
+++ b/mustardfall/proxy/exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 import logging
 import math
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 from anyio import lowlevel
@@ -15,6 +15,7 @@
 
 from mustardfall import errors
 from mustardfall.proxy import connection_pool as connection_pool_lib
+from mustardfall.proxy import heads
 from mustardfall.proxy import messages
 
 logger = logging.getLogger(__name__)
@@ -244,7 +245,7 @@
       await lowlevel.checkpoint()
     due_at = math.inf
     try:
-      while (event := self._parser.next_event()) is h11.NEED_DATA:
+      while (event := self._parse(is_head)) is h11.NEED_DATA:
         if self._has_begun(is_head):
           due_at = min(due_at, anyio.current_time() + _MAX_HEAD_S)
         data = await self._receive(due_at)
@@ -256,6 +257,18 @@
       raise errors.InvalidResponseError("connection ended")
     return event
 
+  def _parse(self, is_head: bool) -> Any:
+    """Returns the next event of the parser.
+
+    Raises:
+      errors.InvalidResponseError: the head is invalid.
+    """
+    if is_head:
+      fault = heads.find_fault(self._parser.trailing_data[0])
+      if fault:
+        raise errors.InvalidResponseError(fault)
+    return self._parser.next_event()
+
   def _has_begun(self, is_head: bool) -> bool:
     """Whether a head, trailers or a chunk's length has begun and not ended.
 
--- a/mustardfall/proxy/http_server.py
+++ b/mustardfall/proxy/http_server.py
@@ -20,6 +20,7 @@
 from mustardfall.proxy import chunked_bodies
 from mustardfall.proxy import connection_table
 from mustardfall.proxy import draining
+from mustardfall.proxy import heads
 from mustardfall.proxy import host_load as host_load_lib
 from mustardfall.proxy import link_limiter as link_limiter_lib
 from mustardfall.proxy import messages
@@ -55,7 +56,6 @@
 _RETRY_AFTER_S = 1.0
 """Retry-After of callers refused for lack of connections or memory, in seconds.
 Mostly the load balancer sends the retry to another router."""
-_FOLDED_LINE = re.compile(rb"\n[ \t]")
 _CONTENT_LENGTH = re.compile(rb"\ncontent-length[ \t]*:", re.IGNORECASE)
 _TRANSFER_ENCODING = re.compile(rb"\ntransfer-encoding[ \t]*:", re.IGNORECASE)
 _DISCONNECT_ERRORS = (
@@ -377,6 +377,7 @@
     """Bytes that were received and not passed to the parser."""
     self._head_bytes = bytearray()
     """The request head being read, as received."""
+    self._head = heads.Section()
     self._body_left = 0
     """Bytes of the body that were not passed to the parser, if it has a
     length."""
@@ -404,6 +405,7 @@
       # Each request gets a new parser, as the limits may have changed.
       self._parser = self._new_parser()
       self._head_bytes.clear()
+      self._head = heads.Section()
     await self._close_lingering()
 
   def note_response(self) -> None:
@@ -535,6 +537,9 @@
     if self._is_reading_head:
       data = self._buffer.take_head(self._head_bytes)
       self._head_bytes += data
+      fault = self._head.find_fault(data)
+      if fault:
+        raise errors.RejectedRequestError(fault)
     elif self._chunk_merger is not None:
       data = self._chunk_merger.feed(self._buffer.take_all())
     else:
@@ -564,15 +569,13 @@
     """Refuses heads that allow request smuggling.
 
     An endpoint that finds the end of the body elsewhere than this router would
-    run a request hidden in the body. The parser accepts folded lines and
-    repeated Content-Length headers, so the raw bytes are searched for them.
+    run a request hidden in the body. The parser accepts repeated Content-Length
+    headers, so the raw bytes are searched for them.
     """
     end = self._head_bytes.find(b"\r\n\r\n")
     head = bytes(self._head_bytes if end < 0 else self._head_bytes[: end + 2])
     if len(head) > self._server.limits().header_bytes:
       raise errors.RejectedRequestError("head too large", 431)
-    if _FOLDED_LINE.search(head):
-      raise errors.RejectedRequestError("folded header")
     lengths = len(_CONTENT_LENGTH.findall(head))
     if lengths > 1 or (lengths and _TRANSFER_ENCODING.search(head)):
       raise errors.RejectedRequestError("ambiguous body length")
