Bound the responses that calls receive together

Cause: a response to a call to the store, or to another router, may have 4 MB, and nothing counted how many are received beside each other.

Change: those of one client may take 12 MB together; a call above that fails as one without a valid response. The emulated store can send bodies without end.

--- a/mustardfall/emulator/store.py
+++ b/mustardfall/emulator/store.py
@@ -40,6 +40,9 @@
 """Malformed response bodies, sent in turn during a `nonsense` fault."""
 
 
+_ENDLESS_PIECE_BYTES = 16_384
+
+
 @dataclasses.dataclass
 class Item:
   """The value and the revisions of one key, as written on the wire."""
@@ -56,7 +59,8 @@
   """Injected faults; set by tests."""
 
   failure_mode: str = ""
-  """`silent`, `busy` (503), `reset` or `nonsense`; empty: no failure."""
+  """`silent`, `busy` (503), `reset`, `nonsense` or `endless`; empty: no
+  failure."""
   lose_responses: int = 0
   """How many of the next writes are applied but get no response."""
   apply_delay_s: float = 0.0
@@ -151,6 +155,10 @@
     if self.faults.failure_mode == "nonsense":
       await responder.respond(200, [], next(self._invalid_responses))
       return
+    if self.faults.failure_mode == "endless":
+      await responder.start(200, [])
+      while True:
+        await responder.write(bytes(_ENDLESS_PIECE_BYTES))
     host = dict(request.headers).get(HOST_HEADER, b"").decode()
     if self.faults.failure_mode == "busy" or host in self.faults.rejected_hosts:
       await responder.respond(503, [])
--- a/mustardfall/proxy/http_client.py
+++ b/mustardfall/proxy/http_client.py
@@ -13,6 +13,8 @@
 _MAX_BODY_BYTES = 4_194_304
 """Largest response body: several times a page of the store, and larger than the
 list of 4,900 endpoints."""
+_MAX_HELD_BYTES = 3 * _MAX_BODY_BYTES
+"""Most bytes of responses that are being received by one client altogether."""
 _CONNECT_TIMEOUT_SHARE = 0.6
 """Share of a call's timeout that opening a connection may take."""
 _READ_TIMEOUT_S = 0.45
@@ -47,6 +49,8 @@
     self._overhead = overhead
     self._headers = headers
     self.calls = 0
+    self._held_bytes = 0
+    """Bytes of responses that are being received."""
 
   async def call(
       self,
@@ -69,7 +73,7 @@
     Raises:
       errors.EndpointUnreachableError: the call was not sent.
       errors.InvalidResponseError: the call was sent, and no complete response
-        arrived in time.
+        arrived in time, or there is no memory for it.
     """
     self.calls += 1
     size = len(body)
@@ -93,7 +97,7 @@
     try:
       with anyio.CancelScope(deadline=deadline) as scope:
         head = await exchange.start(_decode_response, "")
-        content = await _read_content(exchange, scope)
+        content = await self._read_content(exchange, scope)
         size += len(content)
         return Response(head.status, content)
     finally:
@@ -102,22 +106,39 @@
     assert scope.cancelled_caught
     raise errors.InvalidResponseError(f"{target}: no response in {timeout_s} s")
 
+  async def _read_content(
+      self, exchange: exchange_lib.Exchange, scope: anyio.CancelScope
+  ) -> bytes:
+    """Returns the response body; extends the deadline while bytes arrive."""
+    transfer_deadline = anyio.current_time() + _MAX_TRANSFER_S
+    content = bytearray()
+    try:
+      async for data in exchange.body():
+        content += data
+        self._held_bytes += len(data)
+        self._check_size(len(content))
+        read_deadline = anyio.current_time() + _READ_TIMEOUT_S
+        scope.deadline = min(
+            transfer_deadline, max(scope.deadline, read_deadline)
+        )
+      return bytes(content)
+    finally:
+      self._held_bytes -= len(content)
 
-async def _read_content(
-    exchange: exchange_lib.Exchange, scope: anyio.CancelScope
-) -> bytes:
-  """Returns the response body; extends the deadline while bytes arrive."""
-  transfer_deadline = anyio.current_time() + _MAX_TRANSFER_S
-  content = bytearray()
-  async for data in exchange.body():
-    content += data
-    if len(content) > _MAX_BODY_BYTES:
+  def _check_size(self, size: int) -> None:
+    """Checks the size of a response body that is being received.
+
+    Raises:
+      errors.InvalidResponseError: it, or all of them together, are too large.
+    """
+    if size > _MAX_BODY_BYTES:
       raise errors.InvalidResponseError(
           f"response body over {_MAX_BODY_BYTES} bytes"
       )
-    read_deadline = anyio.current_time() + _READ_TIMEOUT_S
-    scope.deadline = min(transfer_deadline, max(scope.deadline, read_deadline))
-  return bytes(content)
+    if self._held_bytes > _MAX_HELD_BYTES:
+      raise errors.InvalidResponseError(
+          f"no memory for a response, {self._held_bytes} bytes held"
+      )
 
 
 def _decode_response(
