Divide half of the host's memory if no limit is set

Callers saw: a router whose settings state no memory limit held 449 MB beside a server that sent bodies without end (the users' measurement).

Cause: without limits.memory_mb the memory for callers had no limit, so that any number of responses of 8 MB each could be held.

Change: half of the host's memory is taken as the limit in its place.

Not measured again with a crowd.

--- a/mustardfall/proxy/resource_limiter.py
+++ b/mustardfall/proxy/resource_limiter.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import os
 import resource
 from typing import NamedTuple
 
@@ -20,6 +21,8 @@
 _USABLE_MEMORY_SHARE = 0.85
 """Share of the host's memory limit that may be in use; allocators hold more
 memory than the program uses."""
+_HOST_MEMORY_SHARE = 0.5
+"""Share of the host's memory that a process may take if no limit is set."""
 _MIN_BYTES = 16_000_000
 """Minimum memory for callers, on hosts whose limit leaves less."""
 _RESERVED_FILES = 400
@@ -195,14 +198,18 @@
 
 
 def _max_bytes(limits: settings.Limits) -> float:
+  limit_bytes = limits.memory_mb * 1e6
   if not limits.memory_mb:
-    return float("inf")
+    limit_bytes = _host_memory_bytes() * _HOST_MEMORY_SHARE
   return max(
-      _MIN_BYTES,
-      limits.memory_mb * 1e6 * _USABLE_MEMORY_SHARE - _BASE_PROCESS_BYTES,
+      _MIN_BYTES, limit_bytes * _USABLE_MEMORY_SHARE - _BASE_PROCESS_BYTES
   )
 
 
+def _host_memory_bytes() -> int:
+  return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+
+
 def _max_connections(limits: settings.Limits) -> int:
   """Returns how many connections callers may have open.
 
--- a/mustardfall/settings.py
+++ b/mustardfall/settings.py
@@ -197,7 +197,8 @@
   """Resource limits of the process; 0: no limit but the host's."""
 
   memory_mb: int = pydantic.Field(default=0, ge=0)
-  """Memory above which the host kills the process, MB."""
+  """Memory above which the host kills the process, MB; 0: half of the host's
+  memory."""
   files: int = pydantic.Field(default=0, ge=0)
   """Maximum number of open file descriptors."""
   link_mbps: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
--- a/tests/test_resource_limiter.py
+++ b/tests/test_resource_limiter.py
@@ -1,5 +1,7 @@
 """Tests of how a host's descriptors and memory are divided."""
 
+import os
+
 import anyio
 import testtools
 
@@ -14,6 +16,19 @@
 """Connections that are refused with a response, as a multiple of the limit."""
 
 
+class MemoryTest(testtools.TestCase):
+
+  def test_host_without_a_stated_limit(self):
+    """Guards against responses that take all of the host's memory."""
+
+    async def run():
+      limiter = resource_limiter.new_caller_limiter(settings.Limits())
+      pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+      self.assertTrue(limiter.max_bytes <= pages / 2, limiter.max_bytes)
+
+    anyio.run(run)
+
+
 class DescriptorShareTest(testtools.TestCase):
 
   def test_all_services_at_their_limits(self):
