Count incomplete events of streams for the memory of callers

Cause: an event that has begun and does not end may have 256 KB, and it was counted nowhere. Some 400 streams at a faulty server hold more than a host of 150 MB has.

Change: what an incomplete event has beyond 4 KB is allocated from the memory of callers; the attempt fails where there is none. The emulated server can begin an event that it never ends.

--- a/mustardfall/emulator/server.py
+++ b/mustardfall/emulator/server.py
@@ -65,6 +65,8 @@
   encoded: bool = False
   rate_limit: str | None = None
   """Value of the `Server-Limit` header; None: the header is left out."""
+  unfinished_event_bytes: int = 0
+  """Bytes of an event that it begins and never ends; 0: it ends all events."""
   endless: str = ""
   """If set, sends bytes without end, of this kind of `endless_bytes`."""
   endless_interval_s: float = 0.0
@@ -555,6 +557,9 @@
   async def _send_events(self) -> None:
     behaviour = self._behaviour
     await self._send_stream_head()
+    if behaviour.unfinished_event_bytes:
+      await self._send_piece("data: " + "x" * behaviour.unfinished_event_bytes)
+      await anyio.sleep_forever()
     last = int(
         self._request.headers.get("last-event-id", behaviour.first_id - 1)
     )
--- a/mustardfall/proxy/forwarder.py
+++ b/mustardfall/proxy/forwarder.py
@@ -55,6 +55,8 @@
 _MAX_BODY_BYTES = 8_388_608
 """Largest response that is no event stream. It is read completely before it is
 passed on, so that no response is begun that then breaks off."""
+_UNCOUNTED_EVENT_BYTES = 4_096
+"""Bytes of an incomplete event that are part of a request's own memory."""
 _MAX_FAILED_CONNECTS = 4
 """Most failed connections per request. They do not count as attempts, since the
 endpoints did not run anything."""
@@ -589,10 +591,12 @@
       head: messages.ResponseHead,
   ) -> None:
     parser = streams.EventParser()
+    held = _UNCOUNTED_EVENT_BYTES
     context.progress_at = self._clock.monotonic()
     try:
       async for data in self._stream_chunks(context, exchange):
         events = parser.feed(data)
+        held = self._hold_event(context, parser, held)
         if events and not context.attempt_events:
           context.attempt_began_at = self._clock.monotonic()
         context.attempt_events += len(events)
@@ -616,6 +620,26 @@
     await context.responder.end()
     self._request_log.log_end(context, "answered", head.status)
 
+  def _hold_event(
+      self,
+      context: request_context_lib.RequestContext,
+      parser: streams.EventParser,
+      held: int,
+  ) -> int:
+    """Allocates an incomplete event; returns the bytes allocated so far.
+
+    Raises:
+      errors.InvalidResponseError: there is no memory for it.
+    """
+    size = parser.held_bytes
+    if size <= held:
+      return held
+    if not context.responder.hold_encoded(size - held):
+      raise errors.InvalidResponseError(
+          f"no memory for an event after {size} bytes"
+      )
+    return size
+
   async def _stream_chunks(
       self,
       context: request_context_lib.RequestContext,
--- a/mustardfall/proxy/streams.py
+++ b/mustardfall/proxy/streams.py
@@ -41,6 +41,11 @@
       raise ValueError("event too long")
     return [_to_event(bytes(raw)) for raw in complete]
 
+  @property
+  def held_bytes(self) -> int:
+    """The number of bytes of an event that is not complete yet."""
+    return len(self._incomplete)
+
   @property
   def incomplete(self) -> bytes:
     """The bytes of an event that is not complete yet."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -21,6 +21,7 @@
 from mustardfall.proxy import streams
 from mustardfall.util import clock as clock_lib
 from tests import platformcase
+from tests import processcase
 from tests import test_gateway
 
 _HEADS = (
@@ -51,6 +52,8 @@
 _MAX_BYTES = 12_000_000
 """Bytes of one such answer that the router may read."""
 _MAX_GROWTH_BYTES = 40_000_000
+_MAX_PROCESS_MB = 120
+"""Resident memory of a router whose limit is 150 MB, beside such answers."""
 _MAX_CPU_S = 0.5
 """Processor time that the router may spend on one such answer."""
 _FED_BYTES = 65_536
@@ -192,6 +195,27 @@
       took_s = time.process_time() - cpu_s
       self.assertTrue(took_s < _MAX_CPU_S, (kind, took_s))
 
+  @processcase.in_environment()
+  async def test_events_that_do_not_end(self, env):
+    """Guards against events that nobody counts and that fill the memory."""
+    env.router.settings["limits"]["memory_mb"] = 150
+    env.router.start()
+    await env.router.wait_until_ready()
+    env.server.behaviour = server_lib.Behaviour(
+        events=1, unfinished_event_bytes=250_000
+    )
+    most_mb = 0.0
+    async with anyio.create_task_group() as tasks:
+      for number in range(400):
+        tasks.start_soon(env.call, "/once/a", f"r{number}")
+        await anyio.sleep(0.005)
+      for _ in range(20):
+        most_mb = max(most_mb, env.router.memory_mb)
+        await anyio.sleep(0.05)
+      tasks.cancel_scope.cancel()
+    self.assertTrue(len(env.server.received) > 100, len(env.server.received))
+    self.assertTrue(most_mb < _MAX_PROCESS_MB, most_mb)
+
   @test_gateway.in_environment(servers=_SERVERS)
   async def test_others_are_served_beside_many_of_them(self, env):
     """Guards against a router that is kept busy, or whose memory runs full."""
