Match the blanks of a chunk header in one way

Cause: the pattern took blanks behind a chunk's length or in its extension in two ways and tried each division of them before it gave an incomplete header up.

Change: blanks come before the extension, which takes all the rest of the line. A blank between length and extension, as RFC 9112 allows, is now accepted.

--- a/mustardfall/proxy/chunked_bodies.py
+++ b/mustardfall/proxy/chunked_bodies.py
@@ -9,7 +9,7 @@
 from mustardfall import errors
 from mustardfall.proxy import heads
 
-_HEADER = rb"([0-9A-Fa-f]{1,20})(?:;[^\r\n]*)?[ \t]*\r\n"
+_HEADER = rb"([0-9A-Fa-f]{1,20})[ \t]*(?:;[^\r\n]*)?\r\n"
 _FIRST_HEADER = re.compile(_HEADER)
 _NEXT_HEADER = re.compile(rb"\r\n" + _HEADER)
 """A chunk header, after the line end of the chunk before."""
--- a/tests/test_chunked_bodies.py
+++ b/tests/test_chunked_bodies.py
@@ -1,5 +1,6 @@
 """Request bodies in chunks."""
 
+import contextlib
 import time
 
 import anyio
@@ -52,6 +53,23 @@
       self.assertIn(b"<" + body + b">", answer)
       self.assertTrue(time.process_time() - began_s < _MAX_BODY_S)
 
+  def test_blanks_in_a_chunk_header(self):
+    """Guards against one chunk header that stops the process for seconds."""
+    blanks = b" " * 70_000
+    for header in (b"5;" + blanks, b"5" + blanks, b"5" + blanks + b";"):
+      for end in (b"", b"a=b\r\nhello"):
+        began_s = time.process_time()
+        with contextlib.suppress(errors.RejectedRequestError):
+          chunked_bodies.ChunkMerger().feed(header + end)
+        self.assertTrue(time.process_time() - began_s < _MAX_BODY_S)
+
+  def test_blanks_before_and_in_an_extension(self):
+    """Guards against chunk headers that are rejected for their blanks."""
+    for header in (b"5 ", b"5\t;a=b", b"5;a=b \t", b"5 ; a = b "):
+      encoded = header + b"\r\nhello\r\n0\r\n\r\n"
+      answer = self._answer(_request(encoded, b"connection: close\r\n"))
+      self.assertIn(b"<hello>", answer)
+
   def test_request_after_a_body_in_chunks_is_served(self):
     """Guards against pipelined requests lost behind merged chunks."""
     last = _request(_chunks(b"two", 2), b"connection: close\r\n")
