Leave no empty list of idle connections in the pool

Cause: releasing a connection added a list for its address before it found that the connection cannot be kept. Making room then took the first address, found nothing in its empty list, and did so without end.

Change: the list is added with its first connection.

Evidence: test_connection_that_is_not_kept fails on (an empty list is left) and passes now.

--- a/mustardfall/proxy/connection_pool.py
+++ b/mustardfall/proxy/connection_pool.py
@@ -162,14 +162,15 @@
         if idle_timeout_s is None
         else idle_timeout_s - _IDLE_MARGIN_S
     )
-    idle = self._idle.setdefault(connection.address, collections.deque())
+    idle_count = len(self._idle.get(connection.address, ()))
     # The router at the other end of a tunnel may have announced its stop.
     is_spent = bool(connection.via) and sockets.is_readable(connection.stream)
-    if keep_s <= 0 or is_spent or len(idle) >= _MAX_IDLE_PER_ADDRESS:
+    if keep_s <= 0 or is_spent or idle_count >= _MAX_IDLE_PER_ADDRESS:
       await self.discard(connection)
       return
     connection.used = True
     connection.idle_until = self._clock.monotonic() + keep_s
+    idle = self._idle.setdefault(connection.address, collections.deque())
     idle.append(connection)
 
   async def discard(self, connection: Connection) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -48,6 +48,17 @@
     self.assertEqual([first, second, third], connection_pool.discarded)
     self.assertNotIn(_ADDRESS, connection_pool._idle)
 
+  def test_connection_that_is_not_kept(self):
+    """Guards against a pool at its limit that looks for idle ones for ever."""
+    connection_pool = _ConnectionPool(clock_lib.FakeClock(0.0), max_open=1)
+    connection_pool.discarded = []
+    connection = connection_pool_lib.Connection(_ADDRESS, None)
+    connection_pool.open_counts[_ADDRESS] = 2
+    anyio.run(connection_pool.release, connection, 1.0)
+    self.assertEqual([connection], connection_pool.discarded)
+    self.assertEqual({}, connection_pool._idle)
+    anyio.run(connection_pool._evict_idle)
+
   def test_unexpired_connections_are_kept(self):
     connection_pool, (expired, unexpired) = self._close(
         [1.0, 9.0], acquires_during_close=False
